--- a/src/main/java/org/yuccagw/wire/PeerProtocol.java
+++ b/src/main/java/org/yuccagw/wire/PeerProtocol.java
@@ -168,6 +168,51 @@
      */
     org.yuccagw.wire.PeerProtocol.CacheMessageOrBuilder getCacheOrBuilder();
 
+    /**
+     * <code>.yuccagw.StatusMessage status = 18;</code>
+     * @return Whether the status field is set.
+     */
+    boolean hasStatus();
+    /**
+     * <code>.yuccagw.StatusMessage status = 18;</code>
+     * @return The status.
+     */
+    org.yuccagw.wire.PeerProtocol.StatusMessage getStatus();
+    /**
+     * <code>.yuccagw.StatusMessage status = 18;</code>
+     */
+    org.yuccagw.wire.PeerProtocol.StatusMessageOrBuilder getStatusOrBuilder();
+
+    /**
+     * <code>.yuccagw.FollowMessage follow = 19;</code>
+     * @return Whether the follow field is set.
+     */
+    boolean hasFollow();
+    /**
+     * <code>.yuccagw.FollowMessage follow = 19;</code>
+     * @return The follow.
+     */
+    org.yuccagw.wire.PeerProtocol.FollowMessage getFollow();
+    /**
+     * <code>.yuccagw.FollowMessage follow = 19;</code>
+     */
+    org.yuccagw.wire.PeerProtocol.FollowMessageOrBuilder getFollowOrBuilder();
+
+    /**
+     * <code>.yuccagw.BreakMessage break_seen = 20;</code>
+     * @return Whether the breakSeen field is set.
+     */
+    boolean hasBreakSeen();
+    /**
+     * <code>.yuccagw.BreakMessage break_seen = 20;</code>
+     * @return The breakSeen.
+     */
+    org.yuccagw.wire.PeerProtocol.BreakMessage getBreakSeen();
+    /**
+     * <code>.yuccagw.BreakMessage break_seen = 20;</code>
+     */
+    org.yuccagw.wire.PeerProtocol.BreakMessageOrBuilder getBreakSeenOrBuilder();
+
     org.yuccagw.wire.PeerProtocol.Envelope.BodyCase getBodyCase();
   }
   /**
@@ -227,6 +272,9 @@
       SHARE(15),
       QUARANTINE(16),
       CACHE(17),
+      STATUS(18),
+      FOLLOW(19),
+      BREAK_SEEN(20),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -252,6 +300,9 @@
           case 15: return SHARE;
           case 16: return QUARANTINE;
           case 17: return CACHE;
+          case 18: return STATUS;
+          case 19: return FOLLOW;
+          case 20: return BREAK_SEEN;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -565,6 +616,99 @@
       return org.yuccagw.wire.PeerProtocol.CacheMessage.getDefaultInstance();
     }
 
+    public static final int STATUS_FIELD_NUMBER = 18;
+    /**
+     * <code>.yuccagw.StatusMessage status = 18;</code>
+     * @return Whether the status field is set.
+     */
+    @java.lang.Override
+    public boolean hasStatus() {
+      return bodyCase_ == 18;
+    }
+    /**
+     * <code>.yuccagw.StatusMessage status = 18;</code>
+     * @return The status.
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.StatusMessage getStatus() {
+      if (bodyCase_ == 18) {
+         return (org.yuccagw.wire.PeerProtocol.StatusMessage) body_;
+      }
+      return org.yuccagw.wire.PeerProtocol.StatusMessage.getDefaultInstance();
+    }
+    /**
+     * <code>.yuccagw.StatusMessage status = 18;</code>
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.StatusMessageOrBuilder getStatusOrBuilder() {
+      if (bodyCase_ == 18) {
+         return (org.yuccagw.wire.PeerProtocol.StatusMessage) body_;
+      }
+      return org.yuccagw.wire.PeerProtocol.StatusMessage.getDefaultInstance();
+    }
+
+    public static final int FOLLOW_FIELD_NUMBER = 19;
+    /**
+     * <code>.yuccagw.FollowMessage follow = 19;</code>
+     * @return Whether the follow field is set.
+     */
+    @java.lang.Override
+    public boolean hasFollow() {
+      return bodyCase_ == 19;
+    }
+    /**
+     * <code>.yuccagw.FollowMessage follow = 19;</code>
+     * @return The follow.
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.FollowMessage getFollow() {
+      if (bodyCase_ == 19) {
+         return (org.yuccagw.wire.PeerProtocol.FollowMessage) body_;
+      }
+      return org.yuccagw.wire.PeerProtocol.FollowMessage.getDefaultInstance();
+    }
+    /**
+     * <code>.yuccagw.FollowMessage follow = 19;</code>
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.FollowMessageOrBuilder getFollowOrBuilder() {
+      if (bodyCase_ == 19) {
+         return (org.yuccagw.wire.PeerProtocol.FollowMessage) body_;
+      }
+      return org.yuccagw.wire.PeerProtocol.FollowMessage.getDefaultInstance();
+    }
+
+    public static final int BREAK_SEEN_FIELD_NUMBER = 20;
+    /**
+     * <code>.yuccagw.BreakMessage break_seen = 20;</code>
+     * @return Whether the breakSeen field is set.
+     */
+    @java.lang.Override
+    public boolean hasBreakSeen() {
+      return bodyCase_ == 20;
+    }
+    /**
+     * <code>.yuccagw.BreakMessage break_seen = 20;</code>
+     * @return The breakSeen.
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.BreakMessage getBreakSeen() {
+      if (bodyCase_ == 20) {
+         return (org.yuccagw.wire.PeerProtocol.BreakMessage) body_;
+      }
+      return org.yuccagw.wire.PeerProtocol.BreakMessage.getDefaultInstance();
+    }
+    /**
+     * <code>.yuccagw.BreakMessage break_seen = 20;</code>
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.BreakMessageOrBuilder getBreakSeenOrBuilder() {
+      if (bodyCase_ == 20) {
+         return (org.yuccagw.wire.PeerProtocol.BreakMessage) body_;
+      }
+      return org.yuccagw.wire.PeerProtocol.BreakMessage.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -609,6 +753,15 @@
       if (bodyCase_ == 17) {
         output.writeMessage(17, (org.yuccagw.wire.PeerProtocol.CacheMessage) body_);
       }
+      if (bodyCase_ == 18) {
+        output.writeMessage(18, (org.yuccagw.wire.PeerProtocol.StatusMessage) body_);
+      }
+      if (bodyCase_ == 19) {
+        output.writeMessage(19, (org.yuccagw.wire.PeerProtocol.FollowMessage) body_);
+      }
+      if (bodyCase_ == 20) {
+        output.writeMessage(20, (org.yuccagw.wire.PeerProtocol.BreakMessage) body_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -652,6 +805,18 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(17, (org.yuccagw.wire.PeerProtocol.CacheMessage) body_);
       }
+      if (bodyCase_ == 18) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(18, (org.yuccagw.wire.PeerProtocol.StatusMessage) body_);
+      }
+      if (bodyCase_ == 19) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(19, (org.yuccagw.wire.PeerProtocol.FollowMessage) body_);
+      }
+      if (bodyCase_ == 20) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(20, (org.yuccagw.wire.PeerProtocol.BreakMessage) body_);
+      }
       return size;
     }
     @java.lang.Override
@@ -714,6 +879,18 @@
           if (!getCache()
               .equals(other.getCache())) return false;
           break;
+        case 18:
+          if (!getStatus()
+              .equals(other.getStatus())) return false;
+          break;
+        case 19:
+          if (!getFollow()
+              .equals(other.getFollow())) return false;
+          break;
+        case 20:
+          if (!getBreakSeen()
+              .equals(other.getBreakSeen())) return false;
+          break;
         case 0:
         default:
       }
@@ -766,6 +943,18 @@
           hash = (37 * hash) + CACHE_FIELD_NUMBER;
           hash = (53 * hash) + getCache().hashCode();
           break;
+        case 18:
+          hash = (37 * hash) + STATUS_FIELD_NUMBER;
+          hash = (53 * hash) + getStatus().hashCode();
+          break;
+        case 19:
+          hash = (37 * hash) + FOLLOW_FIELD_NUMBER;
+          hash = (53 * hash) + getFollow().hashCode();
+          break;
+        case 20:
+          hash = (37 * hash) + BREAK_SEEN_FIELD_NUMBER;
+          hash = (53 * hash) + getBreakSeen().hashCode();
+          break;
         case 0:
         default:
       }
@@ -926,6 +1115,15 @@
         if (cacheBuilder_ != null) {
           cacheBuilder_.clear();
         }
+        if (statusBuilder_ != null) {
+          statusBuilder_.clear();
+        }
+        if (followBuilder_ != null) {
+          followBuilder_.clear();
+        }
+        if (breakSeenBuilder_ != null) {
+          breakSeenBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -1005,6 +1203,18 @@
             cacheBuilder_ != null) {
           result.body_ = cacheBuilder_.build();
         }
+        if (bodyCase_ == 18 &&
+            statusBuilder_ != null) {
+          result.body_ = statusBuilder_.build();
+        }
+        if (bodyCase_ == 19 &&
+            followBuilder_ != null) {
+          result.body_ = followBuilder_.build();
+        }
+        if (bodyCase_ == 20 &&
+            breakSeenBuilder_ != null) {
+          result.body_ = breakSeenBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -1060,6 +1270,18 @@
             mergeCache(other.getCache());
             break;
           }
+          case STATUS: {
+            mergeStatus(other.getStatus());
+            break;
+          }
+          case FOLLOW: {
+            mergeFollow(other.getFollow());
+            break;
+          }
+          case BREAK_SEEN: {
+            mergeBreakSeen(other.getBreakSeen());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -1154,6 +1376,27 @@
                 bodyCase_ = 17;
                 break;
               } // case 138
+              case 146: {
+                input.readMessage(
+                    internalGetStatusFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 18;
+                break;
+              } // case 146
+              case 154: {
+                input.readMessage(
+                    internalGetFollowFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 19;
+                break;
+              } // case 154
+              case 162: {
+                input.readMessage(
+                    internalGetBreakSeenFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 20;
+                break;
+              } // case 162
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -2410,91 +2653,511 @@
         return cacheBuilder_;
       }
 
-      // @@protoc_insertion_point(builder_scope:yuccagw.Envelope)
-    }
-
-    // @@protoc_insertion_point(class_scope:yuccagw.Envelope)
-    private static final org.yuccagw.wire.PeerProtocol.Envelope DEFAULT_INSTANCE;
-    static {
-      DEFAULT_INSTANCE = new org.yuccagw.wire.PeerProtocol.Envelope();
-    }
-
-    public static org.yuccagw.wire.PeerProtocol.Envelope getDefaultInstance() {
-      return DEFAULT_INSTANCE;
-    }
-
-    private static final com.google.protobuf.Parser<Envelope>
-        PARSER = new com.google.protobuf.AbstractParser<Envelope>() {
+      private com.google.protobuf.SingleFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.StatusMessage, org.yuccagw.wire.PeerProtocol.StatusMessage.Builder, org.yuccagw.wire.PeerProtocol.StatusMessageOrBuilder> statusBuilder_;
+      /**
+       * <code>.yuccagw.StatusMessage status = 18;</code>
+       * @return Whether the status field is set.
+       */
       @java.lang.Override
-      public Envelope parsePartialFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws com.google.protobuf.InvalidProtocolBufferException {
-        Builder builder = newBuilder();
-        try {
-          builder.mergeFrom(input, extensionRegistry);
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.setUnfinishedMessage(builder.buildPartial());
-        } catch (com.google.protobuf.UninitializedMessageException e) {
-          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-        } catch (java.io.IOException e) {
-          throw new com.google.protobuf.InvalidProtocolBufferException(e)
-              .setUnfinishedMessage(builder.buildPartial());
+      public boolean hasStatus() {
+        return bodyCase_ == 18;
+      }
+      /**
+       * <code>.yuccagw.StatusMessage status = 18;</code>
+       * @return The status.
+       */
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.StatusMessage getStatus() {
+        if (statusBuilder_ == null) {
+          if (bodyCase_ == 18) {
+            return (org.yuccagw.wire.PeerProtocol.StatusMessage) body_;
+          }
+          return org.yuccagw.wire.PeerProtocol.StatusMessage.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 18) {
+            return statusBuilder_.getMessage();
+          }
+          return org.yuccagw.wire.PeerProtocol.StatusMessage.getDefaultInstance();
         }
-        return builder.buildPartial();
       }
-    };
-
-    public static com.google.protobuf.Parser<Envelope> parser() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Parser<Envelope> getParserForType() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public org.yuccagw.wire.PeerProtocol.Envelope getDefaultInstanceForType() {
-      return DEFAULT_INSTANCE;
-    }
-
-  }
-
-  public interface MemberOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:yuccagw.Member)
-      com.google.protobuf.MessageOrBuilder {
-
-    /**
-     * <code>string entry = 1;</code>
-     * @return The entry.
-     */
-    java.lang.String getEntry();
-    /**
-     * <code>string entry = 1;</code>
-     * @return The bytes for entry.
-     */
-    com.google.protobuf.ByteString
-        getEntryBytes();
-
-    /**
-     * <code>int64 incarnation = 2;</code>
-     * @return The incarnation.
-     */
-    long getIncarnation();
-
-    /**
-     * <pre>
-     * 0 alive, 1 suspect, 2 leaving, 3 dead
-     * </pre>
-     *
-     * <code>int32 state = 3;</code>
-     * @return The state.
-     */
-    int getState();
+      /**
+       * <code>.yuccagw.StatusMessage status = 18;</code>
+       */
+      public Builder setStatus(org.yuccagw.wire.PeerProtocol.StatusMessage value) {
+        if (statusBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          body_ = value;
+          onChanged();
+        } else {
+          statusBuilder_.setMessage(value);
+        }
+        bodyCase_ = 18;
+        return this;
+      }
+      /**
+       * <code>.yuccagw.StatusMessage status = 18;</code>
+       */
+      public Builder setStatus(
+          org.yuccagw.wire.PeerProtocol.StatusMessage.Builder builderForValue) {
+        if (statusBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          statusBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 18;
+        return this;
+      }
+      /**
+       * <code>.yuccagw.StatusMessage status = 18;</code>
+       */
+      public Builder mergeStatus(org.yuccagw.wire.PeerProtocol.StatusMessage value) {
+        if (statusBuilder_ == null) {
+          if (bodyCase_ == 18 &&
+              body_ != org.yuccagw.wire.PeerProtocol.StatusMessage.getDefaultInstance()) {
+            body_ = org.yuccagw.wire.PeerProtocol.StatusMessage.newBuilder((org.yuccagw.wire.PeerProtocol.StatusMessage) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 18) {
+            statusBuilder_.mergeFrom(value);
+          } else {
+            statusBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 18;
+        return this;
+      }
+      /**
+       * <code>.yuccagw.StatusMessage status = 18;</code>
+       */
+      public Builder clearStatus() {
+        if (statusBuilder_ == null) {
+          if (bodyCase_ == 18) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 18) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          statusBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.yuccagw.StatusMessage status = 18;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.StatusMessage.Builder getStatusBuilder() {
+        return internalGetStatusFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.yuccagw.StatusMessage status = 18;</code>
+       */
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.StatusMessageOrBuilder getStatusOrBuilder() {
+        if ((bodyCase_ == 18) && (statusBuilder_ != null)) {
+          return statusBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 18) {
+            return (org.yuccagw.wire.PeerProtocol.StatusMessage) body_;
+          }
+          return org.yuccagw.wire.PeerProtocol.StatusMessage.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.yuccagw.StatusMessage status = 18;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.StatusMessage, org.yuccagw.wire.PeerProtocol.StatusMessage.Builder, org.yuccagw.wire.PeerProtocol.StatusMessageOrBuilder> 
+          internalGetStatusFieldBuilder() {
+        if (statusBuilder_ == null) {
+          if (!(bodyCase_ == 18)) {
+            body_ = org.yuccagw.wire.PeerProtocol.StatusMessage.getDefaultInstance();
+          }
+          statusBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.yuccagw.wire.PeerProtocol.StatusMessage, org.yuccagw.wire.PeerProtocol.StatusMessage.Builder, org.yuccagw.wire.PeerProtocol.StatusMessageOrBuilder>(
+                  (org.yuccagw.wire.PeerProtocol.StatusMessage) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 18;
+        onChanged();
+        return statusBuilder_;
+      }
 
-    /**
-     * <code>string domain = 4;</code>
+      private com.google.protobuf.SingleFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.FollowMessage, org.yuccagw.wire.PeerProtocol.FollowMessage.Builder, org.yuccagw.wire.PeerProtocol.FollowMessageOrBuilder> followBuilder_;
+      /**
+       * <code>.yuccagw.FollowMessage follow = 19;</code>
+       * @return Whether the follow field is set.
+       */
+      @java.lang.Override
+      public boolean hasFollow() {
+        return bodyCase_ == 19;
+      }
+      /**
+       * <code>.yuccagw.FollowMessage follow = 19;</code>
+       * @return The follow.
+       */
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.FollowMessage getFollow() {
+        if (followBuilder_ == null) {
+          if (bodyCase_ == 19) {
+            return (org.yuccagw.wire.PeerProtocol.FollowMessage) body_;
+          }
+          return org.yuccagw.wire.PeerProtocol.FollowMessage.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 19) {
+            return followBuilder_.getMessage();
+          }
+          return org.yuccagw.wire.PeerProtocol.FollowMessage.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.yuccagw.FollowMessage follow = 19;</code>
+       */
+      public Builder setFollow(org.yuccagw.wire.PeerProtocol.FollowMessage value) {
+        if (followBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          body_ = value;
+          onChanged();
+        } else {
+          followBuilder_.setMessage(value);
+        }
+        bodyCase_ = 19;
+        return this;
+      }
+      /**
+       * <code>.yuccagw.FollowMessage follow = 19;</code>
+       */
+      public Builder setFollow(
+          org.yuccagw.wire.PeerProtocol.FollowMessage.Builder builderForValue) {
+        if (followBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          followBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 19;
+        return this;
+      }
+      /**
+       * <code>.yuccagw.FollowMessage follow = 19;</code>
+       */
+      public Builder mergeFollow(org.yuccagw.wire.PeerProtocol.FollowMessage value) {
+        if (followBuilder_ == null) {
+          if (bodyCase_ == 19 &&
+              body_ != org.yuccagw.wire.PeerProtocol.FollowMessage.getDefaultInstance()) {
+            body_ = org.yuccagw.wire.PeerProtocol.FollowMessage.newBuilder((org.yuccagw.wire.PeerProtocol.FollowMessage) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 19) {
+            followBuilder_.mergeFrom(value);
+          } else {
+            followBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 19;
+        return this;
+      }
+      /**
+       * <code>.yuccagw.FollowMessage follow = 19;</code>
+       */
+      public Builder clearFollow() {
+        if (followBuilder_ == null) {
+          if (bodyCase_ == 19) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 19) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          followBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.yuccagw.FollowMessage follow = 19;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.FollowMessage.Builder getFollowBuilder() {
+        return internalGetFollowFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.yuccagw.FollowMessage follow = 19;</code>
+       */
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.FollowMessageOrBuilder getFollowOrBuilder() {
+        if ((bodyCase_ == 19) && (followBuilder_ != null)) {
+          return followBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 19) {
+            return (org.yuccagw.wire.PeerProtocol.FollowMessage) body_;
+          }
+          return org.yuccagw.wire.PeerProtocol.FollowMessage.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.yuccagw.FollowMessage follow = 19;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.FollowMessage, org.yuccagw.wire.PeerProtocol.FollowMessage.Builder, org.yuccagw.wire.PeerProtocol.FollowMessageOrBuilder> 
+          internalGetFollowFieldBuilder() {
+        if (followBuilder_ == null) {
+          if (!(bodyCase_ == 19)) {
+            body_ = org.yuccagw.wire.PeerProtocol.FollowMessage.getDefaultInstance();
+          }
+          followBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.yuccagw.wire.PeerProtocol.FollowMessage, org.yuccagw.wire.PeerProtocol.FollowMessage.Builder, org.yuccagw.wire.PeerProtocol.FollowMessageOrBuilder>(
+                  (org.yuccagw.wire.PeerProtocol.FollowMessage) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 19;
+        onChanged();
+        return followBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.BreakMessage, org.yuccagw.wire.PeerProtocol.BreakMessage.Builder, org.yuccagw.wire.PeerProtocol.BreakMessageOrBuilder> breakSeenBuilder_;
+      /**
+       * <code>.yuccagw.BreakMessage break_seen = 20;</code>
+       * @return Whether the breakSeen field is set.
+       */
+      @java.lang.Override
+      public boolean hasBreakSeen() {
+        return bodyCase_ == 20;
+      }
+      /**
+       * <code>.yuccagw.BreakMessage break_seen = 20;</code>
+       * @return The breakSeen.
+       */
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.BreakMessage getBreakSeen() {
+        if (breakSeenBuilder_ == null) {
+          if (bodyCase_ == 20) {
+            return (org.yuccagw.wire.PeerProtocol.BreakMessage) body_;
+          }
+          return org.yuccagw.wire.PeerProtocol.BreakMessage.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 20) {
+            return breakSeenBuilder_.getMessage();
+          }
+          return org.yuccagw.wire.PeerProtocol.BreakMessage.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.yuccagw.BreakMessage break_seen = 20;</code>
+       */
+      public Builder setBreakSeen(org.yuccagw.wire.PeerProtocol.BreakMessage value) {
+        if (breakSeenBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          body_ = value;
+          onChanged();
+        } else {
+          breakSeenBuilder_.setMessage(value);
+        }
+        bodyCase_ = 20;
+        return this;
+      }
+      /**
+       * <code>.yuccagw.BreakMessage break_seen = 20;</code>
+       */
+      public Builder setBreakSeen(
+          org.yuccagw.wire.PeerProtocol.BreakMessage.Builder builderForValue) {
+        if (breakSeenBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          breakSeenBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 20;
+        return this;
+      }
+      /**
+       * <code>.yuccagw.BreakMessage break_seen = 20;</code>
+       */
+      public Builder mergeBreakSeen(org.yuccagw.wire.PeerProtocol.BreakMessage value) {
+        if (breakSeenBuilder_ == null) {
+          if (bodyCase_ == 20 &&
+              body_ != org.yuccagw.wire.PeerProtocol.BreakMessage.getDefaultInstance()) {
+            body_ = org.yuccagw.wire.PeerProtocol.BreakMessage.newBuilder((org.yuccagw.wire.PeerProtocol.BreakMessage) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 20) {
+            breakSeenBuilder_.mergeFrom(value);
+          } else {
+            breakSeenBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 20;
+        return this;
+      }
+      /**
+       * <code>.yuccagw.BreakMessage break_seen = 20;</code>
+       */
+      public Builder clearBreakSeen() {
+        if (breakSeenBuilder_ == null) {
+          if (bodyCase_ == 20) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 20) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          breakSeenBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.yuccagw.BreakMessage break_seen = 20;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.BreakMessage.Builder getBreakSeenBuilder() {
+        return internalGetBreakSeenFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.yuccagw.BreakMessage break_seen = 20;</code>
+       */
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.BreakMessageOrBuilder getBreakSeenOrBuilder() {
+        if ((bodyCase_ == 20) && (breakSeenBuilder_ != null)) {
+          return breakSeenBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 20) {
+            return (org.yuccagw.wire.PeerProtocol.BreakMessage) body_;
+          }
+          return org.yuccagw.wire.PeerProtocol.BreakMessage.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.yuccagw.BreakMessage break_seen = 20;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.BreakMessage, org.yuccagw.wire.PeerProtocol.BreakMessage.Builder, org.yuccagw.wire.PeerProtocol.BreakMessageOrBuilder> 
+          internalGetBreakSeenFieldBuilder() {
+        if (breakSeenBuilder_ == null) {
+          if (!(bodyCase_ == 20)) {
+            body_ = org.yuccagw.wire.PeerProtocol.BreakMessage.getDefaultInstance();
+          }
+          breakSeenBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.yuccagw.wire.PeerProtocol.BreakMessage, org.yuccagw.wire.PeerProtocol.BreakMessage.Builder, org.yuccagw.wire.PeerProtocol.BreakMessageOrBuilder>(
+                  (org.yuccagw.wire.PeerProtocol.BreakMessage) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 20;
+        onChanged();
+        return breakSeenBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:yuccagw.Envelope)
+    }
+
+    // @@protoc_insertion_point(class_scope:yuccagw.Envelope)
+    private static final org.yuccagw.wire.PeerProtocol.Envelope DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.yuccagw.wire.PeerProtocol.Envelope();
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.Envelope getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Envelope>
+        PARSER = new com.google.protobuf.AbstractParser<Envelope>() {
+      @java.lang.Override
+      public Envelope parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Envelope> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Envelope> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.Envelope getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface MemberOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:yuccagw.Member)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string entry = 1;</code>
+     * @return The entry.
+     */
+    java.lang.String getEntry();
+    /**
+     * <code>string entry = 1;</code>
+     * @return The bytes for entry.
+     */
+    com.google.protobuf.ByteString
+        getEntryBytes();
+
+    /**
+     * <code>int64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    long getIncarnation();
+
+    /**
+     * <pre>
+     * 0 alive, 1 suspect, 2 leaving, 3 dead
+     * </pre>
+     *
+     * <code>int32 state = 3;</code>
+     * @return The state.
+     */
+    int getState();
+
+    /**
+     * <code>string domain = 4;</code>
      * @return The domain.
      */
     java.lang.String getDomain();
@@ -19426,23 +20089,6960 @@
 
   }
 
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_yuccagw_Envelope_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_yuccagw_Envelope_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_yuccagw_Member_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_yuccagw_Member_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_yuccagw_GossipMessage_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_yuccagw_GossipMessage_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_yuccagw_CatalogueMessage_descriptor;
+  public interface ContactOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:yuccagw.Contact)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string entry = 1;</code>
+     * @return The entry.
+     */
+    java.lang.String getEntry();
+    /**
+     * <code>string entry = 1;</code>
+     * @return The bytes for entry.
+     */
+    com.google.protobuf.ByteString
+        getEntryBytes();
+
+    /**
+     * <code>int64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    long getIncarnation();
+
+    /**
+     * <code>string domain = 3;</code>
+     * @return The domain.
+     */
+    java.lang.String getDomain();
+    /**
+     * <code>string domain = 3;</code>
+     * @return The bytes for domain.
+     */
+    com.google.protobuf.ByteString
+        getDomainBytes();
+
+    /**
+     * <code>string callers = 4;</code>
+     * @return The callers.
+     */
+    java.lang.String getCallers();
+    /**
+     * <code>string callers = 4;</code>
+     * @return The bytes for callers.
+     */
+    com.google.protobuf.ByteString
+        getCallersBytes();
+
+    /**
+     * <code>string peers = 5;</code>
+     * @return The peers.
+     */
+    java.lang.String getPeers();
+    /**
+     * <code>string peers = 5;</code>
+     * @return The bytes for peers.
+     */
+    com.google.protobuf.ByteString
+        getPeersBytes();
+  }
+  /**
+   * Protobuf type {@code yuccagw.Contact}
+   */
+  public static final class Contact extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:yuccagw.Contact)
+      ContactOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Contact");
+    }
+    // Use Contact.newBuilder() to construct.
+    private Contact(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Contact() {
+      entry_ = "";
+      domain_ = "";
+      callers_ = "";
+      peers_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_Contact_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_Contact_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_Contact_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.yuccagw.wire.PeerProtocol.Contact.class, org.yuccagw.wire.PeerProtocol.Contact.Builder.class);
+    }
+
+    public static final int ENTRY_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object entry_ = "";
+    /**
+     * <code>string entry = 1;</code>
+     * @return The entry.
+     */
+    @java.lang.Override
+    public java.lang.String getEntry() {
+      java.lang.Object ref = entry_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        entry_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string entry = 1;</code>
+     * @return The bytes for entry.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getEntryBytes() {
+      java.lang.Object ref = entry_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        entry_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int INCARNATION_FIELD_NUMBER = 2;
+    private long incarnation_ = 0L;
+    /**
+     * <code>int64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+
+    public static final int DOMAIN_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object domain_ = "";
+    /**
+     * <code>string domain = 3;</code>
+     * @return The domain.
+     */
+    @java.lang.Override
+    public java.lang.String getDomain() {
+      java.lang.Object ref = domain_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        domain_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string domain = 3;</code>
+     * @return The bytes for domain.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getDomainBytes() {
+      java.lang.Object ref = domain_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        domain_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int CALLERS_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object callers_ = "";
+    /**
+     * <code>string callers = 4;</code>
+     * @return The callers.
+     */
+    @java.lang.Override
+    public java.lang.String getCallers() {
+      java.lang.Object ref = callers_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        callers_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string callers = 4;</code>
+     * @return The bytes for callers.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getCallersBytes() {
+      java.lang.Object ref = callers_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        callers_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int PEERS_FIELD_NUMBER = 5;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object peers_ = "";
+    /**
+     * <code>string peers = 5;</code>
+     * @return The peers.
+     */
+    @java.lang.Override
+    public java.lang.String getPeers() {
+      java.lang.Object ref = peers_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        peers_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string peers = 5;</code>
+     * @return The bytes for peers.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getPeersBytes() {
+      java.lang.Object ref = peers_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        peers_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entry_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, entry_);
+      }
+      if (incarnation_ != 0L) {
+        output.writeInt64(2, incarnation_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(domain_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, domain_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callers_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 4, callers_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(peers_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 5, peers_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(entry_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, entry_);
+      }
+      if (incarnation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, incarnation_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(domain_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, domain_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callers_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, callers_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(peers_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(5, peers_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.yuccagw.wire.PeerProtocol.Contact)) {
+        return super.equals(obj);
+      }
+      org.yuccagw.wire.PeerProtocol.Contact other = (org.yuccagw.wire.PeerProtocol.Contact) obj;
+
+      if (!getEntry()
+          .equals(other.getEntry())) return false;
+      if (getIncarnation()
+          != other.getIncarnation()) return false;
+      if (!getDomain()
+          .equals(other.getDomain())) return false;
+      if (!getCallers()
+          .equals(other.getCallers())) return false;
+      if (!getPeers()
+          .equals(other.getPeers())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ENTRY_FIELD_NUMBER;
+      hash = (53 * hash) + getEntry().hashCode();
+      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIncarnation());
+      hash = (37 * hash) + DOMAIN_FIELD_NUMBER;
+      hash = (53 * hash) + getDomain().hashCode();
+      hash = (37 * hash) + CALLERS_FIELD_NUMBER;
+      hash = (53 * hash) + getCallers().hashCode();
+      hash = (37 * hash) + PEERS_FIELD_NUMBER;
+      hash = (53 * hash) + getPeers().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.Contact parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.Contact parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.Contact parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.Contact parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.Contact parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.Contact parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.Contact parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.Contact parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.Contact parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.Contact parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.Contact parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.Contact parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.yuccagw.wire.PeerProtocol.Contact prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code yuccagw.Contact}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:yuccagw.Contact)
+        org.yuccagw.wire.PeerProtocol.ContactOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_Contact_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_Contact_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.yuccagw.wire.PeerProtocol.Contact.class, org.yuccagw.wire.PeerProtocol.Contact.Builder.class);
+      }
+
+      // Construct using org.yuccagw.wire.PeerProtocol.Contact.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        entry_ = "";
+        incarnation_ = 0L;
+        domain_ = "";
+        callers_ = "";
+        peers_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_Contact_descriptor;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.Contact getDefaultInstanceForType() {
+        return org.yuccagw.wire.PeerProtocol.Contact.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.Contact build() {
+        org.yuccagw.wire.PeerProtocol.Contact result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.Contact buildPartial() {
+        org.yuccagw.wire.PeerProtocol.Contact result = new org.yuccagw.wire.PeerProtocol.Contact(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.yuccagw.wire.PeerProtocol.Contact result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.entry_ = entry_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.incarnation_ = incarnation_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.domain_ = domain_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.callers_ = callers_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.peers_ = peers_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.yuccagw.wire.PeerProtocol.Contact) {
+          return mergeFrom((org.yuccagw.wire.PeerProtocol.Contact)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.yuccagw.wire.PeerProtocol.Contact other) {
+        if (other == org.yuccagw.wire.PeerProtocol.Contact.getDefaultInstance()) return this;
+        if (!other.getEntry().isEmpty()) {
+          entry_ = other.entry_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getIncarnation() != 0L) {
+          setIncarnation(other.getIncarnation());
+        }
+        if (!other.getDomain().isEmpty()) {
+          domain_ = other.domain_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        if (!other.getCallers().isEmpty()) {
+          callers_ = other.callers_;
+          bitField0_ |= 0x00000008;
+          onChanged();
+        }
+        if (!other.getPeers().isEmpty()) {
+          peers_ = other.peers_;
+          bitField0_ |= 0x00000010;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                entry_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                incarnation_ = input.readInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 26: {
+                domain_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              case 34: {
+                callers_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 34
+              case 42: {
+                peers_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 42
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object entry_ = "";
+      /**
+       * <code>string entry = 1;</code>
+       * @return The entry.
+       */
+      public java.lang.String getEntry() {
+        java.lang.Object ref = entry_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          entry_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string entry = 1;</code>
+       * @return The bytes for entry.
+       */
+      public com.google.protobuf.ByteString
+          getEntryBytes() {
+        java.lang.Object ref = entry_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          entry_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string entry = 1;</code>
+       * @param value The entry to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEntry(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        entry_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string entry = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEntry() {
+        entry_ = getDefaultInstance().getEntry();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string entry = 1;</code>
+       * @param value The bytes for entry to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEntryBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        entry_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long incarnation_ ;
+      /**
+       * <code>int64 incarnation = 2;</code>
+       * @return The incarnation.
+       */
+      @java.lang.Override
+      public long getIncarnation() {
+        return incarnation_;
+      }
+      /**
+       * <code>int64 incarnation = 2;</code>
+       * @param value The incarnation to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIncarnation(long value) {
+
+        incarnation_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 incarnation = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIncarnation() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        incarnation_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object domain_ = "";
+      /**
+       * <code>string domain = 3;</code>
+       * @return The domain.
+       */
+      public java.lang.String getDomain() {
+        java.lang.Object ref = domain_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          domain_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string domain = 3;</code>
+       * @return The bytes for domain.
+       */
+      public com.google.protobuf.ByteString
+          getDomainBytes() {
+        java.lang.Object ref = domain_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          domain_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string domain = 3;</code>
+       * @param value The domain to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDomain(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        domain_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string domain = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDomain() {
+        domain_ = getDefaultInstance().getDomain();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string domain = 3;</code>
+       * @param value The bytes for domain to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDomainBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        domain_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object callers_ = "";
+      /**
+       * <code>string callers = 4;</code>
+       * @return The callers.
+       */
+      public java.lang.String getCallers() {
+        java.lang.Object ref = callers_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          callers_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string callers = 4;</code>
+       * @return The bytes for callers.
+       */
+      public com.google.protobuf.ByteString
+          getCallersBytes() {
+        java.lang.Object ref = callers_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          callers_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string callers = 4;</code>
+       * @param value The callers to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCallers(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        callers_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string callers = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCallers() {
+        callers_ = getDefaultInstance().getCallers();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string callers = 4;</code>
+       * @param value The bytes for callers to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCallersBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        callers_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object peers_ = "";
+      /**
+       * <code>string peers = 5;</code>
+       * @return The peers.
+       */
+      public java.lang.String getPeers() {
+        java.lang.Object ref = peers_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          peers_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string peers = 5;</code>
+       * @return The bytes for peers.
+       */
+      public com.google.protobuf.ByteString
+          getPeersBytes() {
+        java.lang.Object ref = peers_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          peers_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string peers = 5;</code>
+       * @param value The peers to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPeers(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        peers_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string peers = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPeers() {
+        peers_ = getDefaultInstance().getPeers();
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string peers = 5;</code>
+       * @param value The bytes for peers to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPeersBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        peers_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:yuccagw.Contact)
+    }
+
+    // @@protoc_insertion_point(class_scope:yuccagw.Contact)
+    private static final org.yuccagw.wire.PeerProtocol.Contact DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.yuccagw.wire.PeerProtocol.Contact();
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.Contact getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Contact>
+        PARSER = new com.google.protobuf.AbstractParser<Contact>() {
+      @java.lang.Override
+      public Contact parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Contact> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Contact> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.Contact getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface EndpointLoadMessageOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:yuccagw.EndpointLoadMessage)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string endpoint = 1;</code>
+     * @return The endpoint.
+     */
+    java.lang.String getEndpoint();
+    /**
+     * <code>string endpoint = 1;</code>
+     * @return The bytes for endpoint.
+     */
+    com.google.protobuf.ByteString
+        getEndpointBytes();
+
+    /**
+     * <code>int32 requests = 2;</code>
+     * @return The requests.
+     */
+    int getRequests();
+
+    /**
+     * <code>int64 tokens = 3;</code>
+     * @return The tokens.
+     */
+    long getTokens();
+  }
+  /**
+   * Protobuf type {@code yuccagw.EndpointLoadMessage}
+   */
+  public static final class EndpointLoadMessage extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:yuccagw.EndpointLoadMessage)
+      EndpointLoadMessageOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "EndpointLoadMessage");
+    }
+    // Use EndpointLoadMessage.newBuilder() to construct.
+    private EndpointLoadMessage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private EndpointLoadMessage() {
+      endpoint_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_EndpointLoadMessage_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_EndpointLoadMessage_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_EndpointLoadMessage_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.class, org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.Builder.class);
+    }
+
+    public static final int ENDPOINT_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object endpoint_ = "";
+    /**
+     * <code>string endpoint = 1;</code>
+     * @return The endpoint.
+     */
+    @java.lang.Override
+    public java.lang.String getEndpoint() {
+      java.lang.Object ref = endpoint_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        endpoint_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string endpoint = 1;</code>
+     * @return The bytes for endpoint.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getEndpointBytes() {
+      java.lang.Object ref = endpoint_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        endpoint_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int REQUESTS_FIELD_NUMBER = 2;
+    private int requests_ = 0;
+    /**
+     * <code>int32 requests = 2;</code>
+     * @return The requests.
+     */
+    @java.lang.Override
+    public int getRequests() {
+      return requests_;
+    }
+
+    public static final int TOKENS_FIELD_NUMBER = 3;
+    private long tokens_ = 0L;
+    /**
+     * <code>int64 tokens = 3;</code>
+     * @return The tokens.
+     */
+    @java.lang.Override
+    public long getTokens() {
+      return tokens_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(endpoint_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, endpoint_);
+      }
+      if (requests_ != 0) {
+        output.writeInt32(2, requests_);
+      }
+      if (tokens_ != 0L) {
+        output.writeInt64(3, tokens_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(endpoint_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, endpoint_);
+      }
+      if (requests_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt32Size(2, requests_);
+      }
+      if (tokens_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(3, tokens_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.yuccagw.wire.PeerProtocol.EndpointLoadMessage)) {
+        return super.equals(obj);
+      }
+      org.yuccagw.wire.PeerProtocol.EndpointLoadMessage other = (org.yuccagw.wire.PeerProtocol.EndpointLoadMessage) obj;
+
+      if (!getEndpoint()
+          .equals(other.getEndpoint())) return false;
+      if (getRequests()
+          != other.getRequests()) return false;
+      if (getTokens()
+          != other.getTokens()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ENDPOINT_FIELD_NUMBER;
+      hash = (53 * hash) + getEndpoint().hashCode();
+      hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
+      hash = (53 * hash) + getRequests();
+      hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTokens());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.EndpointLoadMessage parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointLoadMessage parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointLoadMessage parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointLoadMessage parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointLoadMessage parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointLoadMessage parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointLoadMessage parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointLoadMessage parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.EndpointLoadMessage parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.EndpointLoadMessage parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointLoadMessage parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointLoadMessage parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.yuccagw.wire.PeerProtocol.EndpointLoadMessage prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code yuccagw.EndpointLoadMessage}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:yuccagw.EndpointLoadMessage)
+        org.yuccagw.wire.PeerProtocol.EndpointLoadMessageOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_EndpointLoadMessage_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_EndpointLoadMessage_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.class, org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.Builder.class);
+      }
+
+      // Construct using org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        endpoint_ = "";
+        requests_ = 0;
+        tokens_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_EndpointLoadMessage_descriptor;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.EndpointLoadMessage getDefaultInstanceForType() {
+        return org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.EndpointLoadMessage build() {
+        org.yuccagw.wire.PeerProtocol.EndpointLoadMessage result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.EndpointLoadMessage buildPartial() {
+        org.yuccagw.wire.PeerProtocol.EndpointLoadMessage result = new org.yuccagw.wire.PeerProtocol.EndpointLoadMessage(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.yuccagw.wire.PeerProtocol.EndpointLoadMessage result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.endpoint_ = endpoint_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.requests_ = requests_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.tokens_ = tokens_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.yuccagw.wire.PeerProtocol.EndpointLoadMessage) {
+          return mergeFrom((org.yuccagw.wire.PeerProtocol.EndpointLoadMessage)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.yuccagw.wire.PeerProtocol.EndpointLoadMessage other) {
+        if (other == org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.getDefaultInstance()) return this;
+        if (!other.getEndpoint().isEmpty()) {
+          endpoint_ = other.endpoint_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getRequests() != 0) {
+          setRequests(other.getRequests());
+        }
+        if (other.getTokens() != 0L) {
+          setTokens(other.getTokens());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                endpoint_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                requests_ = input.readInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                tokens_ = input.readInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object endpoint_ = "";
+      /**
+       * <code>string endpoint = 1;</code>
+       * @return The endpoint.
+       */
+      public java.lang.String getEndpoint() {
+        java.lang.Object ref = endpoint_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          endpoint_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string endpoint = 1;</code>
+       * @return The bytes for endpoint.
+       */
+      public com.google.protobuf.ByteString
+          getEndpointBytes() {
+        java.lang.Object ref = endpoint_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          endpoint_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string endpoint = 1;</code>
+       * @param value The endpoint to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEndpoint(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        endpoint_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string endpoint = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEndpoint() {
+        endpoint_ = getDefaultInstance().getEndpoint();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string endpoint = 1;</code>
+       * @param value The bytes for endpoint to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEndpointBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        endpoint_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private int requests_ ;
+      /**
+       * <code>int32 requests = 2;</code>
+       * @return The requests.
+       */
+      @java.lang.Override
+      public int getRequests() {
+        return requests_;
+      }
+      /**
+       * <code>int32 requests = 2;</code>
+       * @param value The requests to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequests(int value) {
+
+        requests_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int32 requests = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRequests() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        requests_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long tokens_ ;
+      /**
+       * <code>int64 tokens = 3;</code>
+       * @return The tokens.
+       */
+      @java.lang.Override
+      public long getTokens() {
+        return tokens_;
+      }
+      /**
+       * <code>int64 tokens = 3;</code>
+       * @param value The tokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTokens(long value) {
+
+        tokens_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 tokens = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTokens() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        tokens_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:yuccagw.EndpointLoadMessage)
+    }
+
+    // @@protoc_insertion_point(class_scope:yuccagw.EndpointLoadMessage)
+    private static final org.yuccagw.wire.PeerProtocol.EndpointLoadMessage DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.yuccagw.wire.PeerProtocol.EndpointLoadMessage();
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.EndpointLoadMessage getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<EndpointLoadMessage>
+        PARSER = new com.google.protobuf.AbstractParser<EndpointLoadMessage>() {
+      @java.lang.Override
+      public EndpointLoadMessage parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<EndpointLoadMessage> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<EndpointLoadMessage> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.EndpointLoadMessage getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface EndpointWeightsOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:yuccagw.EndpointWeights)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string endpoint = 1;</code>
+     * @return The endpoint.
+     */
+    java.lang.String getEndpoint();
+    /**
+     * <code>string endpoint = 1;</code>
+     * @return The bytes for endpoint.
+     */
+    com.google.protobuf.ByteString
+        getEndpointBytes();
+
+    /**
+     * <code>string model = 2;</code>
+     * @return The model.
+     */
+    java.lang.String getModel();
+    /**
+     * <code>string model = 2;</code>
+     * @return The bytes for model.
+     */
+    com.google.protobuf.ByteString
+        getModelBytes();
+
+    /**
+     * <code>int64 version = 3;</code>
+     * @return The version.
+     */
+    long getVersion();
+  }
+  /**
+   * Protobuf type {@code yuccagw.EndpointWeights}
+   */
+  public static final class EndpointWeights extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:yuccagw.EndpointWeights)
+      EndpointWeightsOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "EndpointWeights");
+    }
+    // Use EndpointWeights.newBuilder() to construct.
+    private EndpointWeights(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private EndpointWeights() {
+      endpoint_ = "";
+      model_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_EndpointWeights_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_EndpointWeights_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_EndpointWeights_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.yuccagw.wire.PeerProtocol.EndpointWeights.class, org.yuccagw.wire.PeerProtocol.EndpointWeights.Builder.class);
+    }
+
+    public static final int ENDPOINT_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object endpoint_ = "";
+    /**
+     * <code>string endpoint = 1;</code>
+     * @return The endpoint.
+     */
+    @java.lang.Override
+    public java.lang.String getEndpoint() {
+      java.lang.Object ref = endpoint_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        endpoint_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string endpoint = 1;</code>
+     * @return The bytes for endpoint.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getEndpointBytes() {
+      java.lang.Object ref = endpoint_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        endpoint_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int MODEL_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object model_ = "";
+    /**
+     * <code>string model = 2;</code>
+     * @return The model.
+     */
+    @java.lang.Override
+    public java.lang.String getModel() {
+      java.lang.Object ref = model_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        model_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string model = 2;</code>
+     * @return The bytes for model.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getModelBytes() {
+      java.lang.Object ref = model_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        model_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int VERSION_FIELD_NUMBER = 3;
+    private long version_ = 0L;
+    /**
+     * <code>int64 version = 3;</code>
+     * @return The version.
+     */
+    @java.lang.Override
+    public long getVersion() {
+      return version_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(endpoint_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, endpoint_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, model_);
+      }
+      if (version_ != 0L) {
+        output.writeInt64(3, version_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(endpoint_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, endpoint_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, model_);
+      }
+      if (version_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(3, version_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.yuccagw.wire.PeerProtocol.EndpointWeights)) {
+        return super.equals(obj);
+      }
+      org.yuccagw.wire.PeerProtocol.EndpointWeights other = (org.yuccagw.wire.PeerProtocol.EndpointWeights) obj;
+
+      if (!getEndpoint()
+          .equals(other.getEndpoint())) return false;
+      if (!getModel()
+          .equals(other.getModel())) return false;
+      if (getVersion()
+          != other.getVersion()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ENDPOINT_FIELD_NUMBER;
+      hash = (53 * hash) + getEndpoint().hashCode();
+      hash = (37 * hash) + MODEL_FIELD_NUMBER;
+      hash = (53 * hash) + getModel().hashCode();
+      hash = (37 * hash) + VERSION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getVersion());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.EndpointWeights parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointWeights parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointWeights parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointWeights parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointWeights parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointWeights parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointWeights parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointWeights parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.EndpointWeights parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.EndpointWeights parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointWeights parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.EndpointWeights parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.yuccagw.wire.PeerProtocol.EndpointWeights prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code yuccagw.EndpointWeights}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:yuccagw.EndpointWeights)
+        org.yuccagw.wire.PeerProtocol.EndpointWeightsOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_EndpointWeights_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_EndpointWeights_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.yuccagw.wire.PeerProtocol.EndpointWeights.class, org.yuccagw.wire.PeerProtocol.EndpointWeights.Builder.class);
+      }
+
+      // Construct using org.yuccagw.wire.PeerProtocol.EndpointWeights.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        endpoint_ = "";
+        model_ = "";
+        version_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_EndpointWeights_descriptor;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.EndpointWeights getDefaultInstanceForType() {
+        return org.yuccagw.wire.PeerProtocol.EndpointWeights.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.EndpointWeights build() {
+        org.yuccagw.wire.PeerProtocol.EndpointWeights result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.EndpointWeights buildPartial() {
+        org.yuccagw.wire.PeerProtocol.EndpointWeights result = new org.yuccagw.wire.PeerProtocol.EndpointWeights(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.yuccagw.wire.PeerProtocol.EndpointWeights result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.endpoint_ = endpoint_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.model_ = model_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.version_ = version_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.yuccagw.wire.PeerProtocol.EndpointWeights) {
+          return mergeFrom((org.yuccagw.wire.PeerProtocol.EndpointWeights)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.yuccagw.wire.PeerProtocol.EndpointWeights other) {
+        if (other == org.yuccagw.wire.PeerProtocol.EndpointWeights.getDefaultInstance()) return this;
+        if (!other.getEndpoint().isEmpty()) {
+          endpoint_ = other.endpoint_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getModel().isEmpty()) {
+          model_ = other.model_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (other.getVersion() != 0L) {
+          setVersion(other.getVersion());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                endpoint_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                model_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 24: {
+                version_ = input.readInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object endpoint_ = "";
+      /**
+       * <code>string endpoint = 1;</code>
+       * @return The endpoint.
+       */
+      public java.lang.String getEndpoint() {
+        java.lang.Object ref = endpoint_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          endpoint_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string endpoint = 1;</code>
+       * @return The bytes for endpoint.
+       */
+      public com.google.protobuf.ByteString
+          getEndpointBytes() {
+        java.lang.Object ref = endpoint_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          endpoint_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string endpoint = 1;</code>
+       * @param value The endpoint to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEndpoint(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        endpoint_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string endpoint = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEndpoint() {
+        endpoint_ = getDefaultInstance().getEndpoint();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string endpoint = 1;</code>
+       * @param value The bytes for endpoint to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEndpointBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        endpoint_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object model_ = "";
+      /**
+       * <code>string model = 2;</code>
+       * @return The model.
+       */
+      public java.lang.String getModel() {
+        java.lang.Object ref = model_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          model_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string model = 2;</code>
+       * @return The bytes for model.
+       */
+      public com.google.protobuf.ByteString
+          getModelBytes() {
+        java.lang.Object ref = model_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          model_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string model = 2;</code>
+       * @param value The model to set.
+       * @return This builder for chaining.
+       */
+      public Builder setModel(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        model_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string model = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearModel() {
+        model_ = getDefaultInstance().getModel();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string model = 2;</code>
+       * @param value The bytes for model to set.
+       * @return This builder for chaining.
+       */
+      public Builder setModelBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        model_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private long version_ ;
+      /**
+       * <code>int64 version = 3;</code>
+       * @return The version.
+       */
+      @java.lang.Override
+      public long getVersion() {
+        return version_;
+      }
+      /**
+       * <code>int64 version = 3;</code>
+       * @param value The version to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVersion(long value) {
+
+        version_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 version = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearVersion() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        version_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:yuccagw.EndpointWeights)
+    }
+
+    // @@protoc_insertion_point(class_scope:yuccagw.EndpointWeights)
+    private static final org.yuccagw.wire.PeerProtocol.EndpointWeights DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.yuccagw.wire.PeerProtocol.EndpointWeights();
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.EndpointWeights getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<EndpointWeights>
+        PARSER = new com.google.protobuf.AbstractParser<EndpointWeights>() {
+      @java.lang.Override
+      public EndpointWeights parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<EndpointWeights> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<EndpointWeights> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.EndpointWeights getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface StatusMessageOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:yuccagw.StatusMessage)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>.yuccagw.Contact contact = 1;</code>
+     * @return Whether the contact field is set.
+     */
+    boolean hasContact();
+    /**
+     * <code>.yuccagw.Contact contact = 1;</code>
+     * @return The contact.
+     */
+    org.yuccagw.wire.PeerProtocol.Contact getContact();
+    /**
+     * <code>.yuccagw.Contact contact = 1;</code>
+     */
+    org.yuccagw.wire.PeerProtocol.ContactOrBuilder getContactOrBuilder();
+
+    /**
+     * <code>bool ready = 2;</code>
+     * @return The ready.
+     */
+    boolean getReady();
+
+    /**
+     * <code>bool leaving = 3;</code>
+     * @return The leaving.
+     */
+    boolean getLeaving();
+
+    /**
+     * <code>int64 revision = 4;</code>
+     * @return The revision.
+     */
+    long getRevision();
+
+    /**
+     * <code>int64 interval_millis = 5;</code>
+     * @return The intervalMillis.
+     */
+    long getIntervalMillis();
+
+    /**
+     * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+     */
+    java.util.List<org.yuccagw.wire.PeerProtocol.EndpointLoadMessage> 
+        getLoadsList();
+    /**
+     * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+     */
+    org.yuccagw.wire.PeerProtocol.EndpointLoadMessage getLoads(int index);
+    /**
+     * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+     */
+    int getLoadsCount();
+    /**
+     * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+     */
+    java.util.List<? extends org.yuccagw.wire.PeerProtocol.EndpointLoadMessageOrBuilder> 
+        getLoadsOrBuilderList();
+    /**
+     * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+     */
+    org.yuccagw.wire.PeerProtocol.EndpointLoadMessageOrBuilder getLoadsOrBuilder(
+        int index);
+
+    /**
+     * <code>repeated string avoided = 7;</code>
+     * @return A list containing the avoided.
+     */
+    java.util.List<java.lang.String>
+        getAvoidedList();
+    /**
+     * <code>repeated string avoided = 7;</code>
+     * @return The count of avoided.
+     */
+    int getAvoidedCount();
+    /**
+     * <code>repeated string avoided = 7;</code>
+     * @param index The index of the element to return.
+     * @return The avoided at the given index.
+     */
+    java.lang.String getAvoided(int index);
+    /**
+     * <code>repeated string avoided = 7;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the avoided at the given index.
+     */
+    com.google.protobuf.ByteString
+        getAvoidedBytes(int index);
+
+    /**
+     * <code>repeated string loading = 8;</code>
+     * @return A list containing the loading.
+     */
+    java.util.List<java.lang.String>
+        getLoadingList();
+    /**
+     * <code>repeated string loading = 8;</code>
+     * @return The count of loading.
+     */
+    int getLoadingCount();
+    /**
+     * <code>repeated string loading = 8;</code>
+     * @param index The index of the element to return.
+     * @return The loading at the given index.
+     */
+    java.lang.String getLoading(int index);
+    /**
+     * <code>repeated string loading = 8;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the loading at the given index.
+     */
+    com.google.protobuf.ByteString
+        getLoadingBytes(int index);
+
+    /**
+     * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+     */
+    java.util.List<org.yuccagw.wire.PeerProtocol.EndpointWeights> 
+        getWeightsList();
+    /**
+     * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+     */
+    org.yuccagw.wire.PeerProtocol.EndpointWeights getWeights(int index);
+    /**
+     * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+     */
+    int getWeightsCount();
+    /**
+     * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+     */
+    java.util.List<? extends org.yuccagw.wire.PeerProtocol.EndpointWeightsOrBuilder> 
+        getWeightsOrBuilderList();
+    /**
+     * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+     */
+    org.yuccagw.wire.PeerProtocol.EndpointWeightsOrBuilder getWeightsOrBuilder(
+        int index);
+  }
+  /**
+   * Protobuf type {@code yuccagw.StatusMessage}
+   */
+  public static final class StatusMessage extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:yuccagw.StatusMessage)
+      StatusMessageOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "StatusMessage");
+    }
+    // Use StatusMessage.newBuilder() to construct.
+    private StatusMessage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private StatusMessage() {
+      loads_ = java.util.Collections.emptyList();
+      avoided_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      loading_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      weights_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_StatusMessage_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_StatusMessage_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_StatusMessage_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.yuccagw.wire.PeerProtocol.StatusMessage.class, org.yuccagw.wire.PeerProtocol.StatusMessage.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int CONTACT_FIELD_NUMBER = 1;
+    private org.yuccagw.wire.PeerProtocol.Contact contact_;
+    /**
+     * <code>.yuccagw.Contact contact = 1;</code>
+     * @return Whether the contact field is set.
+     */
+    @java.lang.Override
+    public boolean hasContact() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.yuccagw.Contact contact = 1;</code>
+     * @return The contact.
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.Contact getContact() {
+      return contact_ == null ? org.yuccagw.wire.PeerProtocol.Contact.getDefaultInstance() : contact_;
+    }
+    /**
+     * <code>.yuccagw.Contact contact = 1;</code>
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.ContactOrBuilder getContactOrBuilder() {
+      return contact_ == null ? org.yuccagw.wire.PeerProtocol.Contact.getDefaultInstance() : contact_;
+    }
+
+    public static final int READY_FIELD_NUMBER = 2;
+    private boolean ready_ = false;
+    /**
+     * <code>bool ready = 2;</code>
+     * @return The ready.
+     */
+    @java.lang.Override
+    public boolean getReady() {
+      return ready_;
+    }
+
+    public static final int LEAVING_FIELD_NUMBER = 3;
+    private boolean leaving_ = false;
+    /**
+     * <code>bool leaving = 3;</code>
+     * @return The leaving.
+     */
+    @java.lang.Override
+    public boolean getLeaving() {
+      return leaving_;
+    }
+
+    public static final int REVISION_FIELD_NUMBER = 4;
+    private long revision_ = 0L;
+    /**
+     * <code>int64 revision = 4;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+
+    public static final int INTERVAL_MILLIS_FIELD_NUMBER = 5;
+    private long intervalMillis_ = 0L;
+    /**
+     * <code>int64 interval_millis = 5;</code>
+     * @return The intervalMillis.
+     */
+    @java.lang.Override
+    public long getIntervalMillis() {
+      return intervalMillis_;
+    }
+
+    public static final int LOADS_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private java.util.List<org.yuccagw.wire.PeerProtocol.EndpointLoadMessage> loads_;
+    /**
+     * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.yuccagw.wire.PeerProtocol.EndpointLoadMessage> getLoadsList() {
+      return loads_;
+    }
+    /**
+     * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.yuccagw.wire.PeerProtocol.EndpointLoadMessageOrBuilder> 
+        getLoadsOrBuilderList() {
+      return loads_;
+    }
+    /**
+     * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+     */
+    @java.lang.Override
+    public int getLoadsCount() {
+      return loads_.size();
+    }
+    /**
+     * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.EndpointLoadMessage getLoads(int index) {
+      return loads_.get(index);
+    }
+    /**
+     * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.EndpointLoadMessageOrBuilder getLoadsOrBuilder(
+        int index) {
+      return loads_.get(index);
+    }
+
+    public static final int AVOIDED_FIELD_NUMBER = 7;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList avoided_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <code>repeated string avoided = 7;</code>
+     * @return A list containing the avoided.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getAvoidedList() {
+      return avoided_;
+    }
+    /**
+     * <code>repeated string avoided = 7;</code>
+     * @return The count of avoided.
+     */
+    public int getAvoidedCount() {
+      return avoided_.size();
+    }
+    /**
+     * <code>repeated string avoided = 7;</code>
+     * @param index The index of the element to return.
+     * @return The avoided at the given index.
+     */
+    public java.lang.String getAvoided(int index) {
+      return avoided_.get(index);
+    }
+    /**
+     * <code>repeated string avoided = 7;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the avoided at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getAvoidedBytes(int index) {
+      return avoided_.getByteString(index);
+    }
+
+    public static final int LOADING_FIELD_NUMBER = 8;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList loading_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <code>repeated string loading = 8;</code>
+     * @return A list containing the loading.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getLoadingList() {
+      return loading_;
+    }
+    /**
+     * <code>repeated string loading = 8;</code>
+     * @return The count of loading.
+     */
+    public int getLoadingCount() {
+      return loading_.size();
+    }
+    /**
+     * <code>repeated string loading = 8;</code>
+     * @param index The index of the element to return.
+     * @return The loading at the given index.
+     */
+    public java.lang.String getLoading(int index) {
+      return loading_.get(index);
+    }
+    /**
+     * <code>repeated string loading = 8;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the loading at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getLoadingBytes(int index) {
+      return loading_.getByteString(index);
+    }
+
+    public static final int WEIGHTS_FIELD_NUMBER = 9;
+    @SuppressWarnings("serial")
+    private java.util.List<org.yuccagw.wire.PeerProtocol.EndpointWeights> weights_;
+    /**
+     * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.yuccagw.wire.PeerProtocol.EndpointWeights> getWeightsList() {
+      return weights_;
+    }
+    /**
+     * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.yuccagw.wire.PeerProtocol.EndpointWeightsOrBuilder> 
+        getWeightsOrBuilderList() {
+      return weights_;
+    }
+    /**
+     * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+     */
+    @java.lang.Override
+    public int getWeightsCount() {
+      return weights_.size();
+    }
+    /**
+     * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.EndpointWeights getWeights(int index) {
+      return weights_.get(index);
+    }
+    /**
+     * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.EndpointWeightsOrBuilder getWeightsOrBuilder(
+        int index) {
+      return weights_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(1, getContact());
+      }
+      if (ready_ != false) {
+        output.writeBool(2, ready_);
+      }
+      if (leaving_ != false) {
+        output.writeBool(3, leaving_);
+      }
+      if (revision_ != 0L) {
+        output.writeInt64(4, revision_);
+      }
+      if (intervalMillis_ != 0L) {
+        output.writeInt64(5, intervalMillis_);
+      }
+      for (int i = 0; i < loads_.size(); i++) {
+        output.writeMessage(6, loads_.get(i));
+      }
+      for (int i = 0; i < avoided_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 7, avoided_.getRaw(i));
+      }
+      for (int i = 0; i < loading_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 8, loading_.getRaw(i));
+      }
+      for (int i = 0; i < weights_.size(); i++) {
+        output.writeMessage(9, weights_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(1, getContact());
+      }
+      if (ready_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(2, ready_);
+      }
+      if (leaving_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(3, leaving_);
+      }
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(4, revision_);
+      }
+      if (intervalMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(5, intervalMillis_);
+      }
+
+          {
+            final int count = loads_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(loads_.get(i));
+            }
+            size += 1 * count;
+          }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < avoided_.size(); i++) {
+          dataSize += computeStringSizeNoTag(avoided_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getAvoidedList().size();
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < loading_.size(); i++) {
+          dataSize += computeStringSizeNoTag(loading_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getLoadingList().size();
+      }
+
+          {
+            final int count = weights_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(weights_.get(i));
+            }
+            size += 1 * count;
+          }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.yuccagw.wire.PeerProtocol.StatusMessage)) {
+        return super.equals(obj);
+      }
+      org.yuccagw.wire.PeerProtocol.StatusMessage other = (org.yuccagw.wire.PeerProtocol.StatusMessage) obj;
+
+      if (hasContact() != other.hasContact()) return false;
+      if (hasContact()) {
+        if (!getContact()
+            .equals(other.getContact())) return false;
+      }
+      if (getReady()
+          != other.getReady()) return false;
+      if (getLeaving()
+          != other.getLeaving()) return false;
+      if (getRevision()
+          != other.getRevision()) return false;
+      if (getIntervalMillis()
+          != other.getIntervalMillis()) return false;
+      if (!getLoadsList()
+          .equals(other.getLoadsList())) return false;
+      if (!getAvoidedList()
+          .equals(other.getAvoidedList())) return false;
+      if (!getLoadingList()
+          .equals(other.getLoadingList())) return false;
+      if (!getWeightsList()
+          .equals(other.getWeightsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (hasContact()) {
+        hash = (37 * hash) + CONTACT_FIELD_NUMBER;
+        hash = (53 * hash) + getContact().hashCode();
+      }
+      hash = (37 * hash) + READY_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getReady());
+      hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getLeaving());
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
+      hash = (37 * hash) + INTERVAL_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIntervalMillis());
+      if (getLoadsCount() > 0) {
+        hash = (37 * hash) + LOADS_FIELD_NUMBER;
+        hash = (53 * hash) + getLoadsList().hashCode();
+      }
+      if (getAvoidedCount() > 0) {
+        hash = (37 * hash) + AVOIDED_FIELD_NUMBER;
+        hash = (53 * hash) + getAvoidedList().hashCode();
+      }
+      if (getLoadingCount() > 0) {
+        hash = (37 * hash) + LOADING_FIELD_NUMBER;
+        hash = (53 * hash) + getLoadingList().hashCode();
+      }
+      if (getWeightsCount() > 0) {
+        hash = (37 * hash) + WEIGHTS_FIELD_NUMBER;
+        hash = (53 * hash) + getWeightsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.StatusMessage parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.StatusMessage parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.StatusMessage parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.StatusMessage parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.StatusMessage parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.StatusMessage parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.StatusMessage parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.StatusMessage parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.StatusMessage parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.StatusMessage parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.StatusMessage parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.StatusMessage parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.yuccagw.wire.PeerProtocol.StatusMessage prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code yuccagw.StatusMessage}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:yuccagw.StatusMessage)
+        org.yuccagw.wire.PeerProtocol.StatusMessageOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_StatusMessage_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_StatusMessage_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.yuccagw.wire.PeerProtocol.StatusMessage.class, org.yuccagw.wire.PeerProtocol.StatusMessage.Builder.class);
+      }
+
+      // Construct using org.yuccagw.wire.PeerProtocol.StatusMessage.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetContactFieldBuilder();
+          internalGetLoadsFieldBuilder();
+          internalGetWeightsFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        contact_ = null;
+        if (contactBuilder_ != null) {
+          contactBuilder_.dispose();
+          contactBuilder_ = null;
+        }
+        ready_ = false;
+        leaving_ = false;
+        revision_ = 0L;
+        intervalMillis_ = 0L;
+        if (loadsBuilder_ == null) {
+          loads_ = java.util.Collections.emptyList();
+        } else {
+          loads_ = null;
+          loadsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000020);
+        avoided_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        loading_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        if (weightsBuilder_ == null) {
+          weights_ = java.util.Collections.emptyList();
+        } else {
+          weights_ = null;
+          weightsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000100);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_StatusMessage_descriptor;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.StatusMessage getDefaultInstanceForType() {
+        return org.yuccagw.wire.PeerProtocol.StatusMessage.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.StatusMessage build() {
+        org.yuccagw.wire.PeerProtocol.StatusMessage result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.StatusMessage buildPartial() {
+        org.yuccagw.wire.PeerProtocol.StatusMessage result = new org.yuccagw.wire.PeerProtocol.StatusMessage(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.yuccagw.wire.PeerProtocol.StatusMessage result) {
+        if (loadsBuilder_ == null) {
+          if (((bitField0_ & 0x00000020) != 0)) {
+            loads_ = java.util.Collections.unmodifiableList(loads_);
+            bitField0_ = (bitField0_ & ~0x00000020);
+          }
+          result.loads_ = loads_;
+        } else {
+          result.loads_ = loadsBuilder_.build();
+        }
+        if (weightsBuilder_ == null) {
+          if (((bitField0_ & 0x00000100) != 0)) {
+            weights_ = java.util.Collections.unmodifiableList(weights_);
+            bitField0_ = (bitField0_ & ~0x00000100);
+          }
+          result.weights_ = weights_;
+        } else {
+          result.weights_ = weightsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.yuccagw.wire.PeerProtocol.StatusMessage result) {
+        int from_bitField0_ = bitField0_;
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.contact_ = contactBuilder_ == null
+              ? contact_
+              : contactBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.ready_ = ready_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.leaving_ = leaving_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.revision_ = revision_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.intervalMillis_ = intervalMillis_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          avoided_.makeImmutable();
+          result.avoided_ = avoided_;
+        }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          loading_.makeImmutable();
+          result.loading_ = loading_;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.yuccagw.wire.PeerProtocol.StatusMessage) {
+          return mergeFrom((org.yuccagw.wire.PeerProtocol.StatusMessage)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.yuccagw.wire.PeerProtocol.StatusMessage other) {
+        if (other == org.yuccagw.wire.PeerProtocol.StatusMessage.getDefaultInstance()) return this;
+        if (other.hasContact()) {
+          mergeContact(other.getContact());
+        }
+        if (other.getReady() != false) {
+          setReady(other.getReady());
+        }
+        if (other.getLeaving() != false) {
+          setLeaving(other.getLeaving());
+        }
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
+        }
+        if (other.getIntervalMillis() != 0L) {
+          setIntervalMillis(other.getIntervalMillis());
+        }
+        if (loadsBuilder_ == null) {
+          if (!other.loads_.isEmpty()) {
+            if (loads_.isEmpty()) {
+              loads_ = other.loads_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+            } else {
+              ensureLoadsIsMutable();
+              loads_.addAll(other.loads_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.loads_.isEmpty()) {
+            if (loadsBuilder_.isEmpty()) {
+              loadsBuilder_.dispose();
+              loadsBuilder_ = null;
+              loads_ = other.loads_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+              loadsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetLoadsFieldBuilder() : null;
+            } else {
+              loadsBuilder_.addAllMessages(other.loads_);
+            }
+          }
+        }
+        if (!other.avoided_.isEmpty()) {
+          if (avoided_.isEmpty()) {
+            avoided_ = other.avoided_;
+            bitField0_ |= 0x00000040;
+          } else {
+            ensureAvoidedIsMutable();
+            avoided_.addAll(other.avoided_);
+          }
+          onChanged();
+        }
+        if (!other.loading_.isEmpty()) {
+          if (loading_.isEmpty()) {
+            loading_ = other.loading_;
+            bitField0_ |= 0x00000080;
+          } else {
+            ensureLoadingIsMutable();
+            loading_.addAll(other.loading_);
+          }
+          onChanged();
+        }
+        if (weightsBuilder_ == null) {
+          if (!other.weights_.isEmpty()) {
+            if (weights_.isEmpty()) {
+              weights_ = other.weights_;
+              bitField0_ = (bitField0_ & ~0x00000100);
+            } else {
+              ensureWeightsIsMutable();
+              weights_.addAll(other.weights_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.weights_.isEmpty()) {
+            if (weightsBuilder_.isEmpty()) {
+              weightsBuilder_.dispose();
+              weightsBuilder_ = null;
+              weights_ = other.weights_;
+              bitField0_ = (bitField0_ & ~0x00000100);
+              weightsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetWeightsFieldBuilder() : null;
+            } else {
+              weightsBuilder_.addAllMessages(other.weights_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                input.readMessage(
+                    internalGetContactFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                ready_ = input.readBool();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                leaving_ = input.readBool();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                revision_ = input.readInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                intervalMillis_ = input.readInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 50: {
+                org.yuccagw.wire.PeerProtocol.EndpointLoadMessage m =
+                    input.readMessage(
+                        org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.parser(),
+                        extensionRegistry);
+                if (loadsBuilder_ == null) {
+                  ensureLoadsIsMutable();
+                  loads_.add(m);
+                } else {
+                  loadsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 50
+              case 58: {
+                ensureAvoidedIsMutable();
+                avoided_.add(input.readStringRequireUtf8());
+                break;
+              } // case 58
+              case 66: {
+                ensureLoadingIsMutable();
+                loading_.add(input.readStringRequireUtf8());
+                break;
+              } // case 66
+              case 74: {
+                org.yuccagw.wire.PeerProtocol.EndpointWeights m =
+                    input.readMessage(
+                        org.yuccagw.wire.PeerProtocol.EndpointWeights.parser(),
+                        extensionRegistry);
+                if (weightsBuilder_ == null) {
+                  ensureWeightsIsMutable();
+                  weights_.add(m);
+                } else {
+                  weightsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 74
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private org.yuccagw.wire.PeerProtocol.Contact contact_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.Contact, org.yuccagw.wire.PeerProtocol.Contact.Builder, org.yuccagw.wire.PeerProtocol.ContactOrBuilder> contactBuilder_;
+      /**
+       * <code>.yuccagw.Contact contact = 1;</code>
+       * @return Whether the contact field is set.
+       */
+      public boolean hasContact() {
+        return ((bitField0_ & 0x00000001) != 0);
+      }
+      /**
+       * <code>.yuccagw.Contact contact = 1;</code>
+       * @return The contact.
+       */
+      public org.yuccagw.wire.PeerProtocol.Contact getContact() {
+        if (contactBuilder_ == null) {
+          return contact_ == null ? org.yuccagw.wire.PeerProtocol.Contact.getDefaultInstance() : contact_;
+        } else {
+          return contactBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.yuccagw.Contact contact = 1;</code>
+       */
+      public Builder setContact(org.yuccagw.wire.PeerProtocol.Contact value) {
+        if (contactBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          contact_ = value;
+        } else {
+          contactBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.yuccagw.Contact contact = 1;</code>
+       */
+      public Builder setContact(
+          org.yuccagw.wire.PeerProtocol.Contact.Builder builderForValue) {
+        if (contactBuilder_ == null) {
+          contact_ = builderForValue.build();
+        } else {
+          contactBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.yuccagw.Contact contact = 1;</code>
+       */
+      public Builder mergeContact(org.yuccagw.wire.PeerProtocol.Contact value) {
+        if (contactBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0) &&
+            contact_ != null &&
+            contact_ != org.yuccagw.wire.PeerProtocol.Contact.getDefaultInstance()) {
+            getContactBuilder().mergeFrom(value);
+          } else {
+            contact_ = value;
+          }
+        } else {
+          contactBuilder_.mergeFrom(value);
+        }
+        if (contact_ != null) {
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.yuccagw.Contact contact = 1;</code>
+       */
+      public Builder clearContact() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        contact_ = null;
+        if (contactBuilder_ != null) {
+          contactBuilder_.dispose();
+          contactBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.yuccagw.Contact contact = 1;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.Contact.Builder getContactBuilder() {
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return internalGetContactFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.yuccagw.Contact contact = 1;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.ContactOrBuilder getContactOrBuilder() {
+        if (contactBuilder_ != null) {
+          return contactBuilder_.getMessageOrBuilder();
+        } else {
+          return contact_ == null ?
+              org.yuccagw.wire.PeerProtocol.Contact.getDefaultInstance() : contact_;
+        }
+      }
+      /**
+       * <code>.yuccagw.Contact contact = 1;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.Contact, org.yuccagw.wire.PeerProtocol.Contact.Builder, org.yuccagw.wire.PeerProtocol.ContactOrBuilder> 
+          internalGetContactFieldBuilder() {
+        if (contactBuilder_ == null) {
+          contactBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.yuccagw.wire.PeerProtocol.Contact, org.yuccagw.wire.PeerProtocol.Contact.Builder, org.yuccagw.wire.PeerProtocol.ContactOrBuilder>(
+                  getContact(),
+                  getParentForChildren(),
+                  isClean());
+          contact_ = null;
+        }
+        return contactBuilder_;
+      }
+
+      private boolean ready_ ;
+      /**
+       * <code>bool ready = 2;</code>
+       * @return The ready.
+       */
+      @java.lang.Override
+      public boolean getReady() {
+        return ready_;
+      }
+      /**
+       * <code>bool ready = 2;</code>
+       * @param value The ready to set.
+       * @return This builder for chaining.
+       */
+      public Builder setReady(boolean value) {
+
+        ready_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool ready = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearReady() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        ready_ = false;
+        onChanged();
+        return this;
+      }
+
+      private boolean leaving_ ;
+      /**
+       * <code>bool leaving = 3;</code>
+       * @return The leaving.
+       */
+      @java.lang.Override
+      public boolean getLeaving() {
+        return leaving_;
+      }
+      /**
+       * <code>bool leaving = 3;</code>
+       * @param value The leaving to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLeaving(boolean value) {
+
+        leaving_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool leaving = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLeaving() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        leaving_ = false;
+        onChanged();
+        return this;
+      }
+
+      private long revision_ ;
+      /**
+       * <code>int64 revision = 4;</code>
+       * @return The revision.
+       */
+      @java.lang.Override
+      public long getRevision() {
+        return revision_;
+      }
+      /**
+       * <code>int64 revision = 4;</code>
+       * @param value The revision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRevision(long value) {
+
+        revision_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 revision = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRevision() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long intervalMillis_ ;
+      /**
+       * <code>int64 interval_millis = 5;</code>
+       * @return The intervalMillis.
+       */
+      @java.lang.Override
+      public long getIntervalMillis() {
+        return intervalMillis_;
+      }
+      /**
+       * <code>int64 interval_millis = 5;</code>
+       * @param value The intervalMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIntervalMillis(long value) {
+
+        intervalMillis_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 interval_millis = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIntervalMillis() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        intervalMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.yuccagw.wire.PeerProtocol.EndpointLoadMessage> loads_ =
+        java.util.Collections.emptyList();
+      private void ensureLoadsIsMutable() {
+        if (!((bitField0_ & 0x00000020) != 0)) {
+          loads_ = new java.util.ArrayList<org.yuccagw.wire.PeerProtocol.EndpointLoadMessage>(loads_);
+          bitField0_ |= 0x00000020;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.EndpointLoadMessage, org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.Builder, org.yuccagw.wire.PeerProtocol.EndpointLoadMessageOrBuilder> loadsBuilder_;
+
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public java.util.List<org.yuccagw.wire.PeerProtocol.EndpointLoadMessage> getLoadsList() {
+        if (loadsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(loads_);
+        } else {
+          return loadsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public int getLoadsCount() {
+        if (loadsBuilder_ == null) {
+          return loads_.size();
+        } else {
+          return loadsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.EndpointLoadMessage getLoads(int index) {
+        if (loadsBuilder_ == null) {
+          return loads_.get(index);
+        } else {
+          return loadsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public Builder setLoads(
+          int index, org.yuccagw.wire.PeerProtocol.EndpointLoadMessage value) {
+        if (loadsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureLoadsIsMutable();
+          loads_.set(index, value);
+          onChanged();
+        } else {
+          loadsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public Builder setLoads(
+          int index, org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.Builder builderForValue) {
+        if (loadsBuilder_ == null) {
+          ensureLoadsIsMutable();
+          loads_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          loadsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public Builder addLoads(org.yuccagw.wire.PeerProtocol.EndpointLoadMessage value) {
+        if (loadsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureLoadsIsMutable();
+          loads_.add(value);
+          onChanged();
+        } else {
+          loadsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public Builder addLoads(
+          int index, org.yuccagw.wire.PeerProtocol.EndpointLoadMessage value) {
+        if (loadsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureLoadsIsMutable();
+          loads_.add(index, value);
+          onChanged();
+        } else {
+          loadsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public Builder addLoads(
+          org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.Builder builderForValue) {
+        if (loadsBuilder_ == null) {
+          ensureLoadsIsMutable();
+          loads_.add(builderForValue.build());
+          onChanged();
+        } else {
+          loadsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public Builder addLoads(
+          int index, org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.Builder builderForValue) {
+        if (loadsBuilder_ == null) {
+          ensureLoadsIsMutable();
+          loads_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          loadsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public Builder addAllLoads(
+          java.lang.Iterable<? extends org.yuccagw.wire.PeerProtocol.EndpointLoadMessage> values) {
+        if (loadsBuilder_ == null) {
+          ensureLoadsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, loads_);
+          onChanged();
+        } else {
+          loadsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public Builder clearLoads() {
+        if (loadsBuilder_ == null) {
+          loads_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000020);
+          onChanged();
+        } else {
+          loadsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public Builder removeLoads(int index) {
+        if (loadsBuilder_ == null) {
+          ensureLoadsIsMutable();
+          loads_.remove(index);
+          onChanged();
+        } else {
+          loadsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.Builder getLoadsBuilder(
+          int index) {
+        return internalGetLoadsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.EndpointLoadMessageOrBuilder getLoadsOrBuilder(
+          int index) {
+        if (loadsBuilder_ == null) {
+          return loads_.get(index);  } else {
+          return loadsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public java.util.List<? extends org.yuccagw.wire.PeerProtocol.EndpointLoadMessageOrBuilder> 
+           getLoadsOrBuilderList() {
+        if (loadsBuilder_ != null) {
+          return loadsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(loads_);
+        }
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.Builder addLoadsBuilder() {
+        return internalGetLoadsFieldBuilder().addBuilder(
+            org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.Builder addLoadsBuilder(
+          int index) {
+        return internalGetLoadsFieldBuilder().addBuilder(
+            index, org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointLoadMessage loads = 6;</code>
+       */
+      public java.util.List<org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.Builder> 
+           getLoadsBuilderList() {
+        return internalGetLoadsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.EndpointLoadMessage, org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.Builder, org.yuccagw.wire.PeerProtocol.EndpointLoadMessageOrBuilder> 
+          internalGetLoadsFieldBuilder() {
+        if (loadsBuilder_ == null) {
+          loadsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.yuccagw.wire.PeerProtocol.EndpointLoadMessage, org.yuccagw.wire.PeerProtocol.EndpointLoadMessage.Builder, org.yuccagw.wire.PeerProtocol.EndpointLoadMessageOrBuilder>(
+                  loads_,
+                  ((bitField0_ & 0x00000020) != 0),
+                  getParentForChildren(),
+                  isClean());
+          loads_ = null;
+        }
+        return loadsBuilder_;
+      }
+
+      private com.google.protobuf.LazyStringArrayList avoided_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureAvoidedIsMutable() {
+        if (!avoided_.isModifiable()) {
+          avoided_ = new com.google.protobuf.LazyStringArrayList(avoided_);
+        }
+        bitField0_ |= 0x00000040;
+      }
+      /**
+       * <code>repeated string avoided = 7;</code>
+       * @return A list containing the avoided.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getAvoidedList() {
+        avoided_.makeImmutable();
+        return avoided_;
+      }
+      /**
+       * <code>repeated string avoided = 7;</code>
+       * @return The count of avoided.
+       */
+      public int getAvoidedCount() {
+        return avoided_.size();
+      }
+      /**
+       * <code>repeated string avoided = 7;</code>
+       * @param index The index of the element to return.
+       * @return The avoided at the given index.
+       */
+      public java.lang.String getAvoided(int index) {
+        return avoided_.get(index);
+      }
+      /**
+       * <code>repeated string avoided = 7;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the avoided at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getAvoidedBytes(int index) {
+        return avoided_.getByteString(index);
+      }
+      /**
+       * <code>repeated string avoided = 7;</code>
+       * @param index The index to set the value at.
+       * @param value The avoided to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAvoided(
+          int index, java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureAvoidedIsMutable();
+        avoided_.set(index, value);
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string avoided = 7;</code>
+       * @param value The avoided to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAvoided(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureAvoidedIsMutable();
+        avoided_.add(value);
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string avoided = 7;</code>
+       * @param values The avoided to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllAvoided(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureAvoidedIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, avoided_);
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string avoided = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAvoided() {
+        avoided_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000040);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string avoided = 7;</code>
+       * @param value The bytes of the avoided to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAvoidedBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        ensureAvoidedIsMutable();
+        avoided_.add(value);
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.LazyStringArrayList loading_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureLoadingIsMutable() {
+        if (!loading_.isModifiable()) {
+          loading_ = new com.google.protobuf.LazyStringArrayList(loading_);
+        }
+        bitField0_ |= 0x00000080;
+      }
+      /**
+       * <code>repeated string loading = 8;</code>
+       * @return A list containing the loading.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getLoadingList() {
+        loading_.makeImmutable();
+        return loading_;
+      }
+      /**
+       * <code>repeated string loading = 8;</code>
+       * @return The count of loading.
+       */
+      public int getLoadingCount() {
+        return loading_.size();
+      }
+      /**
+       * <code>repeated string loading = 8;</code>
+       * @param index The index of the element to return.
+       * @return The loading at the given index.
+       */
+      public java.lang.String getLoading(int index) {
+        return loading_.get(index);
+      }
+      /**
+       * <code>repeated string loading = 8;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the loading at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getLoadingBytes(int index) {
+        return loading_.getByteString(index);
+      }
+      /**
+       * <code>repeated string loading = 8;</code>
+       * @param index The index to set the value at.
+       * @param value The loading to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLoading(
+          int index, java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureLoadingIsMutable();
+        loading_.set(index, value);
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string loading = 8;</code>
+       * @param value The loading to add.
+       * @return This builder for chaining.
+       */
+      public Builder addLoading(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        ensureLoadingIsMutable();
+        loading_.add(value);
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string loading = 8;</code>
+       * @param values The loading to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllLoading(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureLoadingIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, loading_);
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string loading = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLoading() {
+        loading_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string loading = 8;</code>
+       * @param value The bytes of the loading to add.
+       * @return This builder for chaining.
+       */
+      public Builder addLoadingBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        ensureLoadingIsMutable();
+        loading_.add(value);
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.yuccagw.wire.PeerProtocol.EndpointWeights> weights_ =
+        java.util.Collections.emptyList();
+      private void ensureWeightsIsMutable() {
+        if (!((bitField0_ & 0x00000100) != 0)) {
+          weights_ = new java.util.ArrayList<org.yuccagw.wire.PeerProtocol.EndpointWeights>(weights_);
+          bitField0_ |= 0x00000100;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.EndpointWeights, org.yuccagw.wire.PeerProtocol.EndpointWeights.Builder, org.yuccagw.wire.PeerProtocol.EndpointWeightsOrBuilder> weightsBuilder_;
+
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public java.util.List<org.yuccagw.wire.PeerProtocol.EndpointWeights> getWeightsList() {
+        if (weightsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(weights_);
+        } else {
+          return weightsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public int getWeightsCount() {
+        if (weightsBuilder_ == null) {
+          return weights_.size();
+        } else {
+          return weightsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.EndpointWeights getWeights(int index) {
+        if (weightsBuilder_ == null) {
+          return weights_.get(index);
+        } else {
+          return weightsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public Builder setWeights(
+          int index, org.yuccagw.wire.PeerProtocol.EndpointWeights value) {
+        if (weightsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureWeightsIsMutable();
+          weights_.set(index, value);
+          onChanged();
+        } else {
+          weightsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public Builder setWeights(
+          int index, org.yuccagw.wire.PeerProtocol.EndpointWeights.Builder builderForValue) {
+        if (weightsBuilder_ == null) {
+          ensureWeightsIsMutable();
+          weights_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          weightsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public Builder addWeights(org.yuccagw.wire.PeerProtocol.EndpointWeights value) {
+        if (weightsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureWeightsIsMutable();
+          weights_.add(value);
+          onChanged();
+        } else {
+          weightsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public Builder addWeights(
+          int index, org.yuccagw.wire.PeerProtocol.EndpointWeights value) {
+        if (weightsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureWeightsIsMutable();
+          weights_.add(index, value);
+          onChanged();
+        } else {
+          weightsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public Builder addWeights(
+          org.yuccagw.wire.PeerProtocol.EndpointWeights.Builder builderForValue) {
+        if (weightsBuilder_ == null) {
+          ensureWeightsIsMutable();
+          weights_.add(builderForValue.build());
+          onChanged();
+        } else {
+          weightsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public Builder addWeights(
+          int index, org.yuccagw.wire.PeerProtocol.EndpointWeights.Builder builderForValue) {
+        if (weightsBuilder_ == null) {
+          ensureWeightsIsMutable();
+          weights_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          weightsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public Builder addAllWeights(
+          java.lang.Iterable<? extends org.yuccagw.wire.PeerProtocol.EndpointWeights> values) {
+        if (weightsBuilder_ == null) {
+          ensureWeightsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, weights_);
+          onChanged();
+        } else {
+          weightsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public Builder clearWeights() {
+        if (weightsBuilder_ == null) {
+          weights_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000100);
+          onChanged();
+        } else {
+          weightsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public Builder removeWeights(int index) {
+        if (weightsBuilder_ == null) {
+          ensureWeightsIsMutable();
+          weights_.remove(index);
+          onChanged();
+        } else {
+          weightsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.EndpointWeights.Builder getWeightsBuilder(
+          int index) {
+        return internalGetWeightsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.EndpointWeightsOrBuilder getWeightsOrBuilder(
+          int index) {
+        if (weightsBuilder_ == null) {
+          return weights_.get(index);  } else {
+          return weightsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public java.util.List<? extends org.yuccagw.wire.PeerProtocol.EndpointWeightsOrBuilder> 
+           getWeightsOrBuilderList() {
+        if (weightsBuilder_ != null) {
+          return weightsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(weights_);
+        }
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.EndpointWeights.Builder addWeightsBuilder() {
+        return internalGetWeightsFieldBuilder().addBuilder(
+            org.yuccagw.wire.PeerProtocol.EndpointWeights.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.EndpointWeights.Builder addWeightsBuilder(
+          int index) {
+        return internalGetWeightsFieldBuilder().addBuilder(
+            index, org.yuccagw.wire.PeerProtocol.EndpointWeights.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .yuccagw.EndpointWeights weights = 9;</code>
+       */
+      public java.util.List<org.yuccagw.wire.PeerProtocol.EndpointWeights.Builder> 
+           getWeightsBuilderList() {
+        return internalGetWeightsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.EndpointWeights, org.yuccagw.wire.PeerProtocol.EndpointWeights.Builder, org.yuccagw.wire.PeerProtocol.EndpointWeightsOrBuilder> 
+          internalGetWeightsFieldBuilder() {
+        if (weightsBuilder_ == null) {
+          weightsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.yuccagw.wire.PeerProtocol.EndpointWeights, org.yuccagw.wire.PeerProtocol.EndpointWeights.Builder, org.yuccagw.wire.PeerProtocol.EndpointWeightsOrBuilder>(
+                  weights_,
+                  ((bitField0_ & 0x00000100) != 0),
+                  getParentForChildren(),
+                  isClean());
+          weights_ = null;
+        }
+        return weightsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:yuccagw.StatusMessage)
+    }
+
+    // @@protoc_insertion_point(class_scope:yuccagw.StatusMessage)
+    private static final org.yuccagw.wire.PeerProtocol.StatusMessage DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.yuccagw.wire.PeerProtocol.StatusMessage();
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.StatusMessage getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<StatusMessage>
+        PARSER = new com.google.protobuf.AbstractParser<StatusMessage>() {
+      @java.lang.Override
+      public StatusMessage parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<StatusMessage> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<StatusMessage> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.StatusMessage getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface KeyItemOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:yuccagw.KeyItem)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string key = 1;</code>
+     * @return The key.
+     */
+    java.lang.String getKey();
+    /**
+     * <code>string key = 1;</code>
+     * @return The bytes for key.
+     */
+    com.google.protobuf.ByteString
+        getKeyBytes();
+
+    /**
+     * <code>bytes value = 2;</code>
+     * @return The value.
+     */
+    com.google.protobuf.ByteString getValue();
+
+    /**
+     * <code>int64 revision = 3;</code>
+     * @return The revision.
+     */
+    long getRevision();
+
+    /**
+     * <code>bool removed = 4;</code>
+     * @return The removed.
+     */
+    boolean getRemoved();
+  }
+  /**
+   * Protobuf type {@code yuccagw.KeyItem}
+   */
+  public static final class KeyItem extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:yuccagw.KeyItem)
+      KeyItemOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "KeyItem");
+    }
+    // Use KeyItem.newBuilder() to construct.
+    private KeyItem(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private KeyItem() {
+      key_ = "";
+      value_ = com.google.protobuf.ByteString.EMPTY;
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_KeyItem_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_KeyItem_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_KeyItem_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.yuccagw.wire.PeerProtocol.KeyItem.class, org.yuccagw.wire.PeerProtocol.KeyItem.Builder.class);
+    }
+
+    public static final int KEY_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object key_ = "";
+    /**
+     * <code>string key = 1;</code>
+     * @return The key.
+     */
+    @java.lang.Override
+    public java.lang.String getKey() {
+      java.lang.Object ref = key_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        key_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string key = 1;</code>
+     * @return The bytes for key.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getKeyBytes() {
+      java.lang.Object ref = key_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        key_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int VALUE_FIELD_NUMBER = 2;
+    private com.google.protobuf.ByteString value_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>bytes value = 2;</code>
+     * @return The value.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getValue() {
+      return value_;
+    }
+
+    public static final int REVISION_FIELD_NUMBER = 3;
+    private long revision_ = 0L;
+    /**
+     * <code>int64 revision = 3;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+
+    public static final int REMOVED_FIELD_NUMBER = 4;
+    private boolean removed_ = false;
+    /**
+     * <code>bool removed = 4;</code>
+     * @return The removed.
+     */
+    @java.lang.Override
+    public boolean getRemoved() {
+      return removed_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, key_);
+      }
+      if (!value_.isEmpty()) {
+        output.writeBytes(2, value_);
+      }
+      if (revision_ != 0L) {
+        output.writeInt64(3, revision_);
+      }
+      if (removed_ != false) {
+        output.writeBool(4, removed_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, key_);
+      }
+      if (!value_.isEmpty()) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBytesSize(2, value_);
+      }
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(3, revision_);
+      }
+      if (removed_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(4, removed_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.yuccagw.wire.PeerProtocol.KeyItem)) {
+        return super.equals(obj);
+      }
+      org.yuccagw.wire.PeerProtocol.KeyItem other = (org.yuccagw.wire.PeerProtocol.KeyItem) obj;
+
+      if (!getKey()
+          .equals(other.getKey())) return false;
+      if (!getValue()
+          .equals(other.getValue())) return false;
+      if (getRevision()
+          != other.getRevision()) return false;
+      if (getRemoved()
+          != other.getRemoved()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + KEY_FIELD_NUMBER;
+      hash = (53 * hash) + getKey().hashCode();
+      hash = (37 * hash) + VALUE_FIELD_NUMBER;
+      hash = (53 * hash) + getValue().hashCode();
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
+      hash = (37 * hash) + REMOVED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getRemoved());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.KeyItem parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.KeyItem parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.KeyItem parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.KeyItem parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.KeyItem parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.KeyItem parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.KeyItem parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.KeyItem parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.KeyItem parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.KeyItem parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.KeyItem parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.KeyItem parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
