+    }
+    public static Builder newBuilder(org.yuccagw.wire.PeerProtocol.KeyItem prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code yuccagw.KeyItem}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:yuccagw.KeyItem)
+        org.yuccagw.wire.PeerProtocol.KeyItemOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_KeyItem_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_KeyItem_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.yuccagw.wire.PeerProtocol.KeyItem.class, org.yuccagw.wire.PeerProtocol.KeyItem.Builder.class);
+      }
+
+      // Construct using org.yuccagw.wire.PeerProtocol.KeyItem.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        key_ = "";
+        value_ = com.google.protobuf.ByteString.EMPTY;
+        revision_ = 0L;
+        removed_ = false;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_KeyItem_descriptor;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.KeyItem getDefaultInstanceForType() {
+        return org.yuccagw.wire.PeerProtocol.KeyItem.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.KeyItem build() {
+        org.yuccagw.wire.PeerProtocol.KeyItem result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.KeyItem buildPartial() {
+        org.yuccagw.wire.PeerProtocol.KeyItem result = new org.yuccagw.wire.PeerProtocol.KeyItem(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.yuccagw.wire.PeerProtocol.KeyItem result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.key_ = key_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.value_ = value_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.revision_ = revision_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.removed_ = removed_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.yuccagw.wire.PeerProtocol.KeyItem) {
+          return mergeFrom((org.yuccagw.wire.PeerProtocol.KeyItem)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.yuccagw.wire.PeerProtocol.KeyItem other) {
+        if (other == org.yuccagw.wire.PeerProtocol.KeyItem.getDefaultInstance()) return this;
+        if (!other.getKey().isEmpty()) {
+          key_ = other.key_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getValue().isEmpty()) {
+          setValue(other.getValue());
+        }
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
+        }
+        if (other.getRemoved() != false) {
+          setRemoved(other.getRemoved());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                key_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                value_ = input.readBytes();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 24: {
+                revision_ = input.readInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                removed_ = input.readBool();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object key_ = "";
+      /**
+       * <code>string key = 1;</code>
+       * @return The key.
+       */
+      public java.lang.String getKey() {
+        java.lang.Object ref = key_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          key_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string key = 1;</code>
+       * @return The bytes for key.
+       */
+      public com.google.protobuf.ByteString
+          getKeyBytes() {
+        java.lang.Object ref = key_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          key_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string key = 1;</code>
+       * @param value The key to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKey(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        key_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string key = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearKey() {
+        key_ = getDefaultInstance().getKey();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string key = 1;</code>
+       * @param value The bytes for key to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKeyBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        key_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.ByteString value_ = com.google.protobuf.ByteString.EMPTY;
+      /**
+       * <code>bytes value = 2;</code>
+       * @return The value.
+       */
+      @java.lang.Override
+      public com.google.protobuf.ByteString getValue() {
+        return value_;
+      }
+      /**
+       * <code>bytes value = 2;</code>
+       * @param value The value to set.
+       * @return This builder for chaining.
+       */
+      public Builder setValue(com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        value_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bytes value = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearValue() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        value_ = getDefaultInstance().getValue();
+        onChanged();
+        return this;
+      }
+
+      private long revision_ ;
+      /**
+       * <code>int64 revision = 3;</code>
+       * @return The revision.
+       */
+      @java.lang.Override
+      public long getRevision() {
+        return revision_;
+      }
+      /**
+       * <code>int64 revision = 3;</code>
+       * @param value The revision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRevision(long value) {
+
+        revision_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 revision = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRevision() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean removed_ ;
+      /**
+       * <code>bool removed = 4;</code>
+       * @return The removed.
+       */
+      @java.lang.Override
+      public boolean getRemoved() {
+        return removed_;
+      }
+      /**
+       * <code>bool removed = 4;</code>
+       * @param value The removed to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRemoved(boolean value) {
+
+        removed_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool removed = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRemoved() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        removed_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:yuccagw.KeyItem)
+    }
+
+    // @@protoc_insertion_point(class_scope:yuccagw.KeyItem)
+    private static final org.yuccagw.wire.PeerProtocol.KeyItem DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.yuccagw.wire.PeerProtocol.KeyItem();
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.KeyItem getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<KeyItem>
+        PARSER = new com.google.protobuf.AbstractParser<KeyItem>() {
+      @java.lang.Override
+      public KeyItem parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<KeyItem> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<KeyItem> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.KeyItem getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface FollowMessageOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:yuccagw.FollowMessage)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * 0 ask what changed after the revision, 1 tell
+     * </pre>
+     *
+     * <code>int32 kind = 1;</code>
+     * @return The kind.
+     */
+    int getKind();
+
+    /**
+     * <code>int64 revision = 2;</code>
+     * @return The revision.
+     */
+    long getRevision();
+
+    /**
+     * <code>bool whole = 3;</code>
+     * @return The whole.
+     */
+    boolean getWhole();
+
+    /**
+     * <code>int64 confirmed_age_millis = 4;</code>
+     * @return The confirmedAgeMillis.
+     */
+    long getConfirmedAgeMillis();
+
+    /**
+     * <code>repeated .yuccagw.KeyItem items = 5;</code>
+     */
+    java.util.List<org.yuccagw.wire.PeerProtocol.KeyItem> 
+        getItemsList();
+    /**
+     * <code>repeated .yuccagw.KeyItem items = 5;</code>
+     */
+    org.yuccagw.wire.PeerProtocol.KeyItem getItems(int index);
+    /**
+     * <code>repeated .yuccagw.KeyItem items = 5;</code>
+     */
+    int getItemsCount();
+    /**
+     * <code>repeated .yuccagw.KeyItem items = 5;</code>
+     */
+    java.util.List<? extends org.yuccagw.wire.PeerProtocol.KeyItemOrBuilder> 
+        getItemsOrBuilderList();
+    /**
+     * <code>repeated .yuccagw.KeyItem items = 5;</code>
+     */
+    org.yuccagw.wire.PeerProtocol.KeyItemOrBuilder getItemsOrBuilder(
+        int index);
+  }
+  /**
+   * Protobuf type {@code yuccagw.FollowMessage}
+   */
+  public static final class FollowMessage extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:yuccagw.FollowMessage)
+      FollowMessageOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "FollowMessage");
+    }
+    // Use FollowMessage.newBuilder() to construct.
+    private FollowMessage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private FollowMessage() {
+      items_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_FollowMessage_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_FollowMessage_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_FollowMessage_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.yuccagw.wire.PeerProtocol.FollowMessage.class, org.yuccagw.wire.PeerProtocol.FollowMessage.Builder.class);
+    }
+
+    public static final int KIND_FIELD_NUMBER = 1;
+    private int kind_ = 0;
+    /**
+     * <pre>
+     * 0 ask what changed after the revision, 1 tell
+     * </pre>
+     *
+     * <code>int32 kind = 1;</code>
+     * @return The kind.
+     */
+    @java.lang.Override
+    public int getKind() {
+      return kind_;
+    }
+
+    public static final int REVISION_FIELD_NUMBER = 2;
+    private long revision_ = 0L;
+    /**
+     * <code>int64 revision = 2;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+
+    public static final int WHOLE_FIELD_NUMBER = 3;
+    private boolean whole_ = false;
+    /**
+     * <code>bool whole = 3;</code>
+     * @return The whole.
+     */
+    @java.lang.Override
+    public boolean getWhole() {
+      return whole_;
+    }
+
+    public static final int CONFIRMED_AGE_MILLIS_FIELD_NUMBER = 4;
+    private long confirmedAgeMillis_ = 0L;
+    /**
+     * <code>int64 confirmed_age_millis = 4;</code>
+     * @return The confirmedAgeMillis.
+     */
+    @java.lang.Override
+    public long getConfirmedAgeMillis() {
+      return confirmedAgeMillis_;
+    }
+
+    public static final int ITEMS_FIELD_NUMBER = 5;
+    @SuppressWarnings("serial")
+    private java.util.List<org.yuccagw.wire.PeerProtocol.KeyItem> items_;
+    /**
+     * <code>repeated .yuccagw.KeyItem items = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.yuccagw.wire.PeerProtocol.KeyItem> getItemsList() {
+      return items_;
+    }
+    /**
+     * <code>repeated .yuccagw.KeyItem items = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.yuccagw.wire.PeerProtocol.KeyItemOrBuilder> 
+        getItemsOrBuilderList() {
+      return items_;
+    }
+    /**
+     * <code>repeated .yuccagw.KeyItem items = 5;</code>
+     */
+    @java.lang.Override
+    public int getItemsCount() {
+      return items_.size();
+    }
+    /**
+     * <code>repeated .yuccagw.KeyItem items = 5;</code>
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.KeyItem getItems(int index) {
+      return items_.get(index);
+    }
+    /**
+     * <code>repeated .yuccagw.KeyItem items = 5;</code>
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.KeyItemOrBuilder getItemsOrBuilder(
+        int index) {
+      return items_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (kind_ != 0) {
+        output.writeInt32(1, kind_);
+      }
+      if (revision_ != 0L) {
+        output.writeInt64(2, revision_);
+      }
+      if (whole_ != false) {
+        output.writeBool(3, whole_);
+      }
+      if (confirmedAgeMillis_ != 0L) {
+        output.writeInt64(4, confirmedAgeMillis_);
+      }
+      for (int i = 0; i < items_.size(); i++) {
+        output.writeMessage(5, items_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (kind_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt32Size(1, kind_);
+      }
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, revision_);
+      }
+      if (whole_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(3, whole_);
+      }
+      if (confirmedAgeMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(4, confirmedAgeMillis_);
+      }
+
+          {
+            final int count = items_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(items_.get(i));
+            }
+            size += 1 * count;
+          }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.yuccagw.wire.PeerProtocol.FollowMessage)) {
+        return super.equals(obj);
+      }
+      org.yuccagw.wire.PeerProtocol.FollowMessage other = (org.yuccagw.wire.PeerProtocol.FollowMessage) obj;
+
+      if (getKind()
+          != other.getKind()) return false;
+      if (getRevision()
+          != other.getRevision()) return false;
+      if (getWhole()
+          != other.getWhole()) return false;
+      if (getConfirmedAgeMillis()
+          != other.getConfirmedAgeMillis()) return false;
+      if (!getItemsList()
+          .equals(other.getItemsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + KIND_FIELD_NUMBER;
+      hash = (53 * hash) + getKind();
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
+      hash = (37 * hash) + WHOLE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getWhole());
+      hash = (37 * hash) + CONFIRMED_AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getConfirmedAgeMillis());
+      if (getItemsCount() > 0) {
+        hash = (37 * hash) + ITEMS_FIELD_NUMBER;
+        hash = (53 * hash) + getItemsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.FollowMessage parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.FollowMessage parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.FollowMessage parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.FollowMessage parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.FollowMessage parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.FollowMessage parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.FollowMessage parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.FollowMessage parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.FollowMessage parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.FollowMessage parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.FollowMessage parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.FollowMessage parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.yuccagw.wire.PeerProtocol.FollowMessage prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code yuccagw.FollowMessage}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:yuccagw.FollowMessage)
+        org.yuccagw.wire.PeerProtocol.FollowMessageOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_FollowMessage_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_FollowMessage_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.yuccagw.wire.PeerProtocol.FollowMessage.class, org.yuccagw.wire.PeerProtocol.FollowMessage.Builder.class);
+      }
+
+      // Construct using org.yuccagw.wire.PeerProtocol.FollowMessage.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        kind_ = 0;
+        revision_ = 0L;
+        whole_ = false;
+        confirmedAgeMillis_ = 0L;
+        if (itemsBuilder_ == null) {
+          items_ = java.util.Collections.emptyList();
+        } else {
+          items_ = null;
+          itemsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000010);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_FollowMessage_descriptor;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.FollowMessage getDefaultInstanceForType() {
+        return org.yuccagw.wire.PeerProtocol.FollowMessage.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.FollowMessage build() {
+        org.yuccagw.wire.PeerProtocol.FollowMessage result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.FollowMessage buildPartial() {
+        org.yuccagw.wire.PeerProtocol.FollowMessage result = new org.yuccagw.wire.PeerProtocol.FollowMessage(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.yuccagw.wire.PeerProtocol.FollowMessage result) {
+        if (itemsBuilder_ == null) {
+          if (((bitField0_ & 0x00000010) != 0)) {
+            items_ = java.util.Collections.unmodifiableList(items_);
+            bitField0_ = (bitField0_ & ~0x00000010);
+          }
+          result.items_ = items_;
+        } else {
+          result.items_ = itemsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.yuccagw.wire.PeerProtocol.FollowMessage result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.kind_ = kind_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.revision_ = revision_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.whole_ = whole_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.confirmedAgeMillis_ = confirmedAgeMillis_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.yuccagw.wire.PeerProtocol.FollowMessage) {
+          return mergeFrom((org.yuccagw.wire.PeerProtocol.FollowMessage)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.yuccagw.wire.PeerProtocol.FollowMessage other) {
+        if (other == org.yuccagw.wire.PeerProtocol.FollowMessage.getDefaultInstance()) return this;
+        if (other.getKind() != 0) {
+          setKind(other.getKind());
+        }
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
+        }
+        if (other.getWhole() != false) {
+          setWhole(other.getWhole());
+        }
+        if (other.getConfirmedAgeMillis() != 0L) {
+          setConfirmedAgeMillis(other.getConfirmedAgeMillis());
+        }
+        if (itemsBuilder_ == null) {
+          if (!other.items_.isEmpty()) {
+            if (items_.isEmpty()) {
+              items_ = other.items_;
+              bitField0_ = (bitField0_ & ~0x00000010);
+            } else {
+              ensureItemsIsMutable();
+              items_.addAll(other.items_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.items_.isEmpty()) {
+            if (itemsBuilder_.isEmpty()) {
+              itemsBuilder_.dispose();
+              itemsBuilder_ = null;
+              items_ = other.items_;
+              bitField0_ = (bitField0_ & ~0x00000010);
+              itemsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetItemsFieldBuilder() : null;
+            } else {
+              itemsBuilder_.addAllMessages(other.items_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                kind_ = input.readInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                revision_ = input.readInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                whole_ = input.readBool();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                confirmedAgeMillis_ = input.readInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 42: {
+                org.yuccagw.wire.PeerProtocol.KeyItem m =
+                    input.readMessage(
+                        org.yuccagw.wire.PeerProtocol.KeyItem.parser(),
+                        extensionRegistry);
+                if (itemsBuilder_ == null) {
+                  ensureItemsIsMutable();
+                  items_.add(m);
+                } else {
+                  itemsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 42
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private int kind_ ;
+      /**
+       * <pre>
+       * 0 ask what changed after the revision, 1 tell
+       * </pre>
+       *
+       * <code>int32 kind = 1;</code>
+       * @return The kind.
+       */
+      @java.lang.Override
+      public int getKind() {
+        return kind_;
+      }
+      /**
+       * <pre>
+       * 0 ask what changed after the revision, 1 tell
+       * </pre>
+       *
+       * <code>int32 kind = 1;</code>
+       * @param value The kind to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKind(int value) {
+
+        kind_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * 0 ask what changed after the revision, 1 tell
+       * </pre>
+       *
+       * <code>int32 kind = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearKind() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        kind_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long revision_ ;
+      /**
+       * <code>int64 revision = 2;</code>
+       * @return The revision.
+       */
+      @java.lang.Override
+      public long getRevision() {
+        return revision_;
+      }
+      /**
+       * <code>int64 revision = 2;</code>
+       * @param value The revision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRevision(long value) {
+
+        revision_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 revision = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRevision() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean whole_ ;
+      /**
+       * <code>bool whole = 3;</code>
+       * @return The whole.
+       */
+      @java.lang.Override
+      public boolean getWhole() {
+        return whole_;
+      }
+      /**
+       * <code>bool whole = 3;</code>
+       * @param value The whole to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWhole(boolean value) {
+
+        whole_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool whole = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWhole() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        whole_ = false;
+        onChanged();
+        return this;
+      }
+
+      private long confirmedAgeMillis_ ;
+      /**
+       * <code>int64 confirmed_age_millis = 4;</code>
+       * @return The confirmedAgeMillis.
+       */
+      @java.lang.Override
+      public long getConfirmedAgeMillis() {
+        return confirmedAgeMillis_;
+      }
+      /**
+       * <code>int64 confirmed_age_millis = 4;</code>
+       * @param value The confirmedAgeMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setConfirmedAgeMillis(long value) {
+
+        confirmedAgeMillis_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 confirmed_age_millis = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearConfirmedAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        confirmedAgeMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.yuccagw.wire.PeerProtocol.KeyItem> items_ =
+        java.util.Collections.emptyList();
+      private void ensureItemsIsMutable() {
+        if (!((bitField0_ & 0x00000010) != 0)) {
+          items_ = new java.util.ArrayList<org.yuccagw.wire.PeerProtocol.KeyItem>(items_);
+          bitField0_ |= 0x00000010;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.KeyItem, org.yuccagw.wire.PeerProtocol.KeyItem.Builder, org.yuccagw.wire.PeerProtocol.KeyItemOrBuilder> itemsBuilder_;
+
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public java.util.List<org.yuccagw.wire.PeerProtocol.KeyItem> getItemsList() {
+        if (itemsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(items_);
+        } else {
+          return itemsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public int getItemsCount() {
+        if (itemsBuilder_ == null) {
+          return items_.size();
+        } else {
+          return itemsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.KeyItem getItems(int index) {
+        if (itemsBuilder_ == null) {
+          return items_.get(index);
+        } else {
+          return itemsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public Builder setItems(
+          int index, org.yuccagw.wire.PeerProtocol.KeyItem value) {
+        if (itemsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureItemsIsMutable();
+          items_.set(index, value);
+          onChanged();
+        } else {
+          itemsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public Builder setItems(
+          int index, org.yuccagw.wire.PeerProtocol.KeyItem.Builder builderForValue) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          itemsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public Builder addItems(org.yuccagw.wire.PeerProtocol.KeyItem value) {
+        if (itemsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureItemsIsMutable();
+          items_.add(value);
+          onChanged();
+        } else {
+          itemsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public Builder addItems(
+          int index, org.yuccagw.wire.PeerProtocol.KeyItem value) {
+        if (itemsBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          ensureItemsIsMutable();
+          items_.add(index, value);
+          onChanged();
+        } else {
+          itemsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public Builder addItems(
+          org.yuccagw.wire.PeerProtocol.KeyItem.Builder builderForValue) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.add(builderForValue.build());
+          onChanged();
+        } else {
+          itemsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public Builder addItems(
+          int index, org.yuccagw.wire.PeerProtocol.KeyItem.Builder builderForValue) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          itemsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public Builder addAllItems(
+          java.lang.Iterable<? extends org.yuccagw.wire.PeerProtocol.KeyItem> values) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, items_);
+          onChanged();
+        } else {
+          itemsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public Builder clearItems() {
+        if (itemsBuilder_ == null) {
+          items_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000010);
+          onChanged();
+        } else {
+          itemsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public Builder removeItems(int index) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.remove(index);
+          onChanged();
+        } else {
+          itemsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.KeyItem.Builder getItemsBuilder(
+          int index) {
+        return internalGetItemsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.KeyItemOrBuilder getItemsOrBuilder(
+          int index) {
+        if (itemsBuilder_ == null) {
+          return items_.get(index);  } else {
+          return itemsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public java.util.List<? extends org.yuccagw.wire.PeerProtocol.KeyItemOrBuilder> 
+           getItemsOrBuilderList() {
+        if (itemsBuilder_ != null) {
+          return itemsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(items_);
+        }
+      }
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.KeyItem.Builder addItemsBuilder() {
+        return internalGetItemsFieldBuilder().addBuilder(
+            org.yuccagw.wire.PeerProtocol.KeyItem.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.KeyItem.Builder addItemsBuilder(
+          int index) {
+        return internalGetItemsFieldBuilder().addBuilder(
+            index, org.yuccagw.wire.PeerProtocol.KeyItem.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .yuccagw.KeyItem items = 5;</code>
+       */
+      public java.util.List<org.yuccagw.wire.PeerProtocol.KeyItem.Builder> 
+           getItemsBuilderList() {
+        return internalGetItemsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.KeyItem, org.yuccagw.wire.PeerProtocol.KeyItem.Builder, org.yuccagw.wire.PeerProtocol.KeyItemOrBuilder> 
+          internalGetItemsFieldBuilder() {
+        if (itemsBuilder_ == null) {
+          itemsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.yuccagw.wire.PeerProtocol.KeyItem, org.yuccagw.wire.PeerProtocol.KeyItem.Builder, org.yuccagw.wire.PeerProtocol.KeyItemOrBuilder>(
+                  items_,
+                  ((bitField0_ & 0x00000010) != 0),
+                  getParentForChildren(),
+                  isClean());
+          items_ = null;
+        }
+        return itemsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:yuccagw.FollowMessage)
+    }
+
+    // @@protoc_insertion_point(class_scope:yuccagw.FollowMessage)
+    private static final org.yuccagw.wire.PeerProtocol.FollowMessage DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.yuccagw.wire.PeerProtocol.FollowMessage();
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.FollowMessage getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<FollowMessage>
+        PARSER = new com.google.protobuf.AbstractParser<FollowMessage>() {
+      @java.lang.Override
+      public FollowMessage parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<FollowMessage> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<FollowMessage> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.FollowMessage getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface BreakMessageOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:yuccagw.BreakMessage)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string fingerprint = 1;</code>
+     * @return The fingerprint.
+     */
+    java.lang.String getFingerprint();
+    /**
+     * <code>string fingerprint = 1;</code>
+     * @return The bytes for fingerprint.
+     */
+    com.google.protobuf.ByteString
+        getFingerprintBytes();
+
+    /**
+     * <code>string endpoint = 2;</code>
+     * @return The endpoint.
+     */
+    java.lang.String getEndpoint();
+    /**
+     * <code>string endpoint = 2;</code>
+     * @return The bytes for endpoint.
+     */
+    com.google.protobuf.ByteString
+        getEndpointBytes();
+  }
+  /**
+   * Protobuf type {@code yuccagw.BreakMessage}
+   */
+  public static final class BreakMessage extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:yuccagw.BreakMessage)
+      BreakMessageOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "BreakMessage");
+    }
+    // Use BreakMessage.newBuilder() to construct.
+    private BreakMessage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private BreakMessage() {
+      fingerprint_ = "";
+      endpoint_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_BreakMessage_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_BreakMessage_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_BreakMessage_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.yuccagw.wire.PeerProtocol.BreakMessage.class, org.yuccagw.wire.PeerProtocol.BreakMessage.Builder.class);
+    }
+
+    public static final int FINGERPRINT_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object fingerprint_ = "";
+    /**
+     * <code>string fingerprint = 1;</code>
+     * @return The fingerprint.
+     */
+    @java.lang.Override
+    public java.lang.String getFingerprint() {
+      java.lang.Object ref = fingerprint_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        fingerprint_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string fingerprint = 1;</code>
+     * @return The bytes for fingerprint.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getFingerprintBytes() {
+      java.lang.Object ref = fingerprint_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        fingerprint_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int ENDPOINT_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object endpoint_ = "";
+    /**
+     * <code>string endpoint = 2;</code>
+     * @return The endpoint.
+     */
+    @java.lang.Override
+    public java.lang.String getEndpoint() {
+      java.lang.Object ref = endpoint_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        endpoint_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string endpoint = 2;</code>
+     * @return The bytes for endpoint.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getEndpointBytes() {
+      java.lang.Object ref = endpoint_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        endpoint_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(fingerprint_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, fingerprint_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(endpoint_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, endpoint_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(fingerprint_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, fingerprint_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(endpoint_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, endpoint_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.yuccagw.wire.PeerProtocol.BreakMessage)) {
+        return super.equals(obj);
+      }
+      org.yuccagw.wire.PeerProtocol.BreakMessage other = (org.yuccagw.wire.PeerProtocol.BreakMessage) obj;
+
+      if (!getFingerprint()
+          .equals(other.getFingerprint())) return false;
+      if (!getEndpoint()
+          .equals(other.getEndpoint())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + FINGERPRINT_FIELD_NUMBER;
+      hash = (53 * hash) + getFingerprint().hashCode();
+      hash = (37 * hash) + ENDPOINT_FIELD_NUMBER;
+      hash = (53 * hash) + getEndpoint().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.BreakMessage parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.BreakMessage parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.BreakMessage parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.BreakMessage parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.BreakMessage parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.BreakMessage parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.BreakMessage parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.BreakMessage parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.BreakMessage parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.BreakMessage parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.BreakMessage parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.BreakMessage parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.yuccagw.wire.PeerProtocol.BreakMessage prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code yuccagw.BreakMessage}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:yuccagw.BreakMessage)
+        org.yuccagw.wire.PeerProtocol.BreakMessageOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_BreakMessage_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_BreakMessage_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.yuccagw.wire.PeerProtocol.BreakMessage.class, org.yuccagw.wire.PeerProtocol.BreakMessage.Builder.class);
+      }
+
+      // Construct using org.yuccagw.wire.PeerProtocol.BreakMessage.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        fingerprint_ = "";
+        endpoint_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_BreakMessage_descriptor;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.BreakMessage getDefaultInstanceForType() {
+        return org.yuccagw.wire.PeerProtocol.BreakMessage.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.BreakMessage build() {
+        org.yuccagw.wire.PeerProtocol.BreakMessage result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.BreakMessage buildPartial() {
+        org.yuccagw.wire.PeerProtocol.BreakMessage result = new org.yuccagw.wire.PeerProtocol.BreakMessage(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.yuccagw.wire.PeerProtocol.BreakMessage result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.fingerprint_ = fingerprint_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.endpoint_ = endpoint_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.yuccagw.wire.PeerProtocol.BreakMessage) {
+          return mergeFrom((org.yuccagw.wire.PeerProtocol.BreakMessage)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.yuccagw.wire.PeerProtocol.BreakMessage other) {
+        if (other == org.yuccagw.wire.PeerProtocol.BreakMessage.getDefaultInstance()) return this;
+        if (!other.getFingerprint().isEmpty()) {
+          fingerprint_ = other.fingerprint_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getEndpoint().isEmpty()) {
+          endpoint_ = other.endpoint_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                fingerprint_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                endpoint_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object fingerprint_ = "";
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @return The fingerprint.
+       */
+      public java.lang.String getFingerprint() {
+        java.lang.Object ref = fingerprint_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          fingerprint_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @return The bytes for fingerprint.
+       */
+      public com.google.protobuf.ByteString
+          getFingerprintBytes() {
+        java.lang.Object ref = fingerprint_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          fingerprint_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @param value The fingerprint to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFingerprint(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        fingerprint_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFingerprint() {
+        fingerprint_ = getDefaultInstance().getFingerprint();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @param value The bytes for fingerprint to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFingerprintBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        fingerprint_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object endpoint_ = "";
+      /**
+       * <code>string endpoint = 2;</code>
+       * @return The endpoint.
+       */
+      public java.lang.String getEndpoint() {
+        java.lang.Object ref = endpoint_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          endpoint_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string endpoint = 2;</code>
+       * @return The bytes for endpoint.
+       */
+      public com.google.protobuf.ByteString
+          getEndpointBytes() {
+        java.lang.Object ref = endpoint_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          endpoint_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string endpoint = 2;</code>
+       * @param value The endpoint to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEndpoint(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        endpoint_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string endpoint = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEndpoint() {
+        endpoint_ = getDefaultInstance().getEndpoint();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string endpoint = 2;</code>
+       * @param value The bytes for endpoint to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEndpointBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        endpoint_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:yuccagw.BreakMessage)
+    }
+
+    // @@protoc_insertion_point(class_scope:yuccagw.BreakMessage)
+    private static final org.yuccagw.wire.PeerProtocol.BreakMessage DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.yuccagw.wire.PeerProtocol.BreakMessage();
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.BreakMessage getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<BreakMessage>
+        PARSER = new com.google.protobuf.AbstractParser<BreakMessage>() {
+      @java.lang.Override
+      public BreakMessage parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<BreakMessage> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<BreakMessage> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.BreakMessage getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_yuccagw_Envelope_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_yuccagw_Envelope_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_yuccagw_Member_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_yuccagw_Member_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_yuccagw_GossipMessage_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_yuccagw_GossipMessage_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_yuccagw_CatalogueMessage_descriptor;
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_yuccagw_CatalogueMessage_fieldAccessorTable;
@@ -19511,6 +27111,41 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_yuccagw_CacheMessage_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_yuccagw_Contact_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_yuccagw_Contact_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_yuccagw_EndpointLoadMessage_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_yuccagw_EndpointLoadMessage_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_yuccagw_EndpointWeights_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_yuccagw_EndpointWeights_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_yuccagw_StatusMessage_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_yuccagw_StatusMessage_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_yuccagw_KeyItem_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_yuccagw_KeyItem_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_yuccagw_FollowMessage_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_yuccagw_FollowMessage_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_yuccagw_BreakMessage_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_yuccagw_BreakMessage_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -19520,7 +27155,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\007yuccagw\"\217\003\n\010Envelope\022\014\n\004fr" +
+      "\n\npeer.proto\022\007yuccagw\"\220\004\n\010Envelope\022\014\n\004fr" +
       "om\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022(\n\006gossip\030" +
       "\n \001(\0132\026.yuccagw.GossipMessageH\000\022.\n\tcatal" +
       "ogue\030\013 \001(\0132\031.yuccagw.CatalogueMessageH\000\022" +
@@ -19530,59 +27165,81 @@
       "ageH\000\022&\n\005share\030\017 \001(\0132\025.yuccagw.ShareMess" +
       "ageH\000\0220\n\nquarantine\030\020 \001(\0132\032.yuccagw.Quar" +
       "antineMessageH\000\022&\n\005cache\030\021 \001(\0132\025.yuccagw" +
-      ".CacheMessageH\000B\006\n\004body\"\316\001\n\006Member\022\r\n\005en" +
-      "try\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\r\n\005state\030" +
-      "\003 \001(\005\022\016\n\006domain\030\004 \001(\t\022\026\n\016caller_address\030" +
-      "\005 \001(\t\022\024\n\014peer_address\030\006 \001(\t\022\025\n\radmin_add" +
-      "ress\030\007 \001(\t\022\014\n\004load\030\010 \001(\005\022\032\n\022catalogue_re" +
-      "vision\030\t \001(\003\022\022\n\nrefutation\030\n \001(\003\"a\n\rGoss" +
-      "ipMessage\022\014\n\004kind\030\001 \001(\005\022\020\n\010sequence\030\002 \001(" +
-      "\003\022\016\n\006target\030\003 \001(\t\022 \n\007members\030\004 \003(\0132\017.yuc" +
-      "cagw.Member\"[\n\020CatalogueMessage\022\014\n\004kind\030" +
-      "\001 \001(\005\022\020\n\010revision\030\002 \001(\003\022\025\n\rbase_revision" +
-      "\030\003 \001(\003\022\020\n\010document\030\004 \001(\014\"J\n\020EndpointSigh" +
-      "ting\022\020\n\010endpoint\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
-      "\001(\003\022\017\n\007leaving\030\003 \001(\010\"?\n\017EndpointMessage\022" +
-      ",\n\tsightings\030\001 \003(\0132\031.yuccagw.EndpointSig" +
-      "hting\">\n\014ShardMessage\022\r\n\005shard\030\001 \001(\005\022\r\n\005" +
-      "epoch\030\002 \001(\003\022\020\n\010released\030\003 \001(\010\"\361\001\n\013ClaimR" +
-      "ecord\022\021\n\tworkspace\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\021\n" +
-      "\tbody_hash\030\003 \001(\t\022\017\n\007request\030\004 \001(\t\022\r\n\005ent" +
-      "ry\030\005 \001(\t\022\031\n\021entry_incarnation\030\006 \001(\003\022\r\n\005s" +
-      "tate\030\007 \001(\005\022\023\n\013wall_millis\030\010 \001(\003\022\025\n\ranswe" +
-      "r_status\030\t \001(\005\022\023\n\013answer_type\030\n \001(\t\022\023\n\013a" +
-      "nswer_body\030\013 \001(\014\022\017\n\007attempt\030\014 \001(\003\"5\n\014Cla" +
-      "imRecords\022%\n\007records\030\001 \003(\0132\024.yuccagw.Cla" +
-      "imRecord\"j\n\tClaimHead\022\r\n\005epoch\030\001 \001(\003\022%\n\007" +
-      "records\030\002 \003(\0132\024.yuccagw.ClaimRecord\022\'\n\010s" +
-      "egments\030\003 \003(\0132\025.yuccagw.ClaimSegment\"8\n\014" +
-      "ClaimSegment\022\014\n\004name\030\001 \001(\t\022\032\n\022newest_wal" +
-      "l_millis\030\002 \001(\003\"\341\001\n\014ClaimMessage\022\014\n\004kind\030" +
-      "\001 \001(\005\022\020\n\010sequence\030\002 \001(\003\022\r\n\005shard\030\003 \001(\005\022$" +
-      "\n\006record\030\004 \001(\0132\024.yuccagw.ClaimRecord\022\020\n\010" +
-      "decision\030\005 \001(\005\022\022\n\nerror_kind\030\006 \001(\t\022\025\n\rer" +
-      "ror_message\030\007 \001(\t\022\017\n\007outcome\030\010 \001(\005\022\025\n\rru" +
-      "nning_entry\030\t \001(\t\022\027\n\017running_request\030\n \001" +
-      "(\t\"\270\001\n\014ShareMessage\022\014\n\004kind\030\001 \001(\005\022\r\n\005sha" +
-      "rd\030\002 \001(\005\022\r\n\005epoch\030\003 \001(\003\022\r\n\005limit\030\004 \001(\t\022\022" +
-      "\n\nconcurrent\030\005 \001(\005\022\020\n\010fraction\030\006 \001(\001\022\024\n\014" +
-      "valid_millis\030\010 \001(\003\022\020\n\010sequence\030\t \001(\003\022\016\n\006" +
-      "demand\030\n \001(\001\022\017\n\007running\030\013 \001(\005\"W\n\005Death\022\023" +
-      "\n\013fingerprint\030\001 \001(\t\022\020\n\010endpoint\030\002 \001(\t\022\023\n" +
-      "\013incarnation\030\003 \001(\003\022\022\n\nage_millis\030\004 \001(\003\"\211" +
-      "\001\n\021QuarantineMessage\022\014\n\004kind\030\001 \001(\005\022\036\n\006de" +
-      "aths\030\002 \003(\0132\016.yuccagw.Death\022\020\n\010sequence\030\003" +
-      " \001(\003\022\016\n\006permit\030\004 \001(\003\022\017\n\007granted\030\005 \001(\010\022\023\n" +
-      "\013fingerprint\030\006 \001(\t\"\227\001\n\016CachePlacement\022\020\n" +
-      "\010key_high\030\001 \001(\006\022\017\n\007key_low\030\002 \001(\006\022\r\n\005stor" +
-      "e\030\003 \001(\t\022\022\n\ngeneration\030\004 \001(\003\022\016\n\006length\030\005 " +
-      "\001(\003\022\020\n\010checksum\030\006 \001(\003\022\014\n\004tier\030\007 \001(\005\022\017\n\007r" +
-      "emoved\030\010 \001(\010\"\231\001\n\014CacheMessage\022+\n\nplaceme" +
-      "nts\030\001 \003(\0132\027.yuccagw.CachePlacement\022\021\n\two" +
-      "rkspace\030\002 \001(\t\022\022\n\nclass_name\030\003 \001(\t\022\017\n\007ser" +
-      "vice\030\004 \001(\t\022\017\n\007version\030\005 \001(\t\022\023\n\013start_dep" +
-      "th\030\006 \001(\005B \n\020org.yuccagw.wireB\014PeerProtoc" +
-      "olb\006proto3"
+      ".CacheMessageH\000\022(\n\006status\030\022 \001(\0132\026.yuccag" +
+      "w.StatusMessageH\000\022(\n\006follow\030\023 \001(\0132\026.yucc" +
+      "agw.FollowMessageH\000\022+\n\nbreak_seen\030\024 \001(\0132" +
+      "\025.yuccagw.BreakMessageH\000B\006\n\004body\"\316\001\n\006Mem" +
+      "ber\022\r\n\005entry\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022" +
+      "\r\n\005state\030\003 \001(\005\022\016\n\006domain\030\004 \001(\t\022\026\n\016caller" +
+      "_address\030\005 \001(\t\022\024\n\014peer_address\030\006 \001(\t\022\025\n\r" +
+      "admin_address\030\007 \001(\t\022\014\n\004load\030\010 \001(\005\022\032\n\022cat" +
+      "alogue_revision\030\t \001(\003\022\022\n\nrefutation\030\n \001(" +
+      "\003\"a\n\rGossipMessage\022\014\n\004kind\030\001 \001(\005\022\020\n\010sequ" +
+      "ence\030\002 \001(\003\022\016\n\006target\030\003 \001(\t\022 \n\007members\030\004 " +
+      "\003(\0132\017.yuccagw.Member\"[\n\020CatalogueMessage" +
+      "\022\014\n\004kind\030\001 \001(\005\022\020\n\010revision\030\002 \001(\003\022\025\n\rbase" +
+      "_revision\030\003 \001(\003\022\020\n\010document\030\004 \001(\014\"J\n\020End" +
+      "pointSighting\022\020\n\010endpoint\030\001 \001(\t\022\023\n\013incar" +
+      "nation\030\002 \001(\003\022\017\n\007leaving\030\003 \001(\010\"?\n\017Endpoin" +
+      "tMessage\022,\n\tsightings\030\001 \003(\0132\031.yuccagw.En" +
+      "dpointSighting\">\n\014ShardMessage\022\r\n\005shard\030" +
+      "\001 \001(\005\022\r\n\005epoch\030\002 \001(\003\022\020\n\010released\030\003 \001(\010\"\361" +
+      "\001\n\013ClaimRecord\022\021\n\tworkspace\030\001 \001(\t\022\013\n\003key" +
+      "\030\002 \001(\t\022\021\n\tbody_hash\030\003 \001(\t\022\017\n\007request\030\004 \001" +
+      "(\t\022\r\n\005entry\030\005 \001(\t\022\031\n\021entry_incarnation\030\006" +
+      " \001(\003\022\r\n\005state\030\007 \001(\005\022\023\n\013wall_millis\030\010 \001(\003" +
+      "\022\025\n\ranswer_status\030\t \001(\005\022\023\n\013answer_type\030\n" +
+      " \001(\t\022\023\n\013answer_body\030\013 \001(\014\022\017\n\007attempt\030\014 \001" +
+      "(\003\"5\n\014ClaimRecords\022%\n\007records\030\001 \003(\0132\024.yu" +
+      "ccagw.ClaimRecord\"j\n\tClaimHead\022\r\n\005epoch\030" +
+      "\001 \001(\003\022%\n\007records\030\002 \003(\0132\024.yuccagw.ClaimRe" +
+      "cord\022\'\n\010segments\030\003 \003(\0132\025.yuccagw.ClaimSe" +
+      "gment\"8\n\014ClaimSegment\022\014\n\004name\030\001 \001(\t\022\032\n\022n" +
+      "ewest_wall_millis\030\002 \001(\003\"\341\001\n\014ClaimMessage" +
+      "\022\014\n\004kind\030\001 \001(\005\022\020\n\010sequence\030\002 \001(\003\022\r\n\005shar" +
+      "d\030\003 \001(\005\022$\n\006record\030\004 \001(\0132\024.yuccagw.ClaimR" +
+      "ecord\022\020\n\010decision\030\005 \001(\005\022\022\n\nerror_kind\030\006 " +
+      "\001(\t\022\025\n\rerror_message\030\007 \001(\t\022\017\n\007outcome\030\010 " +
+      "\001(\005\022\025\n\rrunning_entry\030\t \001(\t\022\027\n\017running_re" +
+      "quest\030\n \001(\t\"\270\001\n\014ShareMessage\022\014\n\004kind\030\001 \001" +
+      "(\005\022\r\n\005shard\030\002 \001(\005\022\r\n\005epoch\030\003 \001(\003\022\r\n\005limi" +
+      "t\030\004 \001(\t\022\022\n\nconcurrent\030\005 \001(\005\022\020\n\010fraction\030" +
+      "\006 \001(\001\022\024\n\014valid_millis\030\010 \001(\003\022\020\n\010sequence\030" +
+      "\t \001(\003\022\016\n\006demand\030\n \001(\001\022\017\n\007running\030\013 \001(\005\"W" +
+      "\n\005Death\022\023\n\013fingerprint\030\001 \001(\t\022\020\n\010endpoint" +
+      "\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\003\022\022\n\nage_milli" +
+      "s\030\004 \001(\003\"\211\001\n\021QuarantineMessage\022\014\n\004kind\030\001 " +
+      "\001(\005\022\036\n\006deaths\030\002 \003(\0132\016.yuccagw.Death\022\020\n\010s" +
+      "equence\030\003 \001(\003\022\016\n\006permit\030\004 \001(\003\022\017\n\007granted" +
+      "\030\005 \001(\010\022\023\n\013fingerprint\030\006 \001(\t\"\227\001\n\016CachePla" +
+      "cement\022\020\n\010key_high\030\001 \001(\006\022\017\n\007key_low\030\002 \001(" +
+      "\006\022\r\n\005store\030\003 \001(\t\022\022\n\ngeneration\030\004 \001(\003\022\016\n\006" +
+      "length\030\005 \001(\003\022\020\n\010checksum\030\006 \001(\003\022\014\n\004tier\030\007" +
+      " \001(\005\022\017\n\007removed\030\010 \001(\010\"\231\001\n\014CacheMessage\022+" +
+      "\n\nplacements\030\001 \003(\0132\027.yuccagw.CachePlacem" +
+      "ent\022\021\n\tworkspace\030\002 \001(\t\022\022\n\nclass_name\030\003 \001" +
+      "(\t\022\017\n\007service\030\004 \001(\t\022\017\n\007version\030\005 \001(\t\022\023\n\013" +
+      "start_depth\030\006 \001(\005\"]\n\007Contact\022\r\n\005entry\030\001 " +
+      "\001(\t\022\023\n\013incarnation\030\002 \001(\003\022\016\n\006domain\030\003 \001(\t" +
+      "\022\017\n\007callers\030\004 \001(\t\022\r\n\005peers\030\005 \001(\t\"I\n\023Endp" +
+      "ointLoadMessage\022\020\n\010endpoint\030\001 \001(\t\022\020\n\010req" +
+      "uests\030\002 \001(\005\022\016\n\006tokens\030\003 \001(\003\"C\n\017EndpointW" +
+      "eights\022\020\n\010endpoint\030\001 \001(\t\022\r\n\005model\030\002 \001(\t\022" +
+      "\017\n\007version\030\003 \001(\003\"\367\001\n\rStatusMessage\022!\n\007co" +
+      "ntact\030\001 \001(\0132\020.yuccagw.Contact\022\r\n\005ready\030\002" +
+      " \001(\010\022\017\n\007leaving\030\003 \001(\010\022\020\n\010revision\030\004 \001(\003\022" +
+      "\027\n\017interval_millis\030\005 \001(\003\022+\n\005loads\030\006 \003(\0132" +
+      "\034.yuccagw.EndpointLoadMessage\022\017\n\007avoided" +
+      "\030\007 \003(\t\022\017\n\007loading\030\010 \003(\t\022)\n\007weights\030\t \003(\013" +
+      "2\030.yuccagw.EndpointWeights\"H\n\007KeyItem\022\013\n" +
+      "\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010revision\030\003 " +
+      "\001(\003\022\017\n\007removed\030\004 \001(\010\"}\n\rFollowMessage\022\014\n" +
+      "\004kind\030\001 \001(\005\022\020\n\010revision\030\002 \001(\003\022\r\n\005whole\030\003" +
+      " \001(\010\022\034\n\024confirmed_age_millis\030\004 \001(\003\022\037\n\005it" +
+      "ems\030\005 \003(\0132\020.yuccagw.KeyItem\"5\n\014BreakMess" +
+      "age\022\023\n\013fingerprint\030\001 \001(\t\022\020\n\010endpoint\030\002 \001" +
+      "(\tB \n\020org.yuccagw.wireB\014PeerProtocolb\006pr" +
+      "oto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -19593,7 +27250,7 @@
     internal_static_yuccagw_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_Envelope_descriptor,
-        new java.lang.String[] { "From", "Incarnation", "Gossip", "Catalogue", "Endpoint", "Shard", "Claim", "Share", "Quarantine", "Cache", "Body", });
+        new java.lang.String[] { "From", "Incarnation", "Gossip", "Catalogue", "Endpoint", "Shard", "Claim", "Share", "Quarantine", "Cache", "Status", "Follow", "BreakSeen", "Body", });
     internal_static_yuccagw_Member_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_yuccagw_Member_fieldAccessorTable = new
@@ -19690,6 +27347,48 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_CacheMessage_descriptor,
         new java.lang.String[] { "Placements", "Workspace", "ClassName", "Service", "Version", "StartDepth", });
+    internal_static_yuccagw_Contact_descriptor =
+      getDescriptor().getMessageType(17);
+    internal_static_yuccagw_Contact_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_yuccagw_Contact_descriptor,
+        new java.lang.String[] { "Entry", "Incarnation", "Domain", "Callers", "Peers", });
+    internal_static_yuccagw_EndpointLoadMessage_descriptor =
+      getDescriptor().getMessageType(18);
+    internal_static_yuccagw_EndpointLoadMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_yuccagw_EndpointLoadMessage_descriptor,
+        new java.lang.String[] { "Endpoint", "Requests", "Tokens", });
+    internal_static_yuccagw_EndpointWeights_descriptor =
+      getDescriptor().getMessageType(19);
+    internal_static_yuccagw_EndpointWeights_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_yuccagw_EndpointWeights_descriptor,
+        new java.lang.String[] { "Endpoint", "Model", "Version", });
+    internal_static_yuccagw_StatusMessage_descriptor =
+      getDescriptor().getMessageType(20);
+    internal_static_yuccagw_StatusMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_yuccagw_StatusMessage_descriptor,
+        new java.lang.String[] { "Contact", "Ready", "Leaving", "Revision", "IntervalMillis", "Loads", "Avoided", "Loading", "Weights", });
+    internal_static_yuccagw_KeyItem_descriptor =
+      getDescriptor().getMessageType(21);
+    internal_static_yuccagw_KeyItem_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_yuccagw_KeyItem_descriptor,
+        new java.lang.String[] { "Key", "Value", "Revision", "Removed", });
+    internal_static_yuccagw_FollowMessage_descriptor =
+      getDescriptor().getMessageType(22);
+    internal_static_yuccagw_FollowMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_yuccagw_FollowMessage_descriptor,
+        new java.lang.String[] { "Kind", "Revision", "Whole", "ConfirmedAgeMillis", "Items", });
+    internal_static_yuccagw_BreakMessage_descriptor =
+      getDescriptor().getMessageType(23);
+    internal_static_yuccagw_BreakMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_yuccagw_BreakMessage_descriptor,
+        new java.lang.String[] { "Fingerprint", "Endpoint", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/src/test/java/org/yuccagw/core/shard/ShardsTest.java
+++ b/src/test/java/org/yuccagw/core/shard/ShardsTest.java
@@ -112,7 +112,7 @@
     @Test
     public void duringAnOutageNobodyIsOwnerAndAfterItEveryShardHasOne() {
         bench.keyValue().setDown(true);
-        bench.runFor(LeaseKeeper.TIME_TO_LIVE);
+        bench.runFor(ShardsPart.LEASE.timeToLive());
         for (int number = 0; number < SHARDS; number++) {
             assertTrue(ownersOf(ShardNumber.of(number)).isEmpty());
         }
--- a/src/test/java/org/yuccagw/adapters/platform/KeyValueClientTest.java
+++ b/src/test/java/org/yuccagw/platform/KeyValueClientTest.java
@@ -1,4 +1,4 @@
-package org.yuccagw.adapters.platform;
+package org.yuccagw.platform;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
