--- a/src/main/java/org/yuccagw/platform/KeyValueClient.java
+++ b/src/main/java/org/yuccagw/platform/KeyValueClient.java
@@ -143,24 +143,16 @@
     }
 
     private static KeyValueAnswer read(KeyValueCall call, int status, byte[] body) throws IOException {
-        switch (status) {
-            case OVER_RATE:
-                return new KeyValueAnswer.Refused("the key-value service is over its rate");
-            case UNAVAILABLE:
-                return new KeyValueAnswer.Refused("the key-value service says that it did nothing");
-            case TOO_LARGE:
-                return new KeyValueAnswer.Refused("the key-value service says that the value is too large");
-            case HISTORY_GONE:
-                return new KeyValueAnswer.HistoryGone();
-            case NOT_FOUND:
-                return readAbsent(call, body);
-            case CONDITION_FAILED:
-                return new KeyValueAnswer.Conflict(currentRevision(call, JSON.readTree(body)));
-            case OK:
-                return readDone(call, JSON.readTree(body));
-            default:
-                return new KeyValueAnswer.Lost("the key-value service answered with status " + status);
-        }
+        return switch (status) {
+            case OVER_RATE -> new KeyValueAnswer.Refused("the key-value service is over its rate");
+            case UNAVAILABLE -> new KeyValueAnswer.Refused("the key-value service says that it did nothing");
+            case TOO_LARGE -> new KeyValueAnswer.Refused("the key-value service says that the value is too large");
+            case HISTORY_GONE -> new KeyValueAnswer.HistoryGone();
+            case NOT_FOUND -> readAbsent(call, body);
+            case CONDITION_FAILED -> new KeyValueAnswer.Conflict(currentRevision(call, JSON.readTree(body)));
+            case OK -> readDone(call, JSON.readTree(body));
+            default -> new KeyValueAnswer.Lost("the key-value service answered with status " + status);
+        };
     }
 
     private static KeyValueAnswer readAbsent(KeyValueCall call, byte[] body) throws IOException {
