--- a/src/main/java/org/yuccagw/core/peers/PeersPart.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersPart.java
@@ -98,7 +98,11 @@
         this.seeds = List.copyOf(seeds);
     }
 
-    /** @param seeds where other entries may listen for peers; may be stale */
+    /**
+     * The heartbeats of one entry.
+     *
+     * @param seeds where other entries may listen for peers; may be stale
+     */
     public static PeersPart of(Knowledge knowledge, List<NetworkAddress> seeds) {
         return new PeersPart(knowledge, seeds);
     }
--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -218,7 +218,7 @@
     /** Places or refuses the request; false if no endpoint can take it now. */
     private boolean tryPlace(PlaceAsked asked) {
         Scoring.Need need = needOf(asked);
-        List<EndpointState> candidates = candidates(asked, need);
+        List<EndpointState> candidates = candidates(asked);
         if (candidates.isEmpty()) {
             return false;
         }
@@ -305,13 +305,13 @@
                 version);
     }
 
-    private List<EndpointState> candidates(PlaceAsked asked, Scoring.Need need) {
+    private List<EndpointState> candidates(PlaceAsked asked) {
         List<EndpointState> candidates = new ArrayList<>();
         for (EndpointState endpoint : endpoints.values()) {
             boolean fits = endpoint.listed().service().equals(asked.service())
                     && endpoint.isUsable(context.nowNanos())
                     && !asked.excluded().contains(endpoint.listed().id())
-                    && versionFits(endpoint, asked, need);
+                    && versionFits(endpoint, asked);
             if (fits) {
                 candidates.add(endpoint);
             }
@@ -319,7 +319,7 @@
         return candidates;
     }
 
-    private boolean versionFits(EndpointState endpoint, PlaceAsked asked, Scoring.Need need) {
+    private boolean versionFits(EndpointState endpoint, PlaceAsked asked) {
         if (asked.prompt().isEmpty()) {
             return true;
         }
