--- a/src/main/java/org/yuccagw/core/forward/EventCutter.java
+++ b/src/main/java/org/yuccagw/core/forward/EventCutter.java
@@ -1,8 +1,8 @@
 package org.yuccagw.core.forward;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /**
  * Lets only whole events of a stream through, and remembers the id of the last one.
@@ -17,8 +17,8 @@
     private static final int LARGEST_EVENT = 1 << 20;
     private static final String ID_FIELD = "id:";
 
-    private final ByteArrayOutputStream event = new ByteArrayOutputStream(512);
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream(64);
+    private final Bytes event = new Bytes();
+    private final Bytes line = new Bytes();
     private long lastId;
     private long idOfEvent = ForwardRequest.FROM_START;
     private boolean hasLines;
@@ -30,18 +30,18 @@
 
     /** Takes bytes and returns the whole events that they complete, possibly none. */
     ByteBuffer accept(ByteBuffer bytes) {
-        ByteArrayOutputStream whole = new ByteArrayOutputStream(bytes.remaining() + event.size());
+        Bytes whole = new Bytes();
         while (bytes.hasRemaining()) {
             byte next = bytes.get();
-            event.write(next);
+            event.add(next);
             if (next == '\n') {
                 endLine(whole);
             } else if (next != '\r') {
-                line.write(next);
+                line.add(next);
             }
         }
-        tooLarge |= event.size() > LARGEST_EVENT;
-        return ByteBuffer.wrap(whole.toByteArray());
+        tooLarge |= event.size > LARGEST_EVENT;
+        return ByteBuffer.wrap(whole.data, 0, whole.size);
     }
 
     /** The id of the last whole event. */
@@ -51,7 +51,7 @@
 
     /** Whether part of an event has arrived and not its end. */
     boolean isInsideEvent() {
-        return event.size() > 0;
+        return event.size > 0;
     }
 
     boolean isTooLarge() {
@@ -60,23 +60,22 @@
 
     /** Drops what arrived of an unfinished event. */
     void dropPartial() {
-        event.reset();
-        line.reset();
+        event.size = 0;
+        line.size = 0;
         hasLines = false;
         idOfEvent = ForwardRequest.FROM_START;
     }
 
-    private void endLine(ByteArrayOutputStream whole) {
-        String text = line.toString(StandardCharsets.UTF_8);
-        line.reset();
+    private void endLine(Bytes whole) {
+        String text = line.text();
+        line.size = 0;
         if (!text.isEmpty()) {
             hasLines = true;
             readId(text);
             return;
         }
         if (hasLines) {
-            byte[] complete = event.toByteArray();
-            whole.write(complete, 0, complete.length);
+            whole.addAll(event);
             lastId = Math.max(lastId, idOfEvent);
         }
         dropPartial();
@@ -91,4 +90,29 @@
             }
         }
     }
+
+    /** Bytes that grow as they come. */
+    private static final class Bytes {
+        private byte[] data = new byte[256];
+        private int size;
+
+        private void add(byte next) {
+            if (size == data.length) {
+                data = Arrays.copyOf(data, 2 * size);
+            }
+            data[size++] = next;
+        }
+
+        private void addAll(Bytes other) {
+            if (size + other.size > data.length) {
+                data = Arrays.copyOf(data, Math.max(2 * data.length, size + other.size));
+            }
+            System.arraycopy(other.data, 0, data, size, other.size);
+            size += other.size;
+        }
+
+        private String text() {
+            return new String(data, 0, size, StandardCharsets.UTF_8);
+        }
+    }
 }
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -336,7 +336,7 @@
         endAttempt(end);
         lastTrouble = "status " + head.status() + ", not run";
         if (end != End.WRONG_VERSION) {
-            excluded.add(placed.endpoint().id());
+            excluded.add(lastEndpoint);
         }
         afterNotRun(true);
     }
@@ -376,11 +376,11 @@
         }
         endAttempt(end);
         if (end == End.UNREACHED) {
-            excluded.add(placed.endpoint().id());
+            excluded.add(lastEndpoint);
             afterNotRun(false);
             return;
         }
-        excluded.add(placed.endpoint().id());
+        excluded.add(lastEndpoint);
         if (headSent) {
             events.dropPartial();
             goOnOrCut(detail);
--- a/src/main/java/org/yuccagw/standins/keyvalue/KeyValueStandIn.java
+++ b/src/main/java/org/yuccagw/standins/keyvalue/KeyValueStandIn.java
@@ -8,6 +8,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.yuccagw.core.id.NetworkAddress;
@@ -18,15 +19,17 @@
 import org.yuccagw.standins.http.StandInServer;
 
 /**
- * The platform's key-value service on one address, in memory.
+ * The platform's key-value service on one address, in memory, in the platform's own protocol.
  *
  * <p>A waiting watch holds its exchange and no thread. All state is under this object's lock; handlers hold it for as
  * long as a map operation takes.
  */
 public final class KeyValueStandIn implements StandIn {
+    private static final int PAGE = 500;
     private static final int MOST_VALUE_BYTES = 1 << 20;
     private static final int NOT_FOUND = 404;
-    private static final int CONFLICT = 409;
+    private static final int HISTORY_GONE = 410;
+    private static final int CONDITION_FAILED = 412;
     private static final int TOO_LARGE = 413;
     private static final int TOO_MANY = 429;
     private static final long LAPSE_CHECK_MILLIS = 5;
@@ -45,13 +48,13 @@
     private KeyValueStandIn(KeyValueSettings settings) {
         writeRate = CallRate.of(settings.writesPerSecond());
         readRate = CallRate.of(settings.readsPerSecond());
-        server.on("GET", "/v1/keys", this::read)
-                .on("PUT", "/v1/keys", this::write)
-                .on("DELETE", "/v1/keys", this::delete)
-                .on("POST", "/v1/leases", this::grant)
-                .on("PUT", "/v1/leases/{lease}", this::renew)
-                .on("DELETE", "/v1/leases/{lease}", this::revoke)
-                .on("GET", "/v1/watch", this::watch)
+        server.on("GET", "/kv-key", this::read)
+                .on("GET", "/kv-range", this::readRange)
+                .on("POST", "/kv-txn", this::write)
+                .on("POST", "/kv-lease", this::grant)
+                .on("POST", "/kv-keep/{lease}", this::renew)
+                .on("DELETE", "/kv-lease-end/{lease}", this::revoke)
+                .on("GET", "/kv-watch", this::watch)
                 .withRecord(this::record)
                 .withKnobs(this::turn)
                 .listen(settings.port());
@@ -93,47 +96,65 @@
     }
 
     private synchronized void read(StandInCall call) {
-        boolean whole = call.parameter("prefix").isPresent();
-        if (!admit(call, whole ? "read_prefix" : "read", readRate)) {
+        if (!admit(call, "read", readRate)) {
             return;
         }
-        List<KeyValueState.Item> found = whole
-                ? state.readPrefix(call.required("prefix"))
-                : state.read(call.required("key")).stream().toList();
-        call.reply(answer(found));
+        Optional<KeyValueState.Item> found = state.read(call.required("key"));
+        if (found.isPresent()) {
+            call.reply(describe(found.get()).put("storeRevision", state.revision()));
+        } else {
+            call.reply(NOT_FOUND, StandInJson.object().put("storeRevision", state.revision()));
+        }
+    }
+
+    private synchronized void readRange(StandInCall call) {
+        if (!admit(call, "read_prefix", readRate)) {
+            return;
+        }
+        String after = call.parameter("after").orElse("");
+        List<KeyValueState.Item> rest = state
+                .readPrefix(call.parameter("pathPrefix").orElse(""))
+                .stream()
+                .filter(item -> item.key().compareTo(after) > 0)
+                .toList();
+        List<KeyValueState.Item> page = rest.subList(0, Math.min(PAGE, rest.size()));
+        ObjectNode answer = answer("items", page);
+        call.reply(answer.put("truncated", page.size() < rest.size()));
     }
 
     private synchronized void write(StandInCall call) {
         if (!admit(call, "write", writeRate)) {
             return;
         }
-        if (call.body().length > MOST_VALUE_BYTES) {
+        KeyValueState.Transaction transaction = Transactions.read(call.json());
+        if (transaction.puts().stream().anyMatch(put -> put.value().length > MOST_VALUE_BYTES)) {
             call.replyError(TOO_LARGE, "too_large", "a value holds at most " + MOST_VALUE_BYTES + " bytes");
             return;
         }
-        String key = call.required("key");
-        long expected = call.number("revision");
-        long lease = call.number("lease", 0);
-        change(call, key, () -> state.write(key, expected, call.body(), lease));
-    }
+        String key = Transactions.firstKey(transaction);
+        change(call, key, new Change() {
+            @Override
+            public KeyValueState.Outcome apply() {
+                return state.apply(transaction);
+            }
 
-    private synchronized void delete(StandInCall call) {
-        if (!admit(call, "delete", writeRate)) {
-            return;
-        }
-        String key = call.required("key");
-        long expected = call.number("revision");
-        change(call, key, () -> state.delete(key, expected));
+            @Override
+            public List<KeyValueState.Condition> conditions() {
+                return transaction.conditions();
+            }
+        });
     }
 
     /** A change of the state that the ordered faults may make late. */
     private interface Change {
         KeyValueState.Outcome apply();
+
+        List<KeyValueState.Condition> conditions();
     }
 
     private void change(StandInCall call, String key, Change change) {
         if (!writeFaults.covers(key)) {
-            answer(call, apply(change));
+            answer(call, change, apply(change));
             return;
         }
         WriteFaults now = writeFaults;
@@ -147,7 +168,7 @@
     }
 
     private synchronized void land(StandInCall call, Change change) {
-        answer(call, apply(change));
+        answer(call, change, apply(change));
     }
 
     private KeyValueState.Outcome apply(Change change) {
@@ -158,19 +179,24 @@
         return outcome;
     }
 
-    private static void answer(StandInCall call, KeyValueState.Outcome outcome) {
-        JsonNode body = StandInJson.object().put("revision", outcome.revision());
-        if (outcome.done()) {
-            call.reply(body);
-        } else {
-            call.reply(CONFLICT, body);
+    private void answer(StandInCall call, Change change, KeyValueState.Outcome outcome) {
+        switch (outcome.result()) {
+            case DONE -> call.reply(StandInJson.object().put("revision", outcome.revision()));
+            case NO_LEASE -> call.reply(NOT_FOUND, StandInJson.object());
+            default -> {
+                List<KeyValueState.Item> present = change.conditions().stream()
+                        .flatMap(condition -> state.read(condition.key()).stream())
+                        .toList();
+                call.reply(CONDITION_FAILED, answer("items", present));
+            }
         }
     }
 
     private synchronized void grant(StandInCall call) {
         if (admit(call, "grant", writeRate)) {
-            long life = TimeUnit.MILLISECONDS.toNanos(call.number("ttl"));
-            call.reply(StandInJson.object().put("lease", state.grant(System.nanoTime(), life)));
+            long millis = call.json().path("ttlMs").asLong();
+            long lease = state.grant(System.nanoTime(), TimeUnit.MILLISECONDS.toNanos(millis));
+            call.reply(StandInJson.object().put("lease", lease).put("ttlMs", millis));
         }
     }
 
@@ -200,8 +226,12 @@
         if (!admit(call, "watch", readRate)) {
             return;
         }
-        Watch watch = new Watch(call, call.required("prefix"), call.number("after"));
-        long wait = Math.min(call.number("wait"), MOST_WAIT_MILLIS);
+        Watch watch = new Watch(call, call.parameter("pathPrefix").orElse(""), call.number("after"));
+        if (state.isCompacted(watch.after())) {
+            call.reply(HISTORY_GONE, StandInJson.object());
+            return;
+        }
+        long wait = Math.min(call.number("waitMs"), MOST_WAIT_MILLIS);
         if (!tell(watch)) {
             watches.add(watch);
             server.timer().schedule(() -> endWatch(watch), wait, TimeUnit.MILLISECONDS);
@@ -213,7 +243,7 @@
         if (changes.isEmpty()) {
             return false;
         }
-        watch.call().reply(answer(changes));
+        watch.call().reply(answer("events", changes));
         return true;
     }
 
@@ -227,7 +257,7 @@
 
     private synchronized void endWatch(Watch watch) {
         if (watches.remove(watch)) {
-            watch.call().reply(answer(List.of()));
+            watch.call().reply(answer("events", List.of()));
         }
     }
 
@@ -247,19 +277,28 @@
         return false;
     }
 
-    private JsonNode answer(List<KeyValueState.Item> found) {
-        ObjectNode answer = StandInJson.object().put("revision", state.revision());
-        ArrayNode items = answer.putArray("items");
-        for (KeyValueState.Item item : found) {
-            ObjectNode one = items.addObject().put("key", item.key()).put("revision", item.revision());
-            one.put("value", item.deleted() ? "" : Base64.getEncoder().encodeToString(item.value()));
-            if (item.deleted()) {
-                one.put("deleted", true);
-            }
-        }
+    private ObjectNode answer(String field, List<KeyValueState.Item> found) {
+        ObjectNode answer = StandInJson.object().put("storeRevision", state.revision());
+        ArrayNode items = answer.putArray(field);
+        found.forEach(item -> items.add(describe(item)));
         return answer;
     }
 
+    private static ObjectNode describe(KeyValueState.Item item) {
+        ObjectNode described = StandInJson.object().put("key", item.key()).put("revision", item.revision());
+        if (item.deleted()) {
+            return described.put("removed", true);
+        }
+        return described
+                .put("value", Base64.getEncoder().encodeToString(item.value()))
+                .put("lease", item.lease());
+    }
+
+    /** Drops the history: watches from before are told that it is gone. */
+    public synchronized void compact() {
+        state.compact();
+    }
+
     private synchronized ObjectNode record() {
         ObjectNode record = StandInJson.object();
         record.set("calls_by_kind", StandInJson.tree(counts));
@@ -272,5 +311,8 @@
         if (knobs.has("writes")) {
             writeFaults = WriteFaults.of(knobs.path("writes"));
         }
+        if (knobs.path("compact").asBoolean(false)) {
+            compact();
+        }
     }
 }
--- a/src/main/java/org/yuccagw/standins/keyvalue/KeyValueState.java
+++ b/src/main/java/org/yuccagw/standins/keyvalue/KeyValueState.java
@@ -20,6 +20,7 @@
     private final Map<Long, Lease> leases = new HashMap<>();
     private long revision;
     private long lastLease;
+    private long compactedRevision;
 
     /** A key's last write; {@code value} is null after a deletion. */
     record Item(String key, byte[] value, long revision, long lease) {
@@ -28,8 +29,18 @@
         }
     }
 
-    /** The outcome of a write: the new revision, or a conflict with the current one. */
-    record Outcome(boolean done, long revision) {}
+    /** What became of a transaction. */
+    enum Result {
+        DONE,
+        CONDITION_FAILED,
+        NO_LEASE
+    }
+
+    record Outcome(Result result, long revision) {
+        boolean done() {
+            return result == Result.DONE;
+        }
+    }
 
     private static final class Lease {
         private final long lifeNanos;
@@ -58,23 +69,46 @@
         return under(prefix).stream().filter(item -> item.revision() > after).toList();
     }
 
-    /** @param lease 0 for none; one that lapsed is a conflict */
-    Outcome write(String key, long expected, byte[] value, long lease) {
-        long current = currentRevision(key);
-        if (current != expected || (lease != 0 && !leases.containsKey(lease))) {
-            return new Outcome(false, current);
+    /** A key at the revision that a transaction expects; {@link #ABSENT} for a key that doesn't exist. */
+    record Condition(String key, long revision) {}
+
+    /** A key to be written; lease 0 for none. */
+    record Put(String key, byte[] value, long lease) {}
+
+    /** All of it or nothing. */
+    record Transaction(List<Condition> conditions, List<Put> puts, List<String> deletes) {}
+
+    /** Carries the transaction out if each condition holds and each lease exists. */
+    Outcome apply(Transaction transaction) {
+        for (Condition condition : transaction.conditions()) {
+            if (currentRevision(condition.key()) != condition.revision()) {
+                return new Outcome(Result.CONDITION_FAILED, revision);
+            }
+        }
+        for (Put put : transaction.puts()) {
+            if (put.lease() != 0 && !leases.containsKey(put.lease())) {
+                return new Outcome(Result.NO_LEASE, revision);
+            }
         }
-        items.put(key, new Item(key, value, ++revision, lease));
-        return new Outcome(true, revision);
+        revision++;
+        transaction
+                .puts()
+                .forEach(put -> items.put(put.key(), new Item(put.key(), put.value(), revision, put.lease())));
+        transaction.deletes().stream()
+                .filter(key -> currentRevision(key) != ABSENT)
+                .forEach(key -> items.put(key, new Item(key, null, revision, 0)));
+        return new Outcome(Result.DONE, revision);
     }
 
-    Outcome delete(String key, long expected) {
-        long current = currentRevision(key);
-        if (current != expected || current == ABSENT) {
-            return new Outcome(false, current);
-        }
-        items.put(key, new Item(key, null, ++revision, 0));
-        return new Outcome(true, revision);
+    /** Forgets what was deleted, and that watches may ask for anything up to now. */
+    void compact() {
+        items.values().removeIf(Item::deleted);
+        compactedRevision = revision;
+    }
+
+    /** Whether the changes after a revision are still known. */
+    boolean isCompacted(long after) {
+        return after < compactedRevision;
     }
 
     long grant(long now, long lifeNanos) {
@@ -115,7 +149,10 @@
         List<Item> held = items.values().stream()
                 .filter(item -> !item.deleted() && item.lease() == lease)
                 .toList();
-        held.forEach(item -> delete(item.key(), item.revision()));
+        if (!held.isEmpty()) {
+            apply(new Transaction(
+                    List.of(), List.of(), held.stream().map(Item::key).toList()));
+        }
     }
 
     private long currentRevision(String key) {
--- a/src/test/java/org/yuccagw/standins/keyvalue/KeyValueStandInTest.java
+++ b/src/test/java/org/yuccagw/standins/keyvalue/KeyValueStandInTest.java
@@ -8,7 +8,9 @@
 import static org.yuccagw.standins.http.TestCaller.json;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
+import java.util.Base64;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -42,10 +44,10 @@
     public void aWriteTakesEffectOnlyAtTheExpectedRevision() throws Exception {
         assertEquals(put("a", 0).status(), 200);
         HttpAnswer conflict = put("a", 0);
-        assertEquals(conflict.status(), 409);
-        assertEquals(json(conflict).path("revision").asLong(), 1);
+        assertEquals(conflict.status(), 412);
+        assertEquals(json(conflict).path("items").get(0).path("revision").asLong(), 1);
         assertEquals(put("a", 1).status(), 200);
-        assertEquals(items("key=a").get(0).path("revision").asLong(), 2);
+        assertEquals(json(caller.call("GET", "/kv-key?key=a")).path("revision").asLong(), 2);
     }
 
     @Test
@@ -53,48 +55,43 @@
         put("b/2", 0);
         put("b/1", 0);
         put("c", 0);
-        assertEquals(items("prefix=b/").findValuesAsText("key"), java.util.List.of("b/1", "b/2"));
+        assertEquals(items("b/").findValuesAsText("key"), java.util.List.of("b/1", "b/2"));
     }
 
     @Test
     public void aValueOverTheLimitIsRefused() throws Exception {
-        assertEquals(
-                caller.call("PUT", "/v1/keys?key=a&revision=0", new byte[1 << 20])
-                        .status(),
-                200);
-        assertEquals(
-                caller.call("PUT", "/v1/keys?key=b&revision=0", new byte[(1 << 20) + 1])
-                        .status(),
-                413);
+        assertEquals(put("a", 0, new byte[1 << 20], 0).status(), 200);
+        assertEquals(put("b", 0, new byte[(1 << 20) + 1], 0).status(), 413);
     }
 
     @Test
     public void keysGoWithTheirLeaseAndAWatchTells() throws Exception {
-        long lease =
-                json(caller.call("POST", "/v1/leases?ttl=150")).path("lease").asLong();
-        long written = json(caller.call("PUT", "/v1/keys?key=l/a&revision=0&lease=" + lease, VALUE))
-                .path("revision")
+        long lease = json(caller.call("POST", "/kv-lease", StandInJson.object().put("ttlMs", 150)))
+                .path("lease")
                 .asLong();
-        JsonNode told = json(caller.call("GET", "/v1/watch?prefix=l/&after=" + written + "&wait=30000"));
-        assertTrue(told.path("items").get(0).path("deleted").asBoolean());
-        assertEquals(items("key=l/a").size(), 0);
-        assertEquals(caller.call("PUT", "/v1/leases/" + lease).status(), 404);
+        long written = json(put("l/a", 0, VALUE, lease)).path("revision").asLong();
+        JsonNode told = json(caller.call("GET", "/kv-watch?pathPrefix=l/&after=" + written + "&waitMs=30000"));
+        assertTrue(told.path("events").get(0).path("removed").asBoolean());
+        assertEquals(caller.call("GET", "/kv-key?key=l/a").status(), 404);
+        assertEquals(
+                caller.call("POST", "/kv-keep/" + lease, StandInJson.object()).status(), 404);
     }
 
     @Test
     public void aWatchWaitsForAChangeUnderItsPrefix() throws Exception {
-        CompletableFuture<HttpAnswer> watch = caller.send("GET", "/v1/watch?prefix=a&after=0&wait=30000", new byte[0]);
+        CompletableFuture<HttpAnswer> watch =
+                caller.send("GET", "/kv-watch?pathPrefix=a&after=0&waitMs=30000", new byte[0]);
         put("b", 0);
         assertFalse(watch.isDone());
         put("a", 0);
         JsonNode told = json(watch.get(30, TimeUnit.SECONDS));
-        assertEquals(told.path("items").findValuesAsText("key"), java.util.List.of("a"));
+        assertEquals(told.path("events").findValuesAsText("key"), java.util.List.of("a"));
     }
 
     @Test
     public void aWatchWithNothingNewEndsEmpty() throws Exception {
-        JsonNode told = json(caller.call("GET", "/v1/watch?prefix=a&after=0&wait=50"));
-        assertEquals(told.path("items").size(), 0);
+        JsonNode told = json(caller.call("GET", "/kv-watch?pathPrefix=a&after=0&waitMs=50"));
+        assertEquals(told.path("events").size(), 0);
     }
 
     @Test
@@ -113,7 +110,7 @@
     public void anAnswerCanBeLostAfterTheWriteTookEffect() throws Exception {
         service.order(WriteFaults.dropAnswers("a", 1));
         expectThrows(ExecutionException.class, () -> put("a", 0));
-        assertEquals(items("key=a").size(), 1);
+        assertEquals(items("a").size(), 1);
         assertEquals(put("a", 1).status(), 200);
     }
 
@@ -121,10 +118,11 @@
     @Test
     public void aDelayedWriteLandsLateAndMeetsTheRevisionOfThatTime() throws Exception {
         service.order(WriteFaults.delays("a", 1, 300));
-        CompletableFuture<HttpAnswer> late = caller.send("PUT", "/v1/keys?key=a&revision=0", VALUE);
+        CompletableFuture<HttpAnswer> late =
+                caller.send("POST", "/kv-txn", StandInJson.bytes(transaction("a", 0, VALUE, 0)));
         await().until(() -> service.callsByKind().getOrDefault("write", 0L) == 1);
         assertEquals(put("a", 0).status(), 200);
-        assertEquals(late.get(30, TimeUnit.SECONDS).status(), 409);
+        assertEquals(late.get(30, TimeUnit.SECONDS).status(), 412);
     }
 
     @Test
@@ -140,11 +138,49 @@
         assertEquals(put("a", 0).status(), 200);
     }
 
+    // A watcher was cut off for longer than the service keeps its history. Told nothing, it would go on with keys that
+    // are long gone.
+    @Test
+    public void aWatchFromBeforeTheKeptHistoryIsToldSo() throws Exception {
+        put("a", 0);
+        put("a", 1);
+        service.compact();
+        assertEquals(
+                caller.call("GET", "/kv-watch?pathPrefix=a&after=1&waitMs=50").status(), 410);
+        assertEquals(
+                caller.call("GET", "/kv-watch?pathPrefix=a&after=2&waitMs=50").status(), 200);
+    }
+
+    @Test
+    public void aTransactionWithOneWrongConditionChangesNothing() throws Exception {
+        put("a", 0);
+        ObjectNode both = transaction("b", 0, VALUE, 0);
+        both.withArray("expected").addObject().put("key", "a").put("revision", 7);
+        assertEquals(caller.call("POST", "/kv-txn", both).status(), 412);
+        assertEquals(items("b").size(), 0);
+    }
+
     private HttpAnswer put(String key, long revision) throws Exception {
-        return caller.call("PUT", "/v1/keys?key=" + key + "&revision=" + revision, VALUE);
+        return put(key, revision, VALUE, 0);
+    }
+
+    private HttpAnswer put(String key, long revision, byte[] value, long lease) throws Exception {
+        return caller.call("POST", "/kv-txn", transaction(key, revision, value, lease));
+    }
+
+    private static ObjectNode transaction(String key, long revision, byte[] value, long lease) {
+        ObjectNode body = StandInJson.object();
+        body.putArray("expected").addObject().put("key", key).put("revision", revision);
+        body.putArray("puts")
+                .addObject()
+                .put("key", key)
+                .put("value", Base64.getEncoder().encodeToString(value))
+                .put("lease", lease);
+        body.putArray("deletes");
+        return body;
     }
 
-    private JsonNode items(String query) throws Exception {
-        return json(caller.call("GET", "/v1/keys?" + query)).path("items");
+    private JsonNode items(String prefix) throws Exception {
+        return json(caller.call("GET", "/kv-range?pathPrefix=" + prefix)).path("items");
     }
 }
