--- a/src/main/java/org/yuccagw/adapters/serving/ServingServer.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingServer.java
@@ -57,6 +57,7 @@
     private final RunCount runs;
     private final Undertow server;
     private volatile boolean stopping;
+    private volatile boolean refusingStreams;
     private volatile boolean refusing;
 
     private ServingServer(ServingServices services, GatewaySettings settings, XnioWorker worker, RunCount runs) {
@@ -93,6 +94,11 @@
         stopping = true;
     }
 
+    /** From now on new streams are refused as not run: they may outlast the time that is left. */
+    public void refuseNewStreams() {
+        refusingStreams = true;
+    }
+
     /** From now on new requests are refused as not run. */
     public void refuseNewRequests() {
         refusing = true;
@@ -131,6 +137,9 @@
         Route route =
                 deployment.route(head.host(), exchange.getRequestURI()).orElseThrow(ErrorKind.UNKNOWN_ROUTE::raise);
         Optional<WorkspaceAccess> workspace = workspaceOf(deployment, route, head);
+        if (refusingStreams && route.streamed()) {
+            throw ErrorKind.STOPPING.raise().comeBackAfter(Duration.ZERO);
+        }
         if (HttpContinue.requiresContinueResponse(exchange)) {
             HttpContinue.sendContinueResponse(exchange, new IoCallback() {
                 @Override
--- a/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
+++ b/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
@@ -20,15 +20,14 @@
 import org.yuccagw.core.follow.FactGone;
 import org.yuccagw.core.follow.FactSeen;
 import org.yuccagw.core.id.EndpointId;
-import org.yuccagw.core.id.ServiceName;
 import org.yuccagw.core.peers.PeerStatus;
 
 /**
  * Brings every engine to the newest named weights while this entry holds the duty.
  *
- * <p>One engine goes through: ask its state, order, wait until it says that it runs the weights. A few engines of a
- * service load at once, because loading gets slower for all when too many do, and because the others must carry the
- * traffic meanwhile.
+ * <p>One engine goes through: ask its state, order, wait until it says that it runs the weights. Requests run for
+ * seconds, so engines can't be emptied one after the other in the time allowed: a first wave stops taking requests at
+ * once, and when it is back with the newer weights it takes all new ones, while the rest runs empty.
  *
  * <p>An order without an answer may have been accepted, and may even be carried out seconds later, after newer ones. So
  * each order names the number of orders that the engine has accepted so far: the first one that it accepts makes every
@@ -46,8 +45,14 @@
  * </ol>
  */
 public final class WeightOrdersPart implements ControlPart {
-    /** Of 13 engines 3, of 8 engines 2 load at once without slowing each other, measured by the operators. */
-    static final int ENGINES_FOR_EACH_LOADING = 4;
+    /** The others must carry the traffic, at about a third of full load, until the first ones are back. */
+    static final double FIRST_WAVE = 0.4;
+
+    /** Of 13 engines 3, of 8 engines 2 load at once without slowing each other, as the operators' sheet says. */
+    static final double LOADING_AT_ONCE = 0.25;
+
+    /** From this part of the time in which older weights may still be used on, running requests aren't waited for. */
+    static final double PATIENCE_SHARE = 0.65;
 
     private static final Duration LOOK = Duration.ofMillis(100);
 
@@ -60,28 +65,35 @@
     private static final Duration CALL_PATIENCE = Duration.ofMillis(1500);
 
     private final DutyPart duty;
+    private final Duration patience;
     private final Runnable announce;
     private final ToIntFunction<EndpointId> load;
     private final Map<EndpointId, ListedEndpoint> engines = new LinkedHashMap<>();
-    private final Map<String, Long> newest = new HashMap<>();
+    private final Map<String, Named> newest = new HashMap<>();
     private final Map<EndpointId, Loading> inProgress = new LinkedHashMap<>();
     private final Map<EndpointId, ModelWeights> heard = new LinkedHashMap<>();
     private ControlContext context;
 
+    private record Named(long version, long sinceNanos) {}
+
     /** One engine on its way to newer weights. */
     private static final class Loading {
         private final ModelWeights weights;
+        private final EngineCall.Manner manner;
         private boolean ordered;
         private boolean answerAwaited;
         private long nextNanos;
 
-        private Loading(ModelWeights weights) {
+        private Loading(ModelWeights weights, EngineCall.Manner manner) {
             this.weights = weights;
+            this.manner = manner;
         }
     }
 
-    private WeightOrdersPart(DutyPart duty, Runnable announce, ToIntFunction<EndpointId> load) {
+    private WeightOrdersPart(
+            DutyPart duty, Duration oldWeightsAllowed, Runnable announce, ToIntFunction<EndpointId> load) {
         this.duty = duty;
+        this.patience = Duration.ofNanos((long) (oldWeightsAllowed.toNanos() * PATIENCE_SHARE));
         this.announce = announce;
         this.load = load;
     }
@@ -89,11 +101,13 @@
     /**
      * The orders of the holder of {@code duty}.
      *
+     * @param oldWeightsAllowed how long after newer weights were named requests may begin on older ones
      * @param announce tells the other entries at once which engines load
      * @param load how many requests run on an engine; idle ones load first
      */
-    public static WeightOrdersPart of(DutyPart duty, Runnable announce, ToIntFunction<EndpointId> load) {
-        return new WeightOrdersPart(duty, announce, load);
+    public static WeightOrdersPart of(
+            DutyPart duty, Duration oldWeightsAllowed, Runnable announce, ToIntFunction<EndpointId> load) {
+        return new WeightOrdersPart(duty, oldWeightsAllowed, announce, load);
     }
 
     @Override
@@ -142,7 +156,10 @@
             }
             proceed();
         } else if (fact instanceof Fact.WeightsNamed named) {
-            newest.merge(named.weights().model(), named.weights().version(), Math::max);
+            Named known = newest.get(named.weights().model());
+            if (known == null || known.version() < named.weights().version()) {
+                newest.put(named.weights().model(), new Named(named.weights().version(), context.nowNanos()));
+            }
             proceed();
         }
     }
@@ -191,8 +208,10 @@
         waiting.sort(Comparator.comparingInt(engine -> load.applyAsInt(engine.id())));
         boolean begun = false;
         for (ListedEndpoint engine : waiting) {
-            if (loadingOf(engine.service()) < mostLoading(engine.service())) {
-                Loading loading = new Loading(missing(engine).get());
+            ModelWeights weights = missing(engine).get();
+            Optional<EngineCall.Manner> manner = manner(engine, weights);
+            if (manner.isPresent()) {
+                Loading loading = new Loading(weights, manner.get());
                 loading.nextNanos = context.nowNanos();
                 inProgress.put(engine.id(), loading);
                 begun = true;
@@ -203,33 +222,52 @@
         }
     }
 
+    /**
+     * Whether an engine may load now, and what becomes of what runs there. The cases:
+     *
+     * <ol>
+     *   <li>Time is short: load under the running requests, a few engines at once. What runs loses the rest of its
+     *       worth; a request that begins on older weights after that time would lose all of it.
+     *   <li>Nothing runs there: load, it costs nobody anything.
+     *   <li>The first wave isn't full: take no new requests, load when the running ones have ended.
+     *   <li>Else wait: new requests go to the engines of the first wave, and this one runs empty meanwhile.
+     * </ol>
+     */
+    private Optional<EngineCall.Manner> manner(ListedEndpoint engine, ModelWeights weights) {
+        List<ListedEndpoint> pool = engines.values().stream()
+                .filter(other -> other.service().equals(engine.service()))
+                .toList();
+        long progressing = pool.stream()
+                .filter(other -> inProgress.containsKey(other.id()))
+                .count();
+        long done = pool.stream().filter(other -> missing(other).isEmpty()).count();
+        long since = newest.get(weights.model()).sinceNanos();
+        if (context.nowNanos() - since > patience.toNanos()) {
+            long hurried = pool.stream()
+                    .filter(other -> inProgress.containsKey(other.id())
+                            && inProgress.get(other.id()).manner == EngineCall.Manner.UNDER_RUNS)
+                    .count();
+            boolean room = hurried < Math.max(1, Math.round(pool.size() * LOADING_AT_ONCE));
+            return room ? Optional.of(EngineCall.Manner.UNDER_RUNS) : Optional.empty();
+        }
+        boolean firstWave = done + progressing < Math.max(1, Math.round(pool.size() * FIRST_WAVE));
+        boolean idle = load.applyAsInt(engine.id()) == 0 && progressing < pool.size() * FIRST_WAVE;
+        return firstWave || idle ? Optional.of(EngineCall.Manner.AFTER_RUNS) : Optional.empty();
+    }
+
     private Optional<ModelWeights> missing(ListedEndpoint engine) {
         for (Map.Entry<String, Long> runs : engine.weights().entrySet()) {
-            Long named = newest.get(runs.getKey());
+            Named named = newest.get(runs.getKey());
             ModelWeights ahead = heard.get(engine.id());
             boolean heardOfModel = ahead != null && ahead.model().equals(runs.getKey());
             long present = heardOfModel ? Math.max(ahead.version(), runs.getValue()) : runs.getValue();
-            if (named != null && named > present) {
-                return Optional.of(new ModelWeights(runs.getKey(), named));
+            if (named != null && named.version() > present) {
+                return Optional.of(new ModelWeights(runs.getKey(), named.version()));
             }
         }
         return Optional.empty();
     }
 
-    private long loadingOf(ServiceName service) {
-        return inProgress.keySet().stream()
-                .filter(id ->
-                        engines.containsKey(id) && engines.get(id).service().equals(service))
-                .count();
-    }
-
-    private long mostLoading(ServiceName service) {
-        long all = engines.values().stream()
-                .filter(engine -> engine.service().equals(service))
-                .count();
-        return Math.max(1, all / ENGINES_FOR_EACH_LOADING);
-    }
-
     private void onState(EngineAnswer.Told told) {
         Loading loading = inProgress.get(told.endpoint());
         ListedEndpoint engine = engines.get(told.endpoint());
@@ -257,10 +295,11 @@
                 .with("endpoint", engine.id())
                 .with("model", loading.weights.model())
                 .with("version", loading.weights.version())
+                .with("manner", loading.manner)
                 .with("fence", duty.fence())
                 .with("expected_orders", state.orders()));
         context.perform(new EngineCall.OrderWeights(
-                engine, loading.weights, duty.fence(), state.orders(), duty.heldUntilNanos()));
+                engine, loading.weights, loading.manner, duty.fence(), state.orders(), duty.heldUntilNanos()));
     }
 
     private void onOrdered(EngineAnswer.Ordered ordered) {
--- a/src/main/java/org/yuccagw/core/placing/PlaceDecision.java
+++ b/src/main/java/org/yuccagw/core/placing/PlaceDecision.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.fleet.ListedEndpoint;
+import org.yuccagw.core.stores.CachePlan;
 
 /** The answer to {@link PlaceAsked}. */
 public sealed interface PlaceDecision {
@@ -12,6 +13,7 @@
      *
      * @param version the weight version that the endpoint must run, for prompts
      * @param salt names the cache that the prompt may share: who may share it and for which weights
+     * @param cache what the endpoint fetches from stores and saves there
      * @param urgency 0 is the most urgent
      * @param firstByteMillis predicted time to the first byte, in milliseconds
      */
@@ -20,6 +22,7 @@
             ListedEndpoint endpoint,
             OptionalLong version,
             Optional<String> salt,
+            Optional<CachePlan> cache,
             int urgency,
             long firstByteMillis)
             implements PlaceDecision {}
--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -38,6 +38,8 @@
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.port.PeerMessage;
 import org.yuccagw.core.prompt.PromptPart;
+import org.yuccagw.core.stores.CachePlan;
+import org.yuccagw.core.stores.StoresPart;
 
 /**
  * Places requests on endpoints, keeps what is known of each endpoint, and refuses what can't be served.
@@ -72,6 +74,7 @@
 
     private final RetryBounds bounds;
     private final Duration oldWeightsAllowed;
+    private final StoresPart stores;
     private final IntSupplier entries;
     private final Consumer<PeerMessage> tellAll;
     private final Map<EndpointId, EndpointState> endpoints = new LinkedHashMap<>();
@@ -94,8 +97,13 @@
     private record Named(long version, long sinceNanos) {}
 
     private PlacingPart(
-            RetryBounds bounds, Duration oldWeightsAllowed, IntSupplier entries, Consumer<PeerMessage> tellAll) {
+            RetryBounds bounds,
+            Duration oldWeightsAllowed,
+            StoresPart stores,
+            IntSupplier entries,
+            Consumer<PeerMessage> tellAll) {
         this.bounds = bounds;
+        this.stores = stores;
         this.oldWeightsAllowed = oldWeightsAllowed;
         this.entries = entries;
         this.tellAll = tellAll;
@@ -105,12 +113,17 @@
      * The placing of one entry.
      *
      * @param oldWeightsAllowed how long after newer weights were named requests may still begin on older ones
+     * @param stores plans what is fetched from and saved to cache stores
      * @param entries how many entries share the retry budget
      * @param tellAll sends to all other entries
      */
     public static PlacingPart of(
-            RetryBounds bounds, Duration oldWeightsAllowed, IntSupplier entries, Consumer<PeerMessage> tellAll) {
-        return new PlacingPart(bounds, oldWeightsAllowed, entries, tellAll);
+            RetryBounds bounds,
+            Duration oldWeightsAllowed,
+            StoresPart stores,
+            IntSupplier entries,
+            Consumer<PeerMessage> tellAll) {
+        return new PlacingPart(bounds, oldWeightsAllowed, stores, entries, tellAll);
     }
 
     @Override
@@ -258,6 +271,7 @@
         Optional<String> salt = version.isPresent()
                 ? Optional.of(CacheSalt.of(asked.workspace(), version.getAsLong()))
                 : Optional.empty();
+        Optional<CachePlan> cache = cachePlan(asked, endpoint, version, salt);
         int urgency = asked.workspace().isPresent()
                 ? asked.workspace().get().priority().orElse(asked.route().priority())
                 : asked.route().priority();
@@ -268,12 +282,27 @@
                 .with("cost", cost)
                 .with("running", endpoint.requests())
                 .with("repeat", asked.isRepeat())
-                .with("version", version.orElse(0)));
+                .with("version", version.orElse(0))
+                .with("fetches", cache.map(CachePlan::hasFetch).orElse(false)));
         PlaceDecision.Placed placed =
-                new PlaceDecision.Placed(ticket, endpoint.listed(), version, salt, urgency, firstByteMillis);
+                new PlaceDecision.Placed(ticket, endpoint.listed(), version, salt, cache, urgency, firstByteMillis);
         context.reply(() -> asked.reply().accept(placed));
     }
 
+    /** Only for the newest weights: parts for older ones may be freed at any time. */
+    private Optional<CachePlan> cachePlan(
+            PlaceAsked asked, EndpointState endpoint, OptionalLong version, Optional<String> salt) {
+        if (asked.prompt().isEmpty() || salt.isEmpty()) {
+            return Optional.empty();
+        }
+        Named named = newest.get(asked.prompt().get().model());
+        boolean old = named != null && version.orElse(0) < named.version();
+        return old
+                ? Optional.empty()
+                : stores.plan(
+                        asked.prompt().get(), salt.get(), endpoint.listed().domain());
+    }
+
     private void refuse(PlaceAsked asked, YuccagwException error, String reason) {
         YuccagwException timed =
                 error.retryAfter().isPresent() ? error : error.comeBackAfter(retryAfter(SHORTEST_RETRY_AFTER_MILLIS));
@@ -299,10 +328,14 @@
             Named named = newest.get(asked.prompt().get().model());
             version = named == null ? OptionalLong.empty() : OptionalLong.of(named.version());
         }
+        int fetchable = asked.prompt().isPresent() && version.isPresent()
+                ? stores.fetchableTokens(asked.prompt().get(), CacheSalt.of(asked.workspace(), version.getAsLong()))
+                : 0;
         return new Scoring.Need(
                 asked.prompt(),
                 deployment.flatMap(known -> known.service(asked.service())).flatMap(BackEndService::engine),
-                version);
+                version,
+                fetchable);
     }
 
     private List<EndpointState> candidates(PlaceAsked asked) {
--- a/src/main/java/org/yuccagw/core/placing/Scoring.java
+++ b/src/main/java/org/yuccagw/core/placing/Scoring.java
@@ -30,6 +30,9 @@
      */
     private static final double MISS_MILLIS_PER_TOKEN = 0.1;
 
+    /** A token fetched from a store takes a 180th of a millisecond on its link, which others wait for too. */
+    private static final double FETCH_MILLIS_PER_TOKEN = 0.012;
+
     /** A running request slows the tokens of others by some hundredths of a step and competes for prefill. */
     private static final double MODEL_REQUEST_MILLIS = 6;
 
@@ -54,7 +57,7 @@
     private static final double LOADING_MILLIS = 5_000;
 
     /** Answers on older weights lose part of their worth soon after newer ones were named. */
-    private static final double OLD_WEIGHTS_MILLIS = 250;
+    private static final double OLD_WEIGHTS_MILLIS = 400;
 
     private static final double COLD_MILLIS_SHARE = 0.02;
 
@@ -65,7 +68,17 @@
     }
 
     /** What of a request the cost depends on. */
-    record Need(Optional<PromptShape> prompt, Optional<EngineTraits> engine, OptionalLong newestVersion) {}
+    record Need(
+            Optional<PromptShape> prompt,
+            Optional<EngineTraits> engine,
+            OptionalLong newestVersion,
+            int fetchableTokens) {
+
+        private double missMillis() {
+            int read = prompt.get().sharedTokens() - fetchableTokens;
+            return read * MISS_MILLIS_PER_TOKEN + fetchableTokens * FETCH_MILLIS_PER_TOKEN;
+        }
+    }
 
     /** The cost in milliseconds; {@code preferred} says that the session's parts are expected there. */
     double cost(EndpointState endpoint, Need need, boolean preferred, long nowNanos) {
@@ -73,7 +86,7 @@
         boolean far = !endpoint.listed().domain().equals(own);
         if (need.prompt().isPresent()) {
             PromptShape prompt = need.prompt().get();
-            cost += preferred ? 0 : prompt.sharedTokens() * MISS_MILLIS_PER_TOKEN;
+            cost += preferred ? 0 : need.missMillis();
             cost += far ? FAR_PROMPT_MILLIS : 0;
             cost += isOld(endpoint, prompt, need.newestVersion()) ? OLD_WEIGHTS_MILLIS : 0;
         } else {
@@ -109,7 +122,7 @@
             return wait + PLAIN_MILLIS;
         }
         PromptShape prompt = need.prompt().get();
-        int read = prompt.promptTokens() - (preferred ? prompt.sharedTokens() : 0);
+        int read = prompt.promptTokens() - (preferred ? prompt.sharedTokens() : need.fetchableTokens());
         return wait + read / PREFILL_TOKENS_PER_MILLI;
     }
 
--- /dev/null
+++ b/src/main/java/org/yuccagw/core/stores/StoreAnswer.java
@@ -0,0 +1,34 @@
+package org.yuccagw.core.stores;
+
+import com.google.common.collect.ImmutableList;
+import org.yuccagw.core.control.ControlEvent;
+import org.yuccagw.core.id.StoreId;
+
+/** What came of a {@link StoreCall}. */
+public sealed interface StoreAnswer extends ControlEvent {
+    StoreId store();
+
+    /**
+     * Changes in order.
+     *
+     * @param epoch differs after each restart of the store
+     * @param next number to ask from the next time
+     * @param gap whether events are missing before these
+     * @param clockMillis the endpoints' clock when the store answered
+     */
+    record Changes(StoreId store, long epoch, long next, boolean gap, long clockMillis, ImmutableList<Change> changes)
+            implements StoreAnswer {}
+
+    /** Everything that it holds whole. */
+    record Listed(StoreId store, long epoch, long next, ImmutableList<Change> held) implements StoreAnswer {}
+
+    /** No answer: it may be gone, or cut off from this entry. */
+    record Silent(StoreId store, String reason) implements StoreAnswer {}
+
+    /**
+     * A part became whole there, or went away.
+     *
+     * @param tokens that it holds of the part now
+     */
+    record Change(boolean held, String salt, String part, int tokens) {}
+}
--- /dev/null
+++ b/src/main/java/org/yuccagw/core/stores/StoresPart.java
@@ -0,0 +1,236 @@
+package org.yuccagw.core.stores;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.yuccagw.core.control.ControlContext;
+import org.yuccagw.core.control.ControlEvent;
+import org.yuccagw.core.control.ControlPart;
+import org.yuccagw.core.control.Decision;
+import org.yuccagw.core.deployment.CacheStore;
+import org.yuccagw.core.follow.ConfiguredPart;
+import org.yuccagw.core.id.FailureDomain;
+import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.core.id.StoreId;
+import org.yuccagw.core.prompt.PromptPart;
+import org.yuccagw.core.prompt.PromptShape;
+
+/**
+ * Follows the events of all cache stores and plans what an endpoint fetches and saves for a prompt.
+ *
+ * <p>All shared parts of a prompt are fetched where a store holds them whole; an endpoint that still holds a part
+ * itself doesn't fetch it. Parts that no store holds are saved once they are computed: short ones to stores that begin
+ * a transfer quickly, long ones to those with room, and near ones before far ones. The last part of a prompt is never
+ * saved, since no other prompt shares it.
+ *
+ * <p>Example: a notebook of 5,000 tokens is computed once, in 100 ms, and saved. When it returns after its engine has
+ * evicted it, it is there again after 30 ms of transfer.
+ */
+public final class StoresPart implements ControlPart {
+    /** Twice the wait of a call for events: one lost call is borne. */
+    static final Duration FRESH = Duration.ofMillis(1800);
+
+    /** Longer than anyone uses what it knew of the store before its restart. */
+    static final Duration NEWBORN = Duration.ofMillis(2200);
+
+    /** A save begins when its prompt is read, which may wait behind others, and its event comes some 100 ms late. */
+    static final Duration SAVE_PATIENCE = Duration.ofSeconds(3);
+
+    /** What was reserved and is not yet told by events must fit beside what is. */
+    static final double FILL_LIMIT = 0.9;
+
+    private static final Duration WAIT = Duration.ofMillis(900);
+    private static final Duration AFTER_CHANGES = Duration.ofMillis(150);
+    private static final Duration AFTER_SILENCE = Duration.ofMillis(300);
+    private static final Duration FETCH_TIME = Duration.ofMillis(1500);
+
+    /** Parts up to this size are short: reading them takes less than the quickest large store needs to begin. */
+    private static final int SHORT_PART_TOKENS = 1_500;
+
+    private final Map<StoreId, HeldParts> stores = new LinkedHashMap<>();
+    private final Map<StoreId, Long> sentNanos = new LinkedHashMap<>();
+    private ControlContext context;
+
+    private StoresPart() {}
+
+    public static StoresPart create() {
+        return new StoresPart();
+    }
+
+    @Override
+    public void start(ControlContext startContext) {
+        context = startContext;
+    }
+
+    @Override
+    public void handle(ControlEvent event, ControlContext ignored) {
+        if (event instanceof ConfiguredPart.Applied applied) {
+            adopt(applied.deployment().stores());
+        } else if (event instanceof StoreAnswer.Changes changes) {
+            onChanges(changes);
+        } else if (event instanceof StoreAnswer.Listed listed) {
+            onListed(listed);
+        } else if (event instanceof StoreAnswer.Silent silent) {
+            onSilent(silent);
+        }
+    }
+
+    // ---- Plans.
+
+    /** Tokens at the beginning of the prompt that can be fetched: whole parts, as long as none is missing before. */
+    public int fetchableTokens(PromptShape prompt, String salt) {
+        int tokens = 0;
+        for (PromptPart part : sharedParts(prompt)) {
+            if (source(salt, part, Optional.empty()).isEmpty()) {
+                return tokens;
+            }
+            tokens += part.tokens();
+        }
+        return tokens;
+    }
+
+    /** The plan for a prompt on an endpoint of a failure domain; notes the saves as under way. */
+    public Optional<CachePlan> plan(PromptShape prompt, String salt, FailureDomain domain) {
+        if (stores.isEmpty() || prompt.parts().size() < 2) {
+            return Optional.empty();
+        }
+        ImmutableList.Builder<Optional<CachePlan.Source>> fetches = ImmutableList.builder();
+        ImmutableList.Builder<Optional<NetworkAddress>> saves = ImmutableList.builder();
+        long until = 0;
+        for (PromptPart part : sharedParts(prompt)) {
+            Optional<HeldParts> source = source(salt, part, Optional.of(domain));
+            fetches.add(source.map(held -> new CachePlan.Source(held.store().address(), held.tokens(salt, part.id()))));
+            Optional<HeldParts> target = source.isPresent() ? Optional.empty() : target(salt, part, domain);
+            target.ifPresent(held -> held.beginSave(salt, part.id(), context.nowNanos()));
+            saves.add(target.map(held -> held.store().address()));
+            if (source.isPresent()) {
+                long end = source.get().clockAt(context.nowNanos()) + FETCH_TIME.toMillis();
+                until = until == 0 ? end : Math.min(until, end);
+            }
+        }
+        fetches.add(Optional.empty());
+        saves.add(Optional.empty());
+        return Optional.of(new CachePlan(fetches.build(), saves.build(), until));
+    }
+
+    private static List<PromptPart> sharedParts(PromptShape prompt) {
+        return prompt.parts().subList(0, Math.max(0, prompt.parts().size() - 1));
+    }
+
+    private Optional<HeldParts> source(String salt, PromptPart part, Optional<FailureDomain> domain) {
+        return stores.values().stream()
+                .filter(held -> held.isFresh(context.nowNanos()))
+                .filter(held -> held.tokens(salt, part.id()) >= part.tokens())
+                .min(Comparator.comparingDouble(held -> distance(held.store(), domain)));
+    }
+
+    /** A near store first, then one that begins quickly. */
+    private static double distance(CacheStore store, Optional<FailureDomain> domain) {
+        boolean far = domain.isPresent() && !store.domain().equals(domain.get());
+        return (far ? 1_000 : 0) + store.firstMillis();
+    }
+
+    private Optional<HeldParts> target(String salt, PromptPart part, FailureDomain domain) {
+        boolean saving = stores.values().stream().anyMatch(held -> held.isSaving(salt, part.id(), context.nowNanos()));
+        if (saving) {
+            return Optional.empty();
+        }
+        boolean isShort = part.tokens() <= SHORT_PART_TOKENS;
+        return stores.values().stream()
+                .filter(held -> held.takesSaves(context.nowNanos()) && held.hasRoom(part.tokens()))
+                .min(Comparator.comparingDouble((HeldParts held) -> isShort
+                                ? held.store().firstMillis()
+                                : -Math.signum(held.store().capacityTokens() - largest() / 2.0))
+                        .thenComparingDouble(held -> distance(held.store(), Optional.of(domain)))
+                        .thenComparingInt(held -> (held.store().id().value() + part.id()).hashCode()));
+    }
+
+    private double largest() {
+        return stores.values().stream()
+                .mapToLong(held -> held.store().capacityTokens())
+                .max()
+                .orElse(0);
+    }
+
+    // ---- Events.
+
+    private void adopt(List<CacheStore> configured) {
+        Map<StoreId, CacheStore> byId =
+                configured.stream().collect(Collectors.toMap(CacheStore::id, store -> store, (one, other) -> one));
+        stores.values()
+                .removeIf(held -> !held.store().equals(byId.get(held.store().id())));
+        for (CacheStore store : configured) {
+            if (!stores.containsKey(store.id())) {
+                stores.put(store.id(), new HeldParts(store));
+                ask(store.id());
+            }
+        }
+    }
+
+    private void ask(StoreId id) {
+        HeldParts held = stores.get(id);
+        if (held != null) {
+            sentNanos.put(id, context.nowNanos());
+            context.perform(new StoreCall.AskChanges(held.store(), held.next(), WAIT));
+        }
+    }
+
+    private void onChanges(StoreAnswer.Changes changes) {
+        HeldParts held = stores.get(changes.store());
+        if (held == null) {
+            return;
+        }
+        if (held.meet(changes.epoch(), context.nowNanos())) {
+            context.perform(Decision.of("store-restarted").with("store", changes.store()));
+            ask(changes.store());
+            return;
+        }
+        held.readClock(changes.clockMillis(), context.nowNanos());
+        if (changes.gap()) {
+            context.perform(Decision.of("store-events-lost").with("store", changes.store()));
+            context.perform(new StoreCall.AskList(held.store()));
+            return;
+        }
+        changes.changes().forEach(held::take);
+        held.reach(changes.next());
+        held.confirm(sentNanos.get(changes.store()));
+        askAgain(changes.store(), changes.changes().isEmpty() ? Duration.ZERO : AFTER_CHANGES);
+    }
+
+    private void onListed(StoreAnswer.Listed listed) {
+        HeldParts held = stores.get(listed.store());
+        if (held == null) {
+            return;
+        }
+        held.meet(listed.epoch(), context.nowNanos());
+        held.clear();
+        listed.held().forEach(held::take);
+        held.reach(listed.next());
+        held.confirm(sentNanos.get(listed.store()));
+        askAgain(listed.store(), Duration.ZERO);
+    }
+
+    /** A broken call is the first sign of a crash: nothing is fetched from there until the store answers again. */
+    private void onSilent(StoreAnswer.Silent silent) {
+        HeldParts held = stores.get(silent.store());
+        if (held == null) {
+            return;
+        }
+        if (held.isFresh(context.nowNanos())) {
+            context.perform(Decision.of("dependency-lost")
+                    .with("dependency", "store " + silent.store())
+                    .with("reason", silent.reason()));
+        }
+        held.doubt();
+        askAgain(silent.store(), AFTER_SILENCE);
+    }
+
+    private void askAgain(StoreId id, Duration wait) {
+        context.after(wait, () -> ask(id));
+    }
+}
--- a/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
@@ -28,6 +28,7 @@
 import org.yuccagw.platform.KeyValueClient;
 import org.yuccagw.platform.PlatformDialect;
 import org.yuccagw.platform.PlatformFacts;
+import org.yuccagw.platform.StoreCaller;
 
 /**
  * One entry on the users' platform: the control thread with its core, one I/O thread for traffic, and the addresses for
@@ -43,10 +44,13 @@
     /** Callers keep the directory for three times its time to live at most. */
     private static final int DIRECTORY_KEPT = 3;
 
-    /** Left at the end of the grace time for requests in progress. */
-    private static final Duration LAST_REQUESTS = Duration.ofMillis(2200);
+    /** Left at the end of the grace time for short requests in progress. */
+    private static final Duration LAST_REQUESTS = Duration.ofMillis(2000);
 
-    private static final Duration END_MARGIN = Duration.ofMillis(500);
+    /** A stream may take many seconds, so none begins once this part of the grace time has passed. */
+    private static final double STREAMS_SHARE_OF_GRACE = 0.34;
+
+    private static final Duration END_MARGIN = Duration.ofMillis(250);
 
     private final GatewaySettings settings;
     private final EntryIdentity self;
@@ -87,7 +91,10 @@
                 parts.core(),
                 keyValue::submit,
                 peers,
-                List.of(decisions, EngineCaller.of(platform, settings.entry(), System::nanoTime)));
+                List.of(
+                        decisions,
+                        EngineCaller.of(platform, settings.entry(), System::nanoTime),
+                        StoreCaller.of(platform)));
         inputs.connect(control);
         peers.start();
         control.start();
@@ -148,6 +155,8 @@
         Duration grace = settings.bounds().stopGrace();
         Duration open = shorter(
                 settings.bounds().directoryTimeToLive().multipliedBy(DIRECTORY_KEPT), grace.minus(LAST_REQUESTS));
+        awaitUntil(begunNanos + (long) (grace.toNanos() * STREAMS_SHARE_OF_GRACE), false);
+        server.refuseNewStreams();
         awaitUntil(begunNanos + open.toNanos(), false);
         server.refuseNewRequests();
         awaitUntil(begunNanos + grace.minus(END_MARGIN).toNanos(), true);
--- a/src/main/java/org/yuccagw/daemon/GatewayParts.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayParts.java
@@ -19,6 +19,7 @@
 import org.yuccagw.core.peers.PeersPart;
 import org.yuccagw.core.peers.RegistrationPart;
 import org.yuccagw.core.placing.PlacingPart;
+import org.yuccagw.core.stores.StoresPart;
 
 /**
  * The parts of the control core of an entry on the users' platform.
@@ -32,6 +33,7 @@
     private final FollowPart follow;
     private final ConfiguredPart configured;
     private final PeersPart peers;
+    private final StoresPart stores;
     private final PlacingPart placing;
     private final DutyPart duty;
     private final WeightOrdersPart orders;
@@ -41,19 +43,25 @@
         follow = FollowPart.of(codec);
         configured = ConfiguredPart.create();
         peers = PeersPart.of(this, settings.seeds());
+        stores = StoresPart.create();
         placing = PlacingPart.of(
-                settings.bounds().retries(), settings.bounds().oldWeightsAllowed(), peers::aliveCount, peers::tellAll);
+                settings.bounds().retries(),
+                settings.bounds().oldWeightsAllowed(),
+                stores,
+                peers::aliveCount,
+                peers::tellAll);
         duty = DutyPart.of(
                 WEIGHTS_DUTY,
                 codec,
                 peers::serving,
                 follow::isReachable,
                 settings.bounds().orderSeparation());
-        orders = WeightOrdersPart.of(duty, this::announceOrders, placing::requestsOn);
+        orders = WeightOrdersPart.of(
+                duty, settings.bounds().oldWeightsAllowed(), this::announceOrders, placing::requestsOn);
         core = ControlCore.of(
                 self,
                 new SplittableRandom(self.incarnation() ^ self.entry().hashCode()),
-                List.of(follow, configured, peers, RegistrationPart.of(codec), placing, duty, orders));
+                List.of(follow, configured, peers, RegistrationPart.of(codec), stores, placing, duty, orders));
     }
 
     static GatewayParts of(EntryIdentity self, GatewaySettings settings, FactCodec codec) {
--- a/src/main/java/org/yuccagw/platform/EndpointHeads.java
+++ b/src/main/java/org/yuccagw/platform/EndpointHeads.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 import org.yuccagw.adapters.serving.CallerHead;
 import org.yuccagw.core.deployment.WorkspaceAccess;
 import org.yuccagw.core.forward.AnswerStart;
@@ -15,10 +16,12 @@
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.RequestId;
 import org.yuccagw.core.placing.PlaceDecision;
+import org.yuccagw.core.stores.CachePlan;
 
 /** Heads of requests to endpoints and of their answers. */
 final class EndpointHeads {
     private static final int LEAST_URGENT = 9;
+    private static final String NO_ADDRESS = "-";
     private static final ImmutableSet<HttpString> OF_THE_CONNECTION = ImmutableSet.of(
             Headers.CONNECTION,
             new HttpString("Keep-Alive"),
@@ -52,10 +55,29 @@
                     Integer.toString(Math.min(LEAST_URGENT, Math.max(0, placed.urgency()))));
             placed.version().ifPresent(version -> put(headers, PlatformNames.EXPECT_VERSION, Long.toString(version)));
             placed.salt().ifPresent(salt -> put(headers, PlatformNames.CACHE_SALT, salt));
+            placed.cache().ifPresent(plan -> putPlan(headers, plan));
         }
         return headers;
     }
 
+    /** One address for each part, with commas between them; the number after a slash is the tokens to read. */
+    private static void putPlan(HeaderMap headers, CachePlan plan) {
+        if (plan.hasFetch()) {
+            String fetches = plan.fetches().stream()
+                    .map(source -> source.map(from -> from.store() + "/" + from.tokens())
+                            .orElse(NO_ADDRESS))
+                    .collect(Collectors.joining(","));
+            put(headers, PlatformNames.KV_FETCH, fetches);
+            put(headers, PlatformNames.KV_UNTIL, Long.toString(plan.untilMillis()));
+        }
+        if (plan.hasSave()) {
+            String saves = plan.saves().stream()
+                    .map(target -> target.map(Object::toString).orElse(NO_ADDRESS))
+                    .collect(Collectors.joining(","));
+            put(headers, PlatformNames.KV_SAVE, saves);
+        }
+    }
+
     /** What decides about an answer. */
     static AnswerStart answer(int status, HeaderMap headers, RequestId request, EndpointId expected) {
         String id = headers.getFirst(PlatformNames.REQUEST_ID);
--- a/src/main/java/org/yuccagw/platform/EngineCaller.java
+++ b/src/main/java/org/yuccagw/platform/EngineCaller.java
@@ -29,9 +29,6 @@
     private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(900);
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    /** Running requests end first; those that haven't begun are refused as not run meanwhile. */
-    private static final String AFTER_RUNNING_REQUESTS = "queue";
-
     private final HttpCaller caller;
     private final EntryId self;
     private final LongSupplier nanoTime;
@@ -96,7 +93,7 @@
                 .put("op", "version")
                 .put("model", order.weights().model())
                 .put("version", order.weights().version())
-                .put("mode", AFTER_RUNNING_REQUESTS)
+                .put("mode", order.manner() == EngineCall.Manner.AFTER_RUNS ? "queue" : "retain")
                 .put("holder", self.value())
                 .put("fence", order.fence())
                 .put("expected", order.expectedOrders());
