--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -38,6 +38,7 @@
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.port.PeerMessage;
 import org.yuccagw.core.prompt.PromptPart;
+import org.yuccagw.core.prompt.PromptShape;
 import org.yuccagw.core.stores.CachePlan;
 import org.yuccagw.core.stores.StoresPart;
 
@@ -257,11 +258,11 @@
             refuse(asked, error.comeBackAfter(retryAfter((long) firstByte - asked.leftMillis())), "wait too long");
             return true;
         }
-        place(asked, best, (long) firstByte, (long) lowest);
+        place(asked, best, need, (long) firstByte, (long) lowest);
         return true;
     }
 
-    private void place(PlaceAsked asked, EndpointState endpoint, long firstByteMillis, long cost) {
+    private void place(PlaceAsked asked, EndpointState endpoint, Scoring.Need need, long firstByteMillis, long cost) {
         long ticket = nextTicket++;
         long tokens = asked.prompt().map(prompt -> (long) prompt.tokens()).orElse(0L);
         Optional<String> model = asked.prompt().map(prompt -> prompt.model());
@@ -283,7 +284,17 @@
                 .with("running", endpoint.requests())
                 .with("repeat", asked.isRepeat())
                 .with("version", version.orElse(0))
-                .with("fetches", cache.map(CachePlan::hasFetch).orElse(false)));
+                .with(
+                        "session",
+                        asked.prompt()
+                                .flatMap(PromptShape::session)
+                                .map(PromptPart::id)
+                                .orElse(""))
+                .with(
+                        "shared_tokens",
+                        asked.prompt().map(PromptShape::sharedTokens).orElse(0))
+                .with("fetchable_tokens", need.fetchableTokens())
+                .with("salt", salt.orElse("")));
         PlaceDecision.Placed placed =
                 new PlaceDecision.Placed(ticket, endpoint.listed(), version, salt, cache, urgency, firstByteMillis);
         context.reply(() -> asked.reply().accept(placed));
--- a/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
@@ -45,7 +45,7 @@
     private static final int DIRECTORY_KEPT = 3;
 
     /** Left at the end of the grace time for short requests in progress. */
-    private static final Duration LAST_REQUESTS = Duration.ofMillis(2000);
+    private static final Duration LAST_REQUESTS = Duration.ofSeconds(2);
 
     /** A stream may take many seconds, so none begins once this part of the grace time has passed. */
     private static final double STREAMS_SHARE_OF_GRACE = 0.34;
