--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -69,6 +70,9 @@
     /** No request may begin on older weights this long before the time at which that is forbidden. */
     private static final Duration OLD_WEIGHTS_MARGIN = Duration.ofMillis(1200);
 
+    /** With fewer endpoints in the own failure domain, sessions are spread over all. */
+    private static final int ENOUGH_NEAR = 2;
+
     private static final Duration FORGET_INTERVAL = Duration.ofSeconds(1);
     private static final long SHORTEST_RETRY_AFTER_MILLIS = 150;
     private static final Duration SUSPECT_RETRY_AFTER = Duration.ofSeconds(20);
@@ -300,7 +304,7 @@
         context.reply(() -> asked.reply().accept(placed));
     }
 
-    /** Only for the newest weights: parts for older ones may be freed at any time. */
+    /** Prompts on older weights still fetch what lies there for them, but nothing more is saved for those weights. */
     private Optional<CachePlan> cachePlan(
             PlaceAsked asked, EndpointState endpoint, OptionalLong version, Optional<String> salt) {
         if (asked.prompt().isEmpty() || salt.isEmpty()) {
@@ -308,10 +312,7 @@
         }
         Named named = newest.get(asked.prompt().get().model());
         boolean old = named != null && version.orElse(0) < named.version();
-        return old
-                ? Optional.empty()
-                : stores.plan(
-                        asked.prompt().get(), salt.get(), endpoint.listed().domain());
+        return stores.plan(asked.prompt().get(), salt.get(), endpoint.listed().domain(), !old);
     }
 
     private void refuse(PlaceAsked asked, YuccagwException error, String reason) {
@@ -334,11 +335,8 @@
     }
 
     private Scoring.Need needOf(PlaceAsked asked) {
-        OptionalLong version = OptionalLong.empty();
-        if (asked.prompt().isPresent()) {
-            Named named = newest.get(asked.prompt().get().model());
-            version = named == null ? OptionalLong.empty() : OptionalLong.of(named.version());
-        }
+        OptionalLong version =
+                asked.prompt().isPresent() ? newestOf(asked.prompt().get().model()) : OptionalLong.empty();
         int fetchable = asked.prompt().isPresent() && version.isPresent()
                 ? stores.fetchableTokens(asked.prompt().get(), CacheSalt.of(asked.workspace(), version.getAsLong()))
                 : 0;
@@ -349,6 +347,18 @@
                 fetchable);
     }
 
+    /** The newest weights: named by operators, or those that an endpoint registered with if none were named yet. */
+    private OptionalLong newestOf(String model) {
+        Named named = newest.get(model);
+        if (named != null) {
+            return OptionalLong.of(named.version());
+        }
+        return endpoints.values().stream()
+                .map(endpoint -> endpoint.versionOf(model))
+                .flatMapToLong(OptionalLong::stream)
+                .max();
+    }
+
     private List<EndpointState> candidates(PlaceAsked asked) {
         List<EndpointState> candidates = new ArrayList<>();
         for (EndpointState endpoint : endpoints.values()) {
@@ -379,22 +389,20 @@
                         < oldWeightsAllowed.minus(OLD_WEIGHTS_MARGIN).toNanos();
     }
 
-    private static Optional<EndpointState> preferred(PlaceAsked asked, List<EndpointState> candidates) {
-        Optional<PromptPart> session = asked.prompt().flatMap(prompt -> prompt.session());
+    /** The endpoint of the prompt's session: one of those near this entry, if there are some. */
+    private Optional<EndpointState> preferred(PlaceAsked asked, List<EndpointState> candidates) {
+        Optional<PromptPart> session = asked.prompt().flatMap(PromptShape::session);
         if (session.isEmpty()) {
             return Optional.empty();
         }
-        EndpointState best = null;
-        long highest = Long.MIN_VALUE;
-        for (EndpointState candidate : candidates) {
-            long weight =
-                    Scoring.sessionWeight(session.get(), candidate.listed().id());
-            if (best == null || weight > highest) {
-                highest = weight;
-                best = candidate;
-            }
-        }
-        return Optional.ofNullable(best);
+        List<EndpointState> near = candidates.stream()
+                .filter(candidate ->
+                        candidate.listed().domain().equals(context.self().domain()))
+                .toList();
+        List<EndpointState> pool = near.size() >= ENOUGH_NEAR ? near : candidates;
+        return pool.stream()
+                .max(Comparator.comparingLong(candidate ->
+                        Scoring.sessionWeight(session.get(), candidate.listed().id())));
     }
 
     private RetryAllowance allowanceOf(ServiceName service) {
--- a/src/main/java/org/yuccagw/core/placing/Scoring.java
+++ b/src/main/java/org/yuccagw/core/placing/Scoring.java
@@ -40,7 +40,7 @@
     private static final double OVERFLOW_MILLIS_PER_TOKEN = 0.045;
 
     /** Bytes between failure domains are dear: a long prompt's body is worth about 4 % of its answer. */
-    private static final double FAR_PROMPT_MILLIS = 25;
+    private static final double FAR_PROMPT_MILLIS = 60;
 
     private static final double FAR_PLAIN_MILLIS = 6;
 
--- a/src/main/java/org/yuccagw/core/stores/StoresPart.java
+++ b/src/main/java/org/yuccagw/core/stores/StoresPart.java
@@ -94,8 +94,13 @@
         return tokens;
     }
 
-    /** The plan for a prompt on an endpoint of a failure domain; notes the saves as under way. */
-    public Optional<CachePlan> plan(PromptShape prompt, String salt, FailureDomain domain) {
+    /**
+     * The plan for a prompt on an endpoint; notes the saves as under way.
+     *
+     * @param domain of the endpoint
+     * @param withSaves whether parts that no store holds are to be saved
+     */
+    public Optional<CachePlan> plan(PromptShape prompt, String salt, FailureDomain domain, boolean withSaves) {
         if (stores.isEmpty() || prompt.parts().size() < 2) {
             return Optional.empty();
         }
@@ -105,7 +110,8 @@
         for (PromptPart part : sharedParts(prompt)) {
             Optional<HeldParts> source = source(salt, part, Optional.of(domain));
             fetches.add(source.map(held -> new CachePlan.Source(held.store().address(), held.tokens(salt, part.id()))));
-            Optional<HeldParts> target = source.isPresent() ? Optional.empty() : target(salt, part, domain);
+            Optional<HeldParts> target =
+                    source.isPresent() || !withSaves ? Optional.empty() : target(salt, part, domain);
             target.ifPresent(held -> held.beginSave(salt, part.id(), context.nowNanos()));
             saves.add(target.map(held -> held.store().address()));
             if (source.isPresent()) {
