--- a/src/main/java/org/yuccagw/core/stores/StoresPart.java
+++ b/src/main/java/org/yuccagw/core/stores/StoresPart.java
@@ -107,11 +107,12 @@
         ImmutableList.Builder<Optional<CachePlan.Source>> fetches = ImmutableList.builder();
         ImmutableList.Builder<Optional<NetworkAddress>> saves = ImmutableList.builder();
         long until = 0;
-        for (PromptPart part : sharedParts(prompt)) {
+        List<PromptPart> shared = sharedParts(prompt);
+        for (PromptPart part : shared) {
+            boolean isSession = part == shared.get(shared.size() - 1);
             Optional<HeldParts> source = source(salt, part, Optional.of(domain));
             fetches.add(source.map(held -> new CachePlan.Source(held.store().address(), held.tokens(salt, part.id()))));
-            Optional<HeldParts> target =
-                    source.isPresent() || !withSaves ? Optional.empty() : target(salt, part, domain);
+            Optional<HeldParts> target = withSaves ? target(salt, part, isSession, source, domain) : Optional.empty();
             target.ifPresent(held -> held.beginSave(salt, part.id(), context.nowNanos()));
             saves.add(target.map(held -> held.store().address()));
             if (source.isPresent()) {
@@ -141,19 +142,33 @@
         return (far ? 1_000 : 0) + store.firstMillis();
     }
 
-    private Optional<HeldParts> target(String salt, PromptPart part, FailureDomain domain) {
+    /**
+     * Where a part is saved. Parts that many sessions begin with are asked for all the time, so each failure domain
+     * gets a copy in a quick store; the part of one session gets one copy, in a quick store if it is short.
+     */
+    private Optional<HeldParts> target(
+            String salt, PromptPart part, boolean isSession, Optional<HeldParts> source, FailureDomain domain) {
         boolean saving = stores.values().stream().anyMatch(held -> held.isSaving(salt, part.id(), context.nowNanos()));
-        if (saving) {
+        if (saving || (isSession && source.isPresent())) {
             return Optional.empty();
         }
-        boolean isShort = part.tokens() <= SHORT_PART_TOKENS;
-        return stores.values().stream()
+        boolean quick = !isSession || part.tokens() <= SHORT_PART_TOKENS;
+        Optional<HeldParts> best = stores.values().stream()
                 .filter(held -> held.takesSaves(context.nowNanos()) && held.hasRoom(part.tokens()))
-                .min(Comparator.comparingDouble((HeldParts held) -> isShort
-                                ? held.store().firstMillis()
-                                : -Math.signum(held.store().capacityTokens() - largest() / 2.0))
+                .min(Comparator.comparingDouble(
+                                (HeldParts held) -> quick ? held.store().firstMillis() : isLarge(held))
                         .thenComparingDouble(held -> distance(held.store(), Optional.of(domain)))
                         .thenComparingInt(held -> (held.store().id().value() + part.id()).hashCode()));
+        boolean nearer = best.isPresent()
+                && source.isPresent()
+                && distance(best.get().store(), Optional.of(domain))
+                        < distance(source.get().store(), Optional.of(domain));
+        return source.isEmpty() || nearer ? best : Optional.empty();
+    }
+
+    /** Stores of at least half the size of the largest one come first. */
+    private double isLarge(HeldParts held) {
+        return held.store().capacityTokens() >= largest() / 2.0 ? 0 : 1;
     }
 
     private double largest() {
