--- a/src/main/java/org/yuccagw/bench/control/InMemoryKeyValue.java
+++ b/src/main/java/org/yuccagw/bench/control/InMemoryKeyValue.java
@@ -28,6 +28,7 @@
 
     private final VirtualTime time;
     private final TreeMap<String, Stored> keys = new TreeMap<>();
+    private final TreeMap<String, Long> removals = new TreeMap<>();
     private final Map<Long, Lease> leases = new HashMap<>();
     private final List<Waiting> watches = new ArrayList<>();
     private final Set<EntryId> cutOff = new HashSet<>();
@@ -112,6 +113,25 @@
         return Optional.ofNullable(keys.get(key)).map(Stored::value);
     }
 
+    // ---- What operators and endpoints write.
+
+    /** Writes a key, whatever it holds. */
+    public void put(String key, byte[] value) {
+        revision++;
+        removals.remove(key);
+        keys.put(key, new Stored(value, revision, Optional.empty()));
+        wakeWatches();
+    }
+
+    /** Removes a key. */
+    public void remove(String key) {
+        if (keys.remove(key) != null) {
+            revision++;
+            removals.put(key, revision);
+            wakeWatches();
+        }
+    }
+
     // ---- Calls.
 
     /** Takes a call of an entry; the answer comes in virtual time. */
@@ -166,6 +186,7 @@
             return new KeyValueAnswer.Refused("no such lease");
         }
         revision++;
+        removals.remove(swap.key());
         keys.put(swap.key(), new Stored(swap.value(), revision, swap.lease()));
         wakeWatches();
         return new KeyValueAnswer.Written(revision);
@@ -176,8 +197,7 @@
         if (current == KeyValueCall.ABSENT || current != delete.expectedRevision()) {
             return new KeyValueAnswer.Conflict(current);
         }
-        keys.remove(delete.key());
-        revision++;
+        remove(delete.key());
         return new KeyValueAnswer.Written(revision);
     }
 
@@ -230,9 +250,7 @@
 
     private void wakeWatches() {
         for (Waiting waiting : List.copyOf(watches)) {
-            List<Item> newer = items(waiting.watch.prefix(), false).stream()
-                    .filter(item -> item.revision() > waiting.watch.afterRevision())
-                    .toList();
+            List<Item> newer = changes(waiting.watch);
             if (!newer.isEmpty() && !waiting.over && !watchesSilent && !down) {
                 waiting.over = true;
                 watches.remove(waiting);
@@ -241,6 +259,21 @@
         }
     }
 
+    private List<Item> changes(KeyValueCall.Watch watch) {
+        List<Item> changes = new ArrayList<>();
+        for (Item item : items(watch.prefix(), false)) {
+            if (item.revision() > watch.afterRevision()) {
+                changes.add(item);
+            }
+        }
+        removals.forEach((key, removedAt) -> {
+            if (key.startsWith(watch.prefix()) && removedAt > watch.afterRevision()) {
+                changes.add(new Item(key, new byte[0], removedAt, true));
+            }
+        });
+        return changes;
+    }
+
     private List<Item> items(String keyOrPrefix, boolean whole) {
         List<Item> items = new ArrayList<>();
         keys.tailMap(keyOrPrefix, true).entrySet().stream()
@@ -268,9 +301,10 @@
     }
 
     private void dropKeysOf(LeaseHandle lease) {
-        boolean dropped = keys.values().removeIf(stored -> stored.lease().equals(Optional.of(lease)));
-        if (dropped) {
-            revision++;
-        }
+        List<String> dropped = keys.entrySet().stream()
+                .filter(entry -> entry.getValue().lease().equals(Optional.of(lease)))
+                .map(Map.Entry::getKey)
+                .toList();
+        dropped.forEach(this::remove);
     }
 }
--- a/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
@@ -79,7 +79,7 @@
         traffic = HttpCaller.on(worker);
         platform = HttpCaller.on(worker);
         KeyValueClient keyValue = KeyValueClient.of(platform, settings.keyValueService());
-        GatewayParts parts = GatewayParts.of(self, settings, PlatformFacts.create());
+        GatewayParts parts = GatewayParts.of(settings, PlatformFacts.create());
         ControlInputs inputs = new ControlInputs();
         peers = PeerTransport.of(
                 self,
@@ -88,7 +88,7 @@
                 inputs::offer,
                 PeerTransport.PeerSecurity.none());
         control = ControlRunner.of(
-                parts.core(),
+                parts.core(self),
                 keyValue::submit,
                 peers,
                 List.of(
--- a/src/main/java/org/yuccagw/daemon/GatewayParts.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayParts.java
@@ -8,6 +8,7 @@
 import org.yuccagw.adapters.peer.StatusCodec;
 import org.yuccagw.adapters.settings.GatewaySettings;
 import org.yuccagw.core.control.ControlCore;
+import org.yuccagw.core.control.ControlPart;
 import org.yuccagw.core.control.EntryIdentity;
 import org.yuccagw.core.duty.DutyPart;
 import org.yuccagw.core.duty.WeightOrdersPart;
@@ -38,9 +39,9 @@
     private final PlacingPart placing;
     private final DutyPart duty;
     private final WeightOrdersPart orders;
-    private final ControlCore core;
+    private final List<ControlPart> parts;
 
-    private GatewayParts(EntryIdentity self, GatewaySettings settings, FactCodec codec) {
+    private GatewayParts(GatewaySettings settings, FactCodec codec) {
         follow = FollowPart.of(codec);
         configured = ConfiguredPart.create();
         peers = PeersPart.of(this, settings.seeds());
@@ -54,18 +55,21 @@
                 follow::isReachable,
                 settings.bounds().orderSeparation());
         orders = WeightOrdersPart.of(duty, weights, this::announceOrders, placing::requestsOn);
-        core = ControlCore.of(
-                self,
-                new SplittableRandom(self.incarnation() ^ self.entry().hashCode()),
-                List.of(follow, configured, weights, peers, RegistrationPart.of(codec), stores, placing, duty, orders));
+        parts = List.of(follow, configured, weights, peers, RegistrationPart.of(codec), stores, placing, duty, orders);
     }
 
-    static GatewayParts of(EntryIdentity self, GatewaySettings settings, FactCodec codec) {
-        return new GatewayParts(self, settings, codec);
+    static GatewayParts of(GatewaySettings settings, FactCodec codec) {
+        return new GatewayParts(settings, codec);
     }
 
-    ControlCore core() {
-        return core;
+    /** In the order in which an event goes through them: those that others ask come first. */
+    List<ControlPart> list() {
+        return parts;
+    }
+
+    ControlCore core(EntryIdentity self) {
+        return ControlCore.of(
+                self, new SplittableRandom(self.incarnation() ^ self.entry().hashCode()), parts);
     }
 
     static PeerCodec codec() {
--- /dev/null
+++ b/src/test/java/org/yuccagw/core/forward/RecordedForwardEffects.java
@@ -0,0 +1,103 @@
+package org.yuccagw.core.forward;
+
+import com.google.common.collect.ImmutableSet;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import org.yuccagw.core.error.ErrorKind;
+import org.yuccagw.core.error.YuccagwException;
+import org.yuccagw.core.id.EndpointId;
+import org.yuccagw.core.placing.AttemptEnded;
+import org.yuccagw.core.placing.PlaceAsked;
+import org.yuccagw.core.placing.PlaceDecision;
+
+/** Writes down what a machine asks for, in virtual time. */
+final class RecordedForwardEffects implements ForwardEffects {
+    final List<String> lines = new ArrayList<>();
+    final StringBuilder callerBody = new StringBuilder();
+    final List<AttemptEnded.End> attempts = new ArrayList<>();
+    long nowNanos;
+    ErrorKind error;
+    int ends;
+
+    void pass(Duration time) {
+        nowNanos += time.toNanos();
+    }
+
+    @Override
+    public long nowNanos() {
+        return nowNanos;
+    }
+
+    @Override
+    public void askPlace(ImmutableSet<EndpointId> excluded, PlaceAsked.Kind kind, OptionalLong pinned, Duration left) {
+        String version = pinned.isPresent() ? " version " + pinned.getAsLong() : "";
+        lines.add("place " + kind + " without " + excluded + version);
+    }
+
+    @Override
+    public void send(long leg, PlaceDecision.Placed placed, Duration left, long afterEvent, boolean fresh) {
+        lines.add("send leg " + leg + " to " + placed.endpoint().id() + " left " + left.toMillis() + " after "
+                + afterEvent + (fresh ? " fresh" : ""));
+    }
+
+    @Override
+    public void abandon(long leg) {
+        lines.add("abandon leg " + leg);
+    }
+
+    @Override
+    public void hold(long leg) {
+        lines.add("hold leg " + leg);
+    }
+
+    @Override
+    public void readOn(long leg) {
+        lines.add("read on leg " + leg);
+    }
+
+    @Override
+    public void schedule(ForwardMachine.TimerKind kind, long leg, Duration delay) {}
+
+    @Override
+    public void answerHead(long leg) {
+        lines.add("head of leg " + leg);
+    }
+
+    @Override
+    public void answerBytes(ByteBuffer bytes) {
+        callerBody.append(StandardCharsets.UTF_8.decode(bytes));
+    }
+
+    @Override
+    public void answerEnd() {
+        lines.add("end");
+    }
+
+    @Override
+    public void cut() {
+        lines.add("cut");
+    }
+
+    @Override
+    public void answerError(YuccagwException told) {
+        error = told.kind();
+        lines.add("error " + told.kind());
+    }
+
+    @Override
+    public void report(AttemptEnded ended) {
+        attempts.add(ended.end());
+    }
+
+    @Override
+    public void explain(String decision, String detail) {}
+
+    @Override
+    public void ended(String outcome) {
+        ends++;
+    }
+}
