--- a/src/main/java/org/yuccagw/core/claim/ClaimRequester.java
+++ b/src/main/java/org/yuccagw/core/claim/ClaimAsker.java
@@ -34,7 +34,7 @@
  * <p>An attempt that is given up before it was decided leaves as an end "not sent", so that the key can be claimed
  * again if the owner recorded the claim all the same.
  */
-final class ClaimRequester {
+final class ClaimAsker {
     private static final Duration RESEND = Duration.ofMillis(300);
     private static final Duration LONGEST_WAIT = Duration.ofMillis(2500);
     private static final Duration END_RESEND = Duration.ofSeconds(1);
@@ -53,7 +53,7 @@
     private long forgottenThrough;
     private boolean resendingEnds;
 
-    ClaimRequester(ControlContext context, Directory directory) {
+    ClaimAsker(ControlContext context, Directory directory) {
         this.context = context;
         this.directory = directory;
     }
--- a/src/main/java/org/yuccagw/core/claim/ClaimPart.java
+++ b/src/main/java/org/yuccagw/core/claim/ClaimPart.java
@@ -29,7 +29,7 @@
 import org.yuccagw.core.shard.ShardsSnapshot.Ownership;
 
 /**
- * Claims of keyed requests, both sides: {@link ClaimRequester} asks for this entry's traffic, a {@link ClaimShard}
+ * Claims of keyed requests, both sides: {@link ClaimAsker} asks for this entry's traffic, a {@link ClaimShard}
  * for each owned shard decides.
  *
  * <p>Promise: for one key, at most one request is ever granted, over all entries, for as long as the record is kept;
@@ -46,7 +46,7 @@
     private final Map<EntryId, EntryStatus> members = new HashMap<>();
     private SystemLimits limits = SystemLimits.usual();
     private ControlContext context;
-    private ClaimRequester requester;
+    private ClaimAsker asker;
     private long membersSinceNanos;
 
     private ClaimPart(
@@ -76,15 +76,15 @@
     @Override
     public void start(ControlContext startContext) {
         context = startContext;
-        requester = new ClaimRequester(context, new Owners());
+        asker = new ClaimAsker(context, new Owners());
     }
 
     @Override
     public void handle(ControlEvent event, ControlContext ignored) {
         if (event instanceof ClaimAsked asked) {
-            requester.asked(asked);
+            asker.asked(asked);
         } else if (event instanceof ClaimEnded ended) {
-            requester.ended(ended);
+            asker.ended(ended);
         } else if (event instanceof PeerReceived received && received.message() instanceof ClaimPeerMessage message) {
             receive(message);
         } else if (event instanceof ShardGained gained) {
@@ -100,17 +100,16 @@
 
     @Override
     public void contribute(ControlSnapshot.Builder snapshot) {
-        snapshot.put(
-                ClaimsSnapshot.class, new ClaimsSnapshot(owned.size(), requester.running(), requester.endsToRecord()));
+        snapshot.put(ClaimsSnapshot.class, new ClaimsSnapshot(owned.size(), asker.running(), asker.endsToRecord()));
     }
 
     private void receive(ClaimPeerMessage message) {
         if (message instanceof Decided decided) {
-            requester.decided(decided);
+            asker.decided(decided);
         } else if (message instanceof EndRecorded recorded) {
-            requester.endRecorded(recorded);
+            asker.endRecorded(recorded);
         } else if (message instanceof StillRunning question) {
-            requester.stillRunning(question);
+            asker.stillRunning(question);
         } else if (owned.containsKey(message.shard())) {
             receiveAsOwner(message, owned.get(message.shard()));
         }
@@ -155,7 +154,7 @@
     }
 
     /** What the asking side needs. */
-    private final class Owners implements ClaimRequester.Directory {
+    private final class Owners implements ClaimAsker.Directory {
         @Override
         public Optional<ShardNumber> shardOf(ClaimKey key) {
             int count = shards.get().count();
--- a/src/main/java/org/yuccagw/core/id/EndpointId.java
+++ b/src/main/java/org/yuccagw/core/id/EndpointId.java
@@ -1,7 +1,7 @@
 package org.yuccagw.core.id;
 
 /**
- * An endpoint: one back end process, a model engine replica or an instance of a plain service.
+ * An endpoint: one process, a model engine replica or an instance of a plain service.
  *
  * @param value the name under which the platform lists the endpoint, such as {@code assistant-07}
  */
--- /dev/null
+++ b/src/test/java/org/yuccagw/daemon/VirtualFleet.java
@@ -0,0 +1,233 @@
+package org.yuccagw.daemon;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicReference;
+import org.yuccagw.adapters.settings.GatewaySettings;
+import org.yuccagw.bench.control.BenchNode;
+import org.yuccagw.bench.control.ControlBench;
+import org.yuccagw.core.control.ControlAction;
+import org.yuccagw.core.control.ControlInput;
+import org.yuccagw.core.control.Decision;
+import org.yuccagw.core.deployment.Deployment;
+import org.yuccagw.core.deployment.Route;
+import org.yuccagw.core.duty.EngineAnswer;
+import org.yuccagw.core.duty.EngineCall;
+import org.yuccagw.core.duty.EngineState;
+import org.yuccagw.core.id.EndpointId;
+import org.yuccagw.core.id.EntryId;
+import org.yuccagw.core.id.FailureDomain;
+import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.core.id.RequestId;
+import org.yuccagw.core.placing.PlaceAsked;
+import org.yuccagw.core.placing.PlaceDecision;
+import org.yuccagw.core.placing.RetryBounds;
+import org.yuccagw.core.prompt.PromptPart;
+import org.yuccagw.core.prompt.PromptShape;
+import org.yuccagw.platform.PlatformFacts;
+import org.yuccagw.standins.platform.PlatformDocuments;
+
+/**
+ * Entries with all their control parts in virtual time, in front of engines and plain endpoints that exist as
+ * registrations and as answers to orders.
+ */
+final class VirtualFleet {
+    static final String MODEL = "model";
+    static final Duration SEPARATION = Duration.ofSeconds(3);
+    static final Duration OLD_WEIGHTS_ALLOWED = Duration.ofSeconds(8);
+
+    private static final Duration LOADING = Duration.ofMillis(420);
+    private static final NetworkAddress ANYWHERE = NetworkAddress.of("127.0.0.1", 9);
+
+    final ControlBench bench = ControlBench.of(5);
+    final List<Order> orders = new ArrayList<>();
+    final Map<EndpointId, Long> weights = new LinkedHashMap<>();
+    private final Map<EndpointId, Long> accepted = new LinkedHashMap<>();
+    private final Map<EndpointId, Boolean> loading = new LinkedHashMap<>();
+    private Duration runs = Duration.ofMillis(300);
+    private int ordersToIgnore;
+    private boolean dropping;
+    private long nextRequest = 1;
+
+    /** An order that arrived at an engine. */
+    record Order(EntryId from, EndpointId engine, long fence, long atNanos) {}
+
+    VirtualFleet() {
+        bench.onAction(this::perform);
+    }
+
+    BenchNode start(String name) {
+        return bench.start(
+                name, GatewayParts.of(settings(name), PlatformFacts.create()).list());
+    }
+
+    void configure(long version) {
+        bench.keyValue()
+                .put(
+                        PlatformDocuments.CONFIGURATION,
+                        PlatformDocuments.configuration(version)
+                                .route("/model/", "streaming", "engines", 5_000, 2)
+                                .resumable()
+                                .route("/plain/", "idempotent", "plain", 800, 2)
+                                .engines("engines", MODEL)
+                                .plain("plain")
+                                .bytes());
+    }
+
+    void addEngine(String id) {
+        weights.put(EndpointId.of(id), 1L);
+        register(EndpointId.of(id));
+    }
+
+    void addPlain(String id) {
+        bench.keyValue()
+                .put(
+                        PlatformDocuments.endpointKey(id),
+                        PlatformDocuments.endpoint("plain", ANYWHERE, "ulemiste", false));
+    }
+
+    void nameWeights(long version) {
+        bench.keyValue().put(PlatformDocuments.weightsKey(MODEL), PlatformDocuments.weights(MODEL, version));
+    }
+
+    /** The requests that run on an engine take this long to end. */
+    void letRunsTake(Duration time) {
+        runs = time;
+    }
+
+    /** Orders are neither carried out nor answered. */
+    void dropOrders() {
+        dropping = true;
+    }
+
+    /** The next orders are carried out, but their answers are lost. */
+    void loseAnswersOfOrders(int count) {
+        ordersToIgnore = count;
+    }
+
+    boolean allRun(long version) {
+        return weights.values().stream().allMatch(present -> present == version);
+    }
+
+    static long configurationOf(BenchNode node) {
+        return node.state(Deployment.class).map(Deployment::version).orElse(0L);
+    }
+
+    /** Asks a node for a place and runs until it decides. */
+    PlaceDecision place(BenchNode node, String path, PlaceAsked.Kind kind, String fingerprint) {
+        Route route = node.state(Deployment.class)
+                .orElseThrow()
+                .route("a.example", path)
+                .orElseThrow();
+        Optional<PromptShape> prompt = path.startsWith("/model/")
+                ? Optional.of(new PromptShape(
+                        MODEL, 900, 50, ImmutableList.of(new PromptPart("aa", 800), new PromptPart("bb", 100))))
+                : Optional.empty();
+        AtomicReference<PlaceDecision> decided = new AtomicReference<>();
+        node.offer(new PlaceAsked(
+                RequestId.of("r" + nextRequest++),
+                route,
+                route.pick(0),
+                Optional.empty(),
+                prompt,
+                fingerprint,
+                ImmutableSet.of(),
+                kind,
+                OptionalLong.empty(),
+                route.timeout().toMillis(),
+                decided::set));
+        bench.runUntil(() -> decided.get() != null, Duration.ofSeconds(2));
+        return decided.get();
+    }
+
+    private void register(EndpointId engine) {
+        bench.keyValue()
+                .put(
+                        PlatformDocuments.endpointKey(engine.value()),
+                        PlatformDocuments.engine("engines", ANYWHERE, "ulemiste", MODEL, weights.get(engine)));
+    }
+
+    private boolean perform(ControlAction action, ControlInput input) {
+        if (action instanceof EngineCall.AskState ask) {
+            bench.time()
+                    .after(
+                            Duration.ofMillis(3),
+                            () -> input.offer(told(ask.endpoint().id())));
+            return true;
+        }
+        if (action instanceof EngineCall.OrderWeights order) {
+            carryOut(((BenchNode) input).entry(), order, input);
+            return true;
+        }
+        return action instanceof Decision;
+    }
+
+    private EngineAnswer told(EndpointId engine) {
+        return new EngineAnswer.Told(
+                engine,
+                Optional.of(new EngineState(
+                        loading.getOrDefault(engine, false),
+                        accepted.getOrDefault(engine, 0L),
+                        ImmutableMap.of(MODEL, weights.get(engine)))));
+    }
+
+    private void carryOut(EntryId from, EngineCall.OrderWeights order, ControlInput input) {
+        EndpointId engine = order.endpoint().id();
+        orders.add(new Order(from, engine, order.fence(), bench.time().nowNanos()));
+        if (dropping) {
+            bench.time().after(Duration.ofSeconds(1), () -> input.offer(unanswered(engine)));
+            return;
+        }
+        boolean conflict =
+                loading.getOrDefault(engine, false) || accepted.getOrDefault(engine, 0L) != order.expectedOrders();
+        EngineAnswer.Outcome outcome = conflict ? EngineAnswer.Outcome.CONFLICT : EngineAnswer.Outcome.ACCEPTED;
+        if (!conflict) {
+            accepted.merge(engine, 1L, Long::sum);
+            loading.put(engine, true);
+            Duration wait = order.manner() == EngineCall.Manner.AFTER_RUNS ? runs.plus(LOADING) : LOADING;
+            bench.time().after(wait, () -> {
+                loading.put(engine, false);
+                weights.put(engine, order.weights().version());
+                register(engine);
+            });
+        }
+        if (ordersToIgnore > 0) {
+            ordersToIgnore--;
+            outcome = EngineAnswer.Outcome.UNKNOWN;
+        }
+        EngineAnswer.Outcome told = outcome;
+        bench.time().after(Duration.ofMillis(3), () -> input.offer(new EngineAnswer.Ordered(engine, told)));
+    }
+
+    private static EngineAnswer unanswered(EndpointId engine) {
+        return new EngineAnswer.Ordered(engine, EngineAnswer.Outcome.UNKNOWN);
+    }
+
+    private static GatewaySettings settings(String name) {
+        return new GatewaySettings(
+                EntryId.of(name),
+                FailureDomain.of("ulemiste"),
+                ANYWHERE,
+                ANYWHERE,
+                ANYWHERE,
+                ANYWHERE,
+                ANYWHERE,
+                List.of(),
+                new GatewaySettings.Bounds(
+                        new RetryBounds(0.2, 56, Duration.ofSeconds(10)),
+                        Duration.ofSeconds(8),
+                        SEPARATION,
+                        OLD_WEIGHTS_ALLOWED,
+                        Duration.ofSeconds(2),
+                        Optional.empty()),
+                "info");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/yuccagw/platform/GatewaySettingsReaderTest.java
@@ -0,0 +1,61 @@
+package org.yuccagw.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.testng.annotations.Test;
+import org.yuccagw.adapters.settings.GatewaySettings;
+import org.yuccagw.core.error.YuccagwException;
+import org.yuccagw.core.id.NetworkAddress;
+
+public class GatewaySettingsReaderTest {
+    private static final String TOLD = """
+            {"nodeName": "edge-1", "zone": "ulemiste", "ip": "10.1.0.19", "portRange": [7580, 7595],
+             "seedNodes": ["10.1.0.19:8745", "10.2.0.13:8745"], "somethingNew": {"a": [1, 2]},
+             "listenAddrs": {"front": "10.1.0.19:8749", "ready": "10.1.0.19:8741", "directory": "10.1.0.19:8747"},
+             "bounds": {"graceS": 8, "leaseMs": 3000, "retryBudgetRatio": 0.2, "retrySlack": 56, "strictRevoke": false},
+             "platform": {"address": "10.200.1.7:8744", "form": "kv"}}""";
+
+    @Test
+    public void whatThePlatformTellsIsReadAndWhatIsNewIsPassedOver() throws YuccagwException {
+        GatewaySettings settings = GatewaySettingsReader.parse(rendered(TOLD));
+        assertEquals(settings.callers(), NetworkAddress.of("10.1.0.19", 8749));
+        assertEquals(settings.peer(), NetworkAddress.of("10.1.0.19", 7580));
+        assertEquals(
+                settings.seeds(), List.of(NetworkAddress.of("10.1.0.19", 7580), NetworkAddress.of("10.2.0.13", 7580)));
+        assertEquals(settings.bounds().orderSeparation(), Duration.ofSeconds(3));
+        assertTrue(settings.bounds().keysUnconfirmed().isEmpty());
+    }
+
+    @Test
+    public void aDeploymentWithoutSomeBoundsGetsUsualOnes() throws YuccagwException {
+        String fewer = TOLD.replaceAll("\"bounds\": \\{[^}]*}", "\"bounds\": {}");
+        assertEquals(GatewaySettingsReader.parse(rendered(fewer)).bounds().stopGrace(), Duration.ofSeconds(8));
+    }
+
+    @Test
+    public void aWrongFieldIsToldWithItsPlaceAndTheFix() {
+        YuccagwException wrong = expectThrows(
+                YuccagwException.class,
+                () -> GatewaySettingsReader.parse(rendered(TOLD.replace("\"10.1.0.19:8749\"", "\"here\""))));
+        assertTrue(wrong.getMessage().contains("platform.listenAddrs.front"), wrong.getMessage());
+        assertTrue(wrong.getMessage().contains("line "), wrong.getMessage());
+        assertTrue(wrong.getMessage().contains("10.0.0.7:8080"), wrong.getMessage());
+    }
+
+    /** The template as the platform fills it in. */
+    private static byte[] rendered(String told) {
+        try {
+            String template = Files.readString(Path.of("deploy", "settings.json"));
+            return template.replace("{{.|json}}", told).getBytes(StandardCharsets.UTF_8);
+        } catch (java.io.IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+}
