--- a/src/main/java/org/yuccagw/core/placing/Scoring.java
+++ b/src/main/java/org/yuccagw/core/placing/Scoring.java
@@ -57,7 +57,7 @@
     private static final double LOADING_MILLIS = 5_000;
 
     /** Answers on older weights lose part of their worth soon after newer ones were named. */
-    private static final double OLD_WEIGHTS_MILLIS = 400;
+    private static final double OLD_WEIGHTS_MILLIS = 70;
 
     private static final double COLD_MILLIS_SHARE = 0.02;
 
