--- a/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
+++ b/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
@@ -57,6 +57,12 @@
 
     private static final Duration STATE_AGAIN = Duration.ofMillis(120);
 
+    /**
+     * Requests that wait at an engine are turned away when it loads, and each of them spends from the retry budget: 282
+     * in six seconds where engines got requests up to their order. In this time those that wait have begun.
+     */
+    private static final Duration NO_NEW_REQUESTS_BEFORE = Duration.ofMillis(400);
+
     private static final Duration AFTER_FENCED = Duration.ofSeconds(2);
 
     /** A state or order whose answer never comes must not keep an engine from being asked again. */
@@ -196,7 +202,7 @@
         for (ListedEndpoint engine : waiting) {
             if (hasRoom(engine)) {
                 Loading loading = new Loading(missing(engine).get());
-                loading.nextNanos = context.nowNanos();
+                loading.nextNanos = context.nowNanos() + NO_NEW_REQUESTS_BEFORE.toNanos();
                 inProgress.put(engine.id(), loading);
                 begun = true;
             }
@@ -206,6 +212,7 @@
         }
     }
 
+    /** While some engines load, as many others already take no new requests. */
     private boolean hasRoom(ListedEndpoint engine) {
         List<ListedEndpoint> pool = engines.values().stream()
                 .filter(other -> other.service().equals(engine.service()))
@@ -213,7 +220,11 @@
         long progressing = pool.stream()
                 .filter(other -> inProgress.containsKey(other.id()))
                 .count();
-        return progressing < Math.max(1, Math.round(pool.size() * LOADING_AT_ONCE));
+        long ordered = pool.stream()
+                .filter(other -> inProgress.containsKey(other.id()) && inProgress.get(other.id()).ordered)
+                .count();
+        long atOnce = Math.max(1, Math.round(pool.size() * LOADING_AT_ONCE));
+        return progressing - ordered < atOnce && progressing < 2 * atOnce;
     }
 
     private Optional<ModelWeights> missing(ListedEndpoint engine) {
@@ -248,11 +259,22 @@
         long runs = state.weights().getOrDefault(loading.weights.model(), 0L);
         if (runs >= loading.weights.version()) {
             finish(engine, loading);
-        } else if (!state.loading() && duty.mayAct()) {
+        } else if (!state.loading() && duty.mayAct() && mayOrder(engine, loading)) {
             order(engine, loading, state);
         }
     }
 
+    private boolean mayOrder(ListedEndpoint engine, Loading loading) {
+        long pool = engines.values().stream()
+                .filter(other -> other.service().equals(engine.service()))
+                .count();
+        long loadingNow = inProgress.entrySet().stream()
+                .filter(other -> other.getValue().ordered && engines.containsKey(other.getKey()))
+                .filter(other -> engines.get(other.getKey()).service().equals(engine.service()))
+                .count();
+        return loading.ordered || loadingNow < Math.max(1, Math.round(pool * LOADING_AT_ONCE));
+    }
+
     private void order(ListedEndpoint engine, Loading loading, EngineState state) {
         loading.ordered = true;
         loading.nextNanos = context.nowNanos() + CALL_PATIENCE.toNanos();
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -333,7 +333,7 @@
     private void onNotRun(AnswerStart head) {
         effects.abandon(leg);
         End end = head.isMisdirected() ? (head.fromOther() ? End.WRONG_ENDPOINT : End.WRONG_VERSION) : End.SHED;
-        endAttempt(end);
+        endAttempt(end, end == End.WRONG_ENDPOINT ? OptionalLong.empty() : head.version());
         lastTrouble = "status " + head.status() + ", not run";
         if (end != End.WRONG_VERSION) {
             excluded.add(lastEndpoint);
@@ -467,8 +467,12 @@
     }
 
     private void endAttempt(End end) {
+        endAttempt(end, start == null ? OptionalLong.empty() : start.version());
+    }
+
+    private void endAttempt(End end, OptionalLong version) {
         if (placed != null) {
-            effects.report(new AttemptEnded(placed.ticket(), end));
+            effects.report(new AttemptEnded(placed.ticket(), end, version));
             lastEndpoint = placed.endpoint().id();
             placed = null;
         }
--- a/src/main/java/org/yuccagw/core/placing/AttemptEnded.java
+++ b/src/main/java/org/yuccagw/core/placing/AttemptEnded.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.placing;
 
+import java.util.OptionalLong;
 import org.yuccagw.core.control.ControlEvent;
 
 /**
@@ -7,8 +8,14 @@
  *
  * @param ticket of the placement
  * @param end how it ended
+ * @param version weights that the endpoint said it runs, if it said so
  */
-public record AttemptEnded(long ticket, End end) implements ControlEvent {
+public record AttemptEnded(long ticket, End end, OptionalLong version) implements ControlEvent {
+    /** An attempt whose endpoint said nothing of its weights. */
+    public AttemptEnded(long ticket, End end) {
+        this(ticket, end, OptionalLong.empty());
+    }
+
     /** How an attempt ended. */
     public enum End {
         /** A whole answer, whatever its status, but for a fault of the endpoint. */
--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -421,6 +421,11 @@
         EndpointState endpoint = endpoints.get(attempt.endpoint());
         if (endpoint != null) {
             endpoint.end(attempt.tokens());
+            if (ended.version().isPresent() && attempt.model().isPresent()) {
+                hearWeights(
+                        attempt.endpoint(),
+                        new ModelWeights(attempt.model().get(), ended.version().getAsLong()));
+            }
             note(endpoint, ended.end(), attempt);
         }
         if (ended.end() == End.ANSWERED) {
--- a/src/main/java/org/yuccagw/core/placing/RetryAllowance.java
+++ b/src/main/java/org/yuccagw/core/placing/RetryAllowance.java
@@ -10,10 +10,10 @@
  * equal part of the slack. Both are cut by {@link #SAFETY}, since entries don't know exactly how many they are, and
  * since the window of the count slides against ours.
  *
- * <p>Example: ratio 0.2, slack 56, 8 entries, 40 requests here in the last 10 s: 0.7 * (8 + 7) = 10 repeats.
+ * <p>Example: ratio 0.2, slack 56, 8 entries, 40 requests here in the last 10 s: 0.8 * (8 + 7) = 12 repeats.
  */
 final class RetryAllowance {
-    private static final double SAFETY = 0.7;
+    private static final double SAFETY = 0.8;
     private static final int BUCKETS = 10;
 
     private final double ratio;
