--- a/src/main/java/org/yuccagw/adapters/settings/StrictObject.java
+++ b/src/main/java/org/yuccagw/adapters/settings/StrictObject.java
@@ -42,6 +42,11 @@
         return of(PositionedParser.parse(document, kind), kind, known);
     }
 
+    /** A whole document, whatever its fields. */
+    public static StrictObject parseAny(byte[] document, ErrorKind kind) throws YuccagwException {
+        return ofAnyNames(PositionedParser.parse(document, kind), kind);
+    }
+
     private static StrictObject of(PositionedValue value, ErrorKind kind, String... known) throws YuccagwException {
         StrictObject strict = ofAnyNames(value, kind);
         strict.refuseUnknown(List.of(known));
--- a/src/main/java/org/yuccagw/cli/SettingsCommand.java
+++ b/src/main/java/org/yuccagw/cli/SettingsCommand.java
@@ -7,6 +7,7 @@
 import org.yuccagw.adapters.settings.CatalogueJson;
 import org.yuccagw.adapters.settings.EntrySettingsReader;
 import org.yuccagw.core.error.YuccagwException;
+import org.yuccagw.platform.GatewaySettingsReader;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -30,6 +31,7 @@
     /** What a file is meant to be. */
     enum Kind {
         ENTRY,
+        GATEWAY,
         CATALOGUE,
         AUTO
     }
@@ -37,8 +39,8 @@
     @Command(
             name = "check",
             mixinStandardHelpOptions = true,
-            description = "Checks a settings file of an entry or a catalogue. An error names file, line, column, field"
-                    + " and what was expected.")
+            description = "Checks a settings file of an entry or a gateway, or a catalogue. An error names file, line,"
+                    + " column, field and what was expected.")
     static final class Check implements Callable<Integer> {
         @Parameters(paramLabel = "FILE", description = "The file.")
         private Path file;
@@ -47,7 +49,7 @@
                 names = "--kind",
                 defaultValue = "AUTO",
                 description = "What the file is: ${COMPLETION-CANDIDATES}. AUTO takes a file with a field"
-                        + " \"services\" or \"workspaces\" for a catalogue.")
+                        + " \"services\" or \"workspaces\" for a catalogue, one with \"platform\" for a gateway's.")
         private Kind kind;
 
         @Spec
@@ -57,11 +59,7 @@
         public Integer call() throws YuccagwException {
             byte[] document = read();
             try {
-                if (isCatalogue(document)) {
-                    CatalogueJson.create().decode(document);
-                } else {
-                    EntrySettingsReader.parse(document);
-                }
+                check(document);
             } catch (YuccagwException e) {
                 throw CommandFailure.failed(file + ": " + e.getMessage());
             }
@@ -69,8 +67,19 @@
             return ExitCode.OK;
         }
 
-        private boolean isCatalogue(byte[] document) throws YuccagwException {
-            return kind == Kind.AUTO ? CatalogueJson.looksLikeCatalogue(document) : kind == Kind.CATALOGUE;
+        private void check(byte[] document) throws YuccagwException {
+            switch (kind == Kind.AUTO ? guess(document) : kind) {
+                case CATALOGUE -> CatalogueJson.create().decode(document);
+                case GATEWAY -> GatewaySettingsReader.parse(document);
+                default -> EntrySettingsReader.parse(document);
+            }
+        }
+
+        private static Kind guess(byte[] document) throws YuccagwException {
+            if (GatewaySettingsReader.looksLikeOne(document)) {
+                return Kind.GATEWAY;
+            }
+            return CatalogueJson.looksLikeCatalogue(document) ? Kind.CATALOGUE : Kind.ENTRY;
         }
 
         private byte[] read() {
--- a/src/main/java/org/yuccagw/cli/YuccagwTool.java
+++ b/src/main/java/org/yuccagw/cli/YuccagwTool.java
@@ -60,6 +60,7 @@
 
     static CommandLine commandLine() {
         return new CommandLine(new YuccagwTool())
+                .setCaseInsensitiveEnumValuesAllowed(true)
                 .registerConverter(NetworkAddress.class, YuccagwTool::parseAddress)
                 .setExecutionExceptionHandler((failure, command, result) -> explain(failure, command.getErr()));
     }
--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -271,9 +271,7 @@
         endpoint.begin(tokens);
         running.put(ticket, new Running(endpoint.listed().id(), tokens, asked.fingerprint(), model));
         OptionalLong version = model.isPresent() ? endpoint.versionOf(model.get()) : OptionalLong.empty();
-        Optional<String> salt = version.isPresent()
-                ? Optional.of(CacheSalt.of(asked.workspace(), version.getAsLong()))
-                : Optional.empty();
+        Optional<String> salt = asked.prompt().map(prompt -> CacheSalt.of(asked.workspace(), version.orElse(0)));
         Optional<CachePlan> cache = cachePlan(asked, endpoint, version, salt);
         int urgency = asked.workspace().isPresent()
                 ? asked.workspace().get().priority().orElse(asked.route().priority())
@@ -305,10 +303,10 @@
     /** Prompts on older weights still fetch what lies there for them, but nothing more is saved for those weights. */
     private Optional<CachePlan> cachePlan(
             PlaceAsked asked, EndpointState endpoint, OptionalLong version, Optional<String> salt) {
-        if (asked.prompt().isEmpty() || salt.isEmpty()) {
+        if (asked.prompt().isEmpty() || version.isEmpty()) {
             return Optional.empty();
         }
-        boolean old = weights.isBehind(asked.prompt().get().model(), version.orElse(0));
+        boolean old = weights.isBehind(asked.prompt().get().model(), version.getAsLong());
         return stores.plan(asked.prompt().get(), salt.get(), endpoint.listed().domain(), !old);
     }
 
--- a/src/main/java/org/yuccagw/platform/GatewaySettingsReader.java
+++ b/src/main/java/org/yuccagw/platform/GatewaySettingsReader.java
@@ -51,6 +51,15 @@
         }
     }
 
+    /**
+     * Whether a settings file is meant for an entry on the users' platform.
+     *
+     * @throws YuccagwException of kind SETTINGS_INVALID when it isn't JSON
+     */
+    public static boolean looksLikeOne(byte[] document) throws YuccagwException {
+        return StrictObject.parseAny(document, ErrorKind.SETTINGS_INVALID).has(PLATFORM);
+    }
+
     /** Reads settings from the bytes of a file; errors name no file. */
     public static GatewaySettings parse(byte[] document) throws YuccagwException {
         StrictObject root = StrictObject.parse(document, ErrorKind.SETTINGS_INVALID, FIELDS);
