Give engines longer to begin a stream, over a connection of its own

Ruled out: waiting for the caller's whole patience, since an endpoint that hangs would cost every request on it. Change: three targets in place of two for streams; new connections for them.

--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -44,6 +44,12 @@
     /** A repeatable request whose answer hasn't begun after so many times its target is tried elsewhere. */
     private static final int TARGETS_TO_HEAD = 2;
 
+    /**
+     * The same for streams. What an engine did for a prompt is lost with it, and under load the next engine begins anew
+     * behind others; callers wait for four targets.
+     */
+    private static final int TARGETS_TO_STREAM_HEAD = 3;
+
     private static final int PREDICTIONS_TO_HEAD = 3;
 
     /** A resumable stream that pauses so many times longer than allowed is continued elsewhere. */
@@ -252,14 +258,22 @@
         legCounted = false;
         state = State.SENDING;
         start = null;
-        effects.send(leg, chosen, time, events.lastId(), !route.repeatable() || sends > 1);
+        effects.send(leg, chosen, time, events.lastId(), needsOwnConnection());
         if (route.repeatable()) {
             effects.schedule(TimerKind.HEAD, leg, headPatience(chosen));
         }
     }
 
+    /**
+     * Whether a kept connection is too risky: it may lead to an endpoint that has gone dark, which only a connection
+     * that doesn't come about shows at once. For streams that is worth a new one each.
+     */
+    private boolean needsOwnConnection() {
+        return !route.repeatable() || route.streamed() || sends > 1;
+    }
+
     private Duration headPatience(PlaceDecision.Placed chosen) {
-        Duration byTarget = route.target().multipliedBy(TARGETS_TO_HEAD);
+        Duration byTarget = route.target().multipliedBy(route.streamed() ? TARGETS_TO_STREAM_HEAD : TARGETS_TO_HEAD);
         Duration byPrediction = Duration.ofMillis(chosen.firstByteMillis() * PREDICTIONS_TO_HEAD);
         return longer(longer(byTarget, byPrediction), SHORTEST_SILENCE);
     }
