--- a/src/main/java/org/yuccagw/bench/local/Rehearsal.java
+++ b/src/main/java/org/yuccagw/bench/local/Rehearsal.java
@@ -1,10 +1,7 @@
 package org.yuccagw.bench.local;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.yuccagw.adapters.http.HttpAnswer;
@@ -30,8 +27,8 @@
     public static void run() throws YuccagwException, IOException, InterruptedException {
         KeyValueStandIn keyValue = KeyValueStandIn.start(KeyValueSettings.usual());
         HttpCaller caller = HttpCaller.start(1);
-        GatewaySettings settings =
-                GatewaySettingsReader.parse(SmallDeployment.settings("rehearsal", keyValue.address(), freePorts(4)));
+        GatewaySettings settings = GatewaySettingsReader.parse(
+                SmallDeployment.settings("rehearsal", keyValue.address(), SmallDeployment.freePorts(4)));
         GatewayDaemon daemon = GatewayDaemon.start(settings);
         SmallDeployment deployment = SmallDeployment.at(keyValue.address());
         deployment.publish(keyValue);
@@ -59,18 +56,4 @@
             return 0;
         }
     }
-
-    private static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        List<Integer> ports = new ArrayList<>();
-        for (int index = 0; index < count; index++) {
-            ServerSocket socket = new ServerSocket(0);
-            sockets.add(socket);
-            ports.add(socket.getLocalPort());
-        }
-        for (ServerSocket socket : sockets) {
-            socket.close();
-        }
-        return ports;
-    }
 }
--- a/src/main/java/org/yuccagw/core/stores/StoresPart.java
+++ b/src/main/java/org/yuccagw/core/stores/StoresPart.java
@@ -1,13 +1,15 @@
 package org.yuccagw.core.stores;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
@@ -16,6 +18,7 @@
 import org.yuccagw.core.deployment.CacheStore;
 import org.yuccagw.core.deployment.EngineTraits;
 import org.yuccagw.core.follow.ConfiguredPart;
+import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.core.id.StoreId;
@@ -67,22 +70,27 @@
     private static final double BITS_PER_MEGABIT = 1e6;
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
-    private final IntSupplier entries;
+    /** Calls for events that a store holds for others than the first entries in its order. */
+    private static final int SPARE_WATCHERS = 2;
+
+    private static final Duration LOOK_AT_TURN = Duration.ofSeconds(2);
+
+    private final Supplier<List<EntryId>> entries;
     private final Map<StoreId, HeldParts> stores = new LinkedHashMap<>();
     private final Map<StoreId, Long> sentNanos = new LinkedHashMap<>();
     private ControlContext context;
     private long tokenBytes;
 
-    private StoresPart(IntSupplier entries) {
+    private StoresPart(Supplier<List<EntryId>> entries) {
         this.entries = entries;
     }
 
     /**
      * The knowledge of the stores of one entry.
      *
-     * @param entries how many entries share the stores' links
+     * @param entries those that share the stores' links, this one among them
      */
-    public static StoresPart of(IntSupplier entries) {
+    public static StoresPart of(Supplier<List<EntryId>> entries) {
         return new StoresPart(entries);
     }
 
@@ -162,7 +170,10 @@
     /** Every entry uses its part of a link; requests come evenly to all. */
     private void countTransfer(HeldParts held, int tokens) {
         double bits = 8.0 * tokens * tokenBytes;
-        double seconds = bits / (held.store().linkMegabits() * BITS_PER_MEGABIT / Math.max(1, entries.getAsInt()));
+        double seconds = bits
+                / (held.store().linkMegabits()
+                        * BITS_PER_MEGABIT
+                        / Math.max(1, entries.get().size()));
         if (Double.isFinite(seconds)) {
             held.addTransfer((long) (seconds * NANOS_PER_SECOND), context.nowNanos());
         }
@@ -246,10 +257,37 @@
 
     private void ask(StoreId id) {
         HeldParts held = stores.get(id);
-        if (held != null) {
-            sentNanos.put(id, context.nowNanos());
-            context.perform(new StoreCall.AskChanges(held.store(), held.next(), WAIT));
+        if (held == null) {
+            return;
         }
+        if (!isFollower(held.store())) {
+            held.doubt();
+            askAgain(id, LOOK_AT_TURN);
+            return;
+        }
+        sentNanos.put(id, context.nowNanos());
+        context.perform(new StoreCall.AskChanges(held.store(), held.next(), WAIT));
+    }
+
+    /**
+     * Whether this entry may follow the store. A store holds a fixed number of calls and turns further ones away, which
+     * would cost each of many entries a call in vain several times a second. So the first entries in an order that
+     * differs from store to store follow it; the others neither fetch from it nor save to it.
+     */
+    private boolean isFollower(CacheStore store) {
+        List<EntryId> all = entries.get();
+        int most = Math.max(1, store.mostWatchers() - SPARE_WATCHERS);
+        if (all.size() <= most) {
+            return true;
+        }
+        int own = order(store, context.self().entry());
+        return all.stream().filter(entry -> order(store, entry) < own).count() < most;
+    }
+
+    private static int order(CacheStore store, EntryId entry) {
+        return Hashing.murmur3_32_fixed()
+                .hashString(store.id().value() + ' ' + entry.value(), StandardCharsets.UTF_8)
+                .asInt();
     }
 
     private void onChanges(StoreAnswer.Changes changes) {
--- a/src/main/java/org/yuccagw/daemon/GatewayParts.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayParts.java
@@ -46,7 +46,7 @@
         configured = ConfiguredPart.create();
         peers = PeersPart.of(this, settings.seeds());
         NamedWeightsPart weights = NamedWeightsPart.of(settings.bounds().oldWeightsAllowed());
-        stores = StoresPart.of(peers::aliveCount);
+        stores = StoresPart.of(peers::serving);
         placing = PlacingPart.of(settings.bounds().retries(), weights, stores, peers::aliveCount, peers::tellAll);
         duty = DutyPart.of(
                 WEIGHTS_DUTY,
--- a/src/main/java/org/yuccagw/standins/platform/SmallDeployment.java
+++ b/src/main/java/org/yuccagw/standins/platform/SmallDeployment.java
@@ -1,7 +1,10 @@
 package org.yuccagw.standins.platform;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import org.yuccagw.adapters.http.HttpQuery;
 import org.yuccagw.core.id.NetworkAddress;
@@ -54,6 +57,21 @@
         return StandInJson.bytes(root);
     }
 
+    /** Ports that were free a moment ago. */
+    public static List<Integer> freePorts(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        List<Integer> ports = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            ServerSocket socket = new ServerSocket(0);
+            sockets.add(socket);
+            ports.add(socket.getLocalPort());
+        }
+        for (ServerSocket socket : sockets) {
+            socket.close();
+        }
+        return ports;
+    }
+
     /** A request as a caller sends it. */
     public static HttpQuery request(NetworkAddress entry, String path) {
         return HttpQuery.get(entry, path)
--- /dev/null
+++ b/src/test/java/org/yuccagw/core/stores/StoresPartTest.java
@@ -0,0 +1,227 @@
+package org.yuccagw.core.stores;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+import org.yuccagw.bench.control.BenchNode;
+import org.yuccagw.bench.control.ControlBench;
+import org.yuccagw.core.control.ControlAction;
+import org.yuccagw.core.control.ControlInput;
+import org.yuccagw.core.control.Decision;
+import org.yuccagw.core.deployment.BackEndService;
+import org.yuccagw.core.deployment.CacheStore;
+import org.yuccagw.core.deployment.Deployment;
+import org.yuccagw.core.deployment.EngineTraits;
+import org.yuccagw.core.deployment.RequestLimits;
+import org.yuccagw.core.follow.ConfiguredPart;
+import org.yuccagw.core.id.EntryId;
+import org.yuccagw.core.id.FailureDomain;
+import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.core.id.ServiceName;
+import org.yuccagw.core.id.StoreId;
+import org.yuccagw.core.prompt.PromptPart;
+import org.yuccagw.core.prompt.PromptShape;
+
+public class StoresPartTest {
+    private static final FailureDomain HERE = FailureDomain.of("ulemiste");
+    private static final CacheStore QUICK = store("quick", 1, 100_000, 0.5);
+    private static final CacheStore LARGE = store("large", 2, 1_000_000, 6);
+    private static final String SALT = "s.1";
+    private static final PromptShape PROMPT = new PromptShape(
+            "model",
+            7_700,
+            50,
+            ImmutableList.of(
+                    new PromptPart("common", 2_500), new PromptPart("session", 5_000), new PromptPart("own", 200)));
+
+    private ControlBench bench;
+    private BenchNode node;
+    private StoresPart stores;
+    private Map<StoreId, FakeStore> fakes;
+    private List<EntryId> entries;
+
+    /** What a store answers to the calls for its events. */
+    private static final class FakeStore {
+        private final List<StoreAnswer.Change> pending = new ArrayList<>();
+        private long epoch = 1;
+        private boolean silent;
+        private boolean broken;
+    }
+
+    @BeforeMethod
+    public void startTheEntry() {
+        bench = ControlBench.of(3);
+        entries = List.of(EntryId.of("entry-1"));
+        fakes = new HashMap<>(Map.of(QUICK.id(), new FakeStore(), LARGE.id(), new FakeStore()));
+        bench.onAction(this::perform);
+        stores = StoresPart.of(() -> entries);
+        node = bench.start("entry-1", List.of(stores));
+        node.offer(new ConfiguredPart.Applied(deployment()));
+        bench.runFor(Duration.ofSeconds(5));
+    }
+
+    @Test
+    public void whatNoStoreHoldsIsSavedOnceAndFetchedOnceItLiesThereWhole() {
+        CachePlan first = plan();
+        assertFalse(first.hasFetch());
+        assertEquals(
+                first.saves(),
+                ImmutableList.of(Optional.of(QUICK.address()), Optional.of(LARGE.address()), Optional.empty()));
+        assertFalse(plan().hasSave());
+        tell(QUICK, "common", 2_500);
+        tell(LARGE, "session", 5_000);
+        CachePlan returned = plan();
+        assertEquals(
+                returned.fetches(),
+                ImmutableList.of(
+                        Optional.of(new CachePlan.Source(QUICK.address(), 2_500)),
+                        Optional.of(new CachePlan.Source(LARGE.address(), 5_000)),
+                        Optional.empty()));
+        assertFalse(returned.hasSave());
+    }
+
+    @Test
+    public void partsUnderAnotherNameAreNotFetched() {
+        tell(LARGE, "session", 5_000);
+        assertFalse(stores.plan(PROMPT, "w.other.1", HERE, true).orElseThrow().hasFetch());
+        assertFalse(stores.plan(PROMPT, "s.2", HERE, true).orElseThrow().hasFetch());
+    }
+
+    @Test
+    public void aPartOfWhichLessIsHeldThanThePromptNeedsIsNotFetched() {
+        tell(LARGE, "session", 4_000);
+        assertFalse(plan().hasFetch());
+    }
+
+    // A store crashes and comes back empty; another entry's prompt begins to fill it again. Whoever fetches by what it
+    // knew from before reads a part that is half written.
+    @Test
+    public void nothingIsFetchedFromAStoreWhoseCallBroke() {
+        tell(LARGE, "session", 5_000);
+        assertTrue(plan().hasFetch());
+        fakes.get(LARGE.id()).broken = true;
+        bench.runFor(Duration.ofMillis(400));
+        assertFalse(plan().hasFetch());
+    }
+
+    @Test
+    public void nothingIsFetchedFromAStoreThatFellSilent() {
+        tell(LARGE, "session", 5_000);
+        fakes.get(LARGE.id()).silent = true;
+        bench.runFor(StoresPart.FRESH.plusMillis(200));
+        assertFalse(plan().hasFetch());
+    }
+
+    @Test
+    public void nothingIsSavedToARestartedStoreUntilEverybodyHasNoticed() {
+        tell(LARGE, "session", 5_000);
+        fakes.get(LARGE.id()).epoch = 2;
+        bench.runFor(Duration.ofMillis(500));
+        CachePlan soon = plan();
+        assertFalse(soon.hasFetch());
+        assertFalse(soon.saves().contains(Optional.of(LARGE.address())));
+        bench.runFor(StoresPart.NEWBORN.plus(StoresPart.SAVE_PATIENCE));
+        assertTrue(plan().saves().contains(Optional.of(LARGE.address())));
+    }
+
+    @Test
+    public void anEventThatTakesAPartAwayEndsItsUse() {
+        tell(LARGE, "session", 5_000);
+        fakes.get(LARGE.id()).pending.add(new StoreAnswer.Change(false, SALT, "session", 0));
+        bench.runFor(Duration.ofMillis(400));
+        assertFalse(plan().hasFetch());
+    }
+
+    // Sixty prompts a second ask a store for more than its link carries. Their fetches would end too late, one and all,
+    // and every prompt would be computed after its wait: on one played day 327 were.
+    @Test
+    public void noMoreIsAskedOfAStoreThanItsLinkCarries() {
+        tell(QUICK, "common", 2_500);
+        tell(LARGE, "session", 5_000);
+        int fetched = 0;
+        for (int index = 0; index < 100; index++) {
+            fetched += plan().fetches().get(1).isPresent() ? 1 : 0;
+        }
+        assertTrue(fetched >= 5, fetched + " fetched");
+        assertTrue(fetched <= 10, fetched + " fetched");
+        bench.runFor(Duration.ofSeconds(2));
+        assertTrue(plan().fetches().get(1).isPresent());
+    }
+
+    // Seventy entries follow stores that hold a dozen calls each. All the others would be turned away, three times a
+    // second for each store, and every such call is paid for.
+    @Test
+    public void ofManyEntriesOnlyAsManyFollowAStoreAsItHoldsCallsFor() {
+        int followers = 0;
+        for (int index = 1; index <= 70; index++) {
+            ControlBench alone = ControlBench.of(index);
+            List<StoreId> calls = new ArrayList<>();
+            alone.onAction((action, input) -> action instanceof StoreCall.AskChanges ask
+                    && calls.add(ask.store().id()));
+            List<EntryId> all = java.util.stream.IntStream.rangeClosed(1, 70)
+                    .mapToObj(number -> EntryId.of("entry-" + number))
+                    .toList();
+            BenchNode one = alone.start("entry-" + index, List.of(StoresPart.of(() -> all)));
+            one.offer(new ConfiguredPart.Applied(deployment()));
+            alone.runFor(Duration.ofMillis(10));
+            followers += calls.contains(LARGE.id()) ? 1 : 0;
+        }
+        assertEquals(followers, LARGE.mostWatchers() - 2);
+    }
+
+    private CachePlan plan() {
+        return stores.plan(PROMPT, SALT, HERE, true).orElseThrow();
+    }
+
+    private void tell(CacheStore store, String part, int tokens) {
+        fakes.get(store.id()).pending.add(new StoreAnswer.Change(true, SALT, part, tokens));
+        bench.runFor(Duration.ofMillis(400));
+    }
+
+    private boolean perform(ControlAction action, ControlInput input) {
+        if (action instanceof StoreCall.AskChanges ask) {
+            FakeStore fake = fakes.get(ask.store().id());
+            if (!fake.silent) {
+                bench.time().after(Duration.ofMillis(100), () -> input.offer(answer(ask, fake)));
+            }
+            return true;
+        }
+        return action instanceof Decision;
+    }
+
+    private static StoreAnswer answer(StoreCall.AskChanges ask, FakeStore fake) {
+        if (fake.broken) {
+            return new StoreAnswer.Silent(ask.store().id(), "reset");
+        }
+        ImmutableList<StoreAnswer.Change> changes = ImmutableList.copyOf(fake.pending);
+        fake.pending.clear();
+        return new StoreAnswer.Changes(ask.store().id(), fake.epoch, 1, false, 1_000, changes);
+    }
+
+    /** A token takes 100 KB, so the session's part takes 0.1 s on the large store's link. */
+    private static Deployment deployment() {
+        EngineTraits engine = new EngineTraits(8, 50_000, 100_000, 1_000, ImmutableList.of("model"));
+        return Deployment.of(
+                1,
+                List.of(),
+                List.of(new BackEndService(ServiceName.of("engines"), Optional.of(engine), 100, "")),
+                List.of(QUICK, LARGE),
+                List.of(),
+                new RequestLimits(1, 1, Duration.ofSeconds(1), Duration.ofSeconds(1)));
+    }
+
+    private static CacheStore store(String name, int port, long tokens, double firstMillis) {
+        return new CacheStore(
+                StoreId.of(name), NetworkAddress.of("127.0.0.1", port), HERE, tokens, 40_000, 12, true, firstMillis);
+    }
+}
--- a/src/test/java/org/yuccagw/daemon/GatewayPathTest.java
+++ b/src/test/java/org/yuccagw/daemon/GatewayPathTest.java
@@ -8,11 +8,9 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
@@ -59,7 +57,8 @@
         keyValue.put(
                 PlatformDocuments.endpointKey("i-1"),
                 PlatformDocuments.endpoint("plain", endpoint.address(), "a", false));
-        settings = GatewaySettingsReader.parse(SmallDeployment.settings("entry-1", keyValue.address(), freePorts(4)));
+        settings = GatewaySettingsReader.parse(
+                SmallDeployment.settings("entry-1", keyValue.address(), SmallDeployment.freePorts(4)));
         daemon = GatewayDaemon.start(settings);
         await().atMost(LONG).until(() -> status(HttpQuery.get(settings.readiness(), SmallDeployment.READINESS)) == 200);
         await().atMost(LONG).until(() -> ask("/once/x").status() == 200);
@@ -251,17 +250,4 @@
         out.write(text.getBytes(StandardCharsets.ISO_8859_1));
         out.flush();
     }
-
-    private static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
-        List<Integer> ports = new ArrayList<>();
-        for (int index = 0; index < count; index++) {
-            sockets.add(new ServerSocket(0));
-            ports.add(sockets.get(index).getLocalPort());
-        }
-        for (ServerSocket socket : sockets) {
-            socket.close();
-        }
-        return ports;
-    }
 }
