--- a/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
+++ b/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
@@ -47,8 +47,17 @@
  * </ol>
  */
 public final class WeightOrdersPart implements ControlPart {
-    /** Of 13 engines 3, of 8 engines 2 load at once without slowing each other, as the operators' sheet says. */
-    static final double LOADING_AT_ONCE = 0.25;
+    /**
+     * Part of the engines that load at once. Every prompt is computed anew on the newer weights, which takes all that
+     * the engines have; what is missing meanwhile becomes a queue that lasts for ten seconds.
+     */
+    static final double LOADING_AT_ONCE = 0.14;
+
+    /** When time is short, more load at once, and none waits until its waiting requests have begun. */
+    static final double LOADING_AT_ONCE_IN_A_HURRY = 0.34;
+
+    /** Time is short from this part of the time on in which older weights may be used. */
+    static final double HURRY_FROM = 0.4;
 
     private static final Duration LOOK = Duration.ofMillis(100);
 
@@ -202,7 +211,8 @@
         for (ListedEndpoint engine : waiting) {
             if (hasRoom(engine)) {
                 Loading loading = new Loading(missing(engine).get());
-                loading.nextNanos = context.nowNanos() + NO_NEW_REQUESTS_BEFORE.toNanos();
+                Duration wait = isLate(engine) ? Duration.ZERO : NO_NEW_REQUESTS_BEFORE;
+                loading.nextNanos = context.nowNanos() + wait.toNanos();
                 inProgress.put(engine.id(), loading);
                 begun = true;
             }
@@ -223,7 +233,7 @@
         long ordered = pool.stream()
                 .filter(other -> inProgress.containsKey(other.id()) && inProgress.get(other.id()).ordered)
                 .count();
-        long atOnce = Math.max(1, Math.round(pool.size() * LOADING_AT_ONCE));
+        long atOnce = atOnce(engine, pool.size());
         return progressing - ordered < atOnce && progressing < 2 * atOnce;
     }
 
@@ -272,7 +282,20 @@
                 .filter(other -> other.getValue().ordered && engines.containsKey(other.getKey()))
                 .filter(other -> engines.get(other.getKey()).service().equals(engine.service()))
                 .count();
-        return loading.ordered || loadingNow < Math.max(1, Math.round(pool * LOADING_AT_ONCE));
+        return loading.ordered || loadingNow < atOnce(engine, pool);
+    }
+
+    private long atOnce(ListedEndpoint engine, long pool) {
+        double part = isLate(engine) ? LOADING_AT_ONCE_IN_A_HURRY : LOADING_AT_ONCE;
+        return Math.max(1, Math.round(pool * part));
+    }
+
+    private boolean isLate(ListedEndpoint engine) {
+        Duration hurry = Duration.ofNanos((long) (named.oldWeightsAllowed().toNanos() * HURRY_FROM));
+        return engine.weights().keySet().stream()
+                .anyMatch(model -> named.behindFor(model, runs(engine, model), context.nowNanos())
+                                .compareTo(hurry)
+                        > 0);
     }
 
     private void order(ListedEndpoint engine, Loading loading, EngineState state) {
