--- a/src/test/java/org/yuccagw/process/StreamedCall.java
+++ b/src/test/java/org/yuccagw/process/StreamedCall.java
@@ -24,6 +24,7 @@
     private volatile int status = NO_ANSWER;
     private volatile HeaderMap headers = new HeaderMap();
     private volatile boolean complete;
+    private volatile String failure = "";
 
     static StreamedCall begin(HttpCaller http, HttpQuery query, Duration silence) {
         StreamedCall call = new StreamedCall();
@@ -55,6 +56,7 @@
 
     @Override
     public void onFailure(Phase phase, boolean silent, IOException cause) {
+        failure = phase + (silent ? ", silent: " : ": ") + cause;
         over.complete(null);
     }
 
@@ -94,7 +96,7 @@
     /** For the message of a failing test. */
     String describe() {
         return "status " + status + (complete ? " complete, " : " broken off, ")
-                + events().ids().size() + " tokens, " + header("X-Request-Id") + " " + error();
+                + events().ids().size() + " tokens, " + header("X-Request-Id") + " " + error() + " " + failure;
     }
 
     /** The error object of the answer, also of one that broke off with an error event. */
