--- a/src/test/java/org/yuccagw/platform/KeyValueClientTest.java
+++ b/src/test/java/org/yuccagw/platform/KeyValueClientTest.java
@@ -90,6 +90,26 @@
         assertEquals(found.items().size(), 1);
     }
 
+    @Test
+    public void aWatchFromBeforeTheKeptHistoryIsToldSo() throws Exception {
+        KeyValueAnswer.Written first = (KeyValueAnswer.Written) call(swap("h/1", KeyValueCall.ABSENT, "x"));
+        call(swap("h/2", KeyValueCall.ABSENT, "x"));
+        service.compact();
+        assertEquals(
+                call(new KeyValueCall.Watch("h/", first.revision(), Duration.ofMillis(20))),
+                new KeyValueAnswer.HistoryGone());
+    }
+
+    // A service with many endpoints answers a list in pages. Whoever takes the first page for all drops the others.
+    @Test
+    public void aListOfManyPagesIsReadToItsEnd() throws Exception {
+        for (int index = 0; index < 1_200; index++) {
+            service.put(String.format("many/%04d", index), new byte[] {1});
+        }
+        KeyValueAnswer.Found found = (KeyValueAnswer.Found) call(new KeyValueCall.ReadPrefix("many/"));
+        assertEquals(found.items().size(), 1_200);
+    }
+
     // The service is gone. Each call would wait for its timeout, and a thousand entries would knock at its door the
     // moment that it tries to come back.
     @Test
