--- a/src/test/java/org/yuccagw/daemon/ScriptedEndpoint.java
+++ b/src/test/java/org/yuccagw/daemon/ScriptedEndpoint.java
@@ -18,20 +18,20 @@
 import org.yuccagw.core.id.NetworkAddress;
 
 /** An endpoint on a plain socket that answers each request as its path says; written byte by byte to be able to lie. */
-final class ScriptedEndpoint implements AutoCloseable {
+public final class ScriptedEndpoint implements AutoCloseable {
     private final ServerSocket server;
     private final List<Map<String, String>> requests = new CopyOnWriteArrayList<>();
     private final List<Socket> open = new CopyOnWriteArrayList<>();
     private final CountDownLatch callerGone = new CountDownLatch(1);
 
-    ScriptedEndpoint() throws IOException {
+    public ScriptedEndpoint() throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         Thread accepting = new Thread(this::accept, "scripted-endpoint");
         accepting.setDaemon(true);
         accepting.start();
     }
 
-    NetworkAddress address() {
+    public NetworkAddress address() {
         return NetworkAddress.of("127.0.0.1", server.getLocalPort());
     }
 
--- a/src/test/java/org/yuccagw/process/GatewayProcessTest.java
+++ b/src/test/java/org/yuccagw/process/GatewayProcessTest.java
@@ -20,7 +20,9 @@
 import org.yuccagw.adapters.http.HttpQuery;
 import org.yuccagw.adapters.settings.GatewaySettings;
 import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.daemon.ScriptedEndpoint;
 import org.yuccagw.platform.GatewaySettingsReader;
+import org.yuccagw.standins.http.ServiceFaults;
 import org.yuccagw.standins.keyvalue.KeyValueSettings;
 import org.yuccagw.standins.keyvalue.KeyValueStandIn;
 import org.yuccagw.standins.platform.SmallDeployment;
@@ -34,6 +36,7 @@
     private final List<GatewaySettings> settings = new ArrayList<>();
     private KeyValueStandIn keyValue;
     private HttpCaller caller;
+    private ScriptedEndpoint endpoint;
     private Path folder;
 
     @BeforeMethod
@@ -41,7 +44,8 @@
         folder = Files.createTempDirectory("gateways");
         keyValue = KeyValueStandIn.start(KeyValueSettings.usual());
         caller = HttpCaller.start(1);
-        SmallDeployment.at(keyValue.address()).publish(keyValue);
+        endpoint = new ScriptedEndpoint();
+        SmallDeployment.at(endpoint.address()).publish(keyValue);
         start("entry-1");
         start("entry-2");
         for (int index = 0; index < 2; index++) {
@@ -52,14 +56,47 @@
     }
 
     @AfterMethod(alwaysRun = true)
-    public void endAll() {
+    public void endAll() throws IOException {
         processes.forEach(Process::destroyForcibly);
         processes.clear();
         settings.clear();
         caller.stop();
+        endpoint.close();
         keyValue.stop();
     }
 
+    @Test
+    public void anAnswerComesThroughEveryEntryAsItsEndpointGaveIt() throws Exception {
+        for (GatewaySettings entry : settings) {
+            await().atMost(LONG).until(() -> status(entry.callers(), SmallDeployment.PLAIN + "x") == 200);
+            HttpAnswer answer = send(entry.callers(), SmallDeployment.PLAIN + "x");
+            assertEquals(answer.text(), "body");
+            assertEquals(answer.header("Yuccagw-Response-Seal"), "seal-1");
+        }
+    }
+
+    // Every entry loses power in the same moment and comes back while the service is away for a while longer. Until it
+    // returns nobody knows where requests go, so nobody may say that it is ready; then all serve again by themselves.
+    @Test
+    public void afterTheLossOfAllEntriesTheyServeAgainOnceTheServiceAnswers() throws Exception {
+        processes.forEach(Process::destroyForcibly);
+        for (Process process : processes) {
+            process.waitFor();
+        }
+        keyValue.order(new ServiceFaults(true, false, 0));
+        processes.clear();
+        for (GatewaySettings entry : settings) {
+            launch(entry.entry().value());
+        }
+        GatewaySettings first = settings.get(0);
+        await().atMost(LONG).until(() -> status(first.readiness(), SmallDeployment.READINESS) == 503);
+        assertEquals(status(first.callers(), SmallDeployment.PLAIN + "x"), 503);
+        keyValue.order(ServiceFaults.none());
+        for (GatewaySettings entry : settings) {
+            await().atMost(LONG).until(() -> status(entry.callers(), SmallDeployment.PLAIN + "x") == 200);
+        }
+    }
+
     // A VM loses power. Callers who ask the other entry must not be sent to the dead one, where each would lose a
     // second of its time on the connection.
     @Test
@@ -96,6 +133,11 @@
         Path file = folder.resolve(name + ".json");
         Files.write(file, document);
         settings.add(GatewaySettingsReader.parse(document));
+        launch(name);
+    }
+
+    private void launch(String name) throws IOException {
+        Path file = folder.resolve(name + ".json");
         Process process = new ProcessBuilder(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         "-Xmx112m",
