Give entries that tests start ports that the kernel gives to nobody else

Cause: GatewayProcessTest.startTwoEntries failed once, after a minute. The log of its first entry says "Address already in use": SmallDeployment.freePorts took ports from the kernel's own range and closed them, and before the entry listened another test that ran side by side had got one of them. Ruled out: the stop on a signal, which was being moved at that time; the entry never got that far. Change: ports come from below 32768, from a block by process number, each once.

--- a/src/main/java/org/yuccagw/standins/platform/SmallDeployment.java
+++ b/src/main/java/org/yuccagw/standins/platform/SmallDeployment.java
@@ -25,6 +25,21 @@
     private static final String HOST = "a.example";
     private static final String LOOPBACK = "127.0.0.1";
 
+    private static final int LOWEST_PORT = 10_000;
+
+    /** Linux gives connections the ports from 32768 on unless told otherwise. */
+    private static final int LOWEST_PORT_OF_THE_KERNEL = 32_768;
+
+    /** All tests together start 35 entries with four ports each and ask for 40 ports more: 180, doubled. */
+    private static final int PORTS_OF_ONE_PROCESS = 400;
+
+    private static final int PROCESSES = (LOWEST_PORT_OF_THE_KERNEL - LOWEST_PORT) / PORTS_OF_ONE_PROCESS;
+
+    private static final int FIRST_PORT_OF_THIS_PROCESS =
+            LOWEST_PORT + (int) (ProcessHandle.current().pid() % PROCESSES) * PORTS_OF_ONE_PROCESS;
+
+    private static int portsTried;
+
     private final NetworkAddress endpoint;
 
     private SmallDeployment(NetworkAddress endpoint) {
@@ -57,21 +72,39 @@
         return StandInJson.bytes(root);
     }
 
-    /** Ports that were free a moment ago. */
-    public static List<Integer> freePorts(int count) throws IOException {
-        List<ServerSocket> sockets = new ArrayList<>();
+    /**
+     * Ports that are free, each handed out once by this process.
+     *
+     * <p>They lie below those that the kernel chooses by itself: one of these may go to any connection between this
+     * call and the moment when an entry listens, and then the entry can't start. Processes that run side by side begin
+     * in different blocks, by their process number.
+     *
+     * @throws IOException when the block has no free ports left
+     */
+    public static synchronized List<Integer> freePorts(int count) throws IOException {
         List<Integer> ports = new ArrayList<>();
-        for (int index = 0; index < count; index++) {
-            ServerSocket socket = new ServerSocket(0);
-            sockets.add(socket);
-            ports.add(socket.getLocalPort());
-        }
-        for (ServerSocket socket : sockets) {
-            socket.close();
+        while (ports.size() < count) {
+            if (portsTried == PORTS_OF_ONE_PROCESS) {
+                throw new IOException("no free port left from " + FIRST_PORT_OF_THIS_PROCESS);
+            }
+            int port = FIRST_PORT_OF_THIS_PROCESS + portsTried;
+            portsTried++;
+            if (isFree(port)) {
+                ports.add(port);
+            }
         }
         return ports;
     }
 
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port)) {
+            return socket.isBound();
+        } catch (IOException taken) {
+            // Not an error: something listens there, so the next one is tried.
+            return false;
+        }
+    }
+
     /** A request as a caller sends it. */
     public static HttpQuery request(NetworkAddress entry, String path) {
         return HttpQuery.get(entry, path)
