End both daemons on a signal by one piece, and count loading engines once

GracefulExit.onSignal holds what stood in the entry and the gateway commands alike: stop, flush the log, exit with 0, or with a failure when stopping threw. In WeightOrdersPart the engines of a service and how many of them carry out an order were counted in two ways, for hasRoom and for mayOrder; both now ask sameService and orderedIn. Every engine in progress is a listed one, since forget removes it from both maps, so the two counts were the same number.

--- a/src/main/java/org/yuccagw/cli/EntryCommand.java
+++ b/src/main/java/org/yuccagw/cli/EntryCommand.java
@@ -3,7 +3,6 @@
 import java.nio.file.Path;
 import java.util.Locale;
 import java.util.concurrent.Callable;
-import org.apache.logging.log4j.LogManager;
 import org.yuccagw.adapters.settings.EntrySettings;
 import org.yuccagw.adapters.settings.EntrySettingsReader;
 import org.yuccagw.core.error.YuccagwException;
@@ -27,7 +26,7 @@
         EntrySettings settings = EntrySettingsReader.read(file);
         chooseLogStyle(settings);
         EntryDaemon daemon = EntryDaemon.start(settings);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stopAndExit(daemon), "graceful-stop"));
+        GracefulExit.onSignal(daemon::stop);
         daemon.awaitStopped();
         return ExitCode.OK;
     }
@@ -38,16 +37,4 @@
             System.setProperty(LOG_STYLE, settings.log().name().toLowerCase(Locale.ROOT));
         }
     }
-
-    /** Java would exit with 143 after SIGTERM, which a supervisor takes for a failure; a graceful stop is none. */
-    private static void stopAndExit(EntryDaemon daemon) {
-        int exitCode = ExitCode.FAILED;
-        try {
-            daemon.stop();
-            exitCode = ExitCode.OK;
-        } finally {
-            LogManager.shutdown();
-            Runtime.getRuntime().halt(exitCode);
-        }
-    }
 }
--- a/src/main/java/org/yuccagw/cli/GatewayCommand.java
+++ b/src/main/java/org/yuccagw/cli/GatewayCommand.java
@@ -32,7 +32,7 @@
             System.setProperty(LOG_LEVEL, settings.logLevel());
         }
         GatewayDaemon daemon = GatewayDaemon.start(settings);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stopAndExit(daemon), "graceful-stop"));
+        GracefulExit.onSignal(daemon::stop);
         HangUpSignal.handle(() -> reload(daemon));
         daemon.awaitStopped();
         return ExitCode.OK;
@@ -46,15 +46,4 @@
             LogManager.getLogger(GatewayCommand.class).warn("the settings stay as they were: {}", e.getMessage());
         }
     }
-
-    private static void stopAndExit(GatewayDaemon daemon) {
-        int exitCode = ExitCode.FAILED;
-        try {
-            daemon.stop();
-            exitCode = ExitCode.OK;
-        } finally {
-            LogManager.shutdown();
-            Runtime.getRuntime().halt(exitCode);
-        }
-    }
 }
--- a/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
+++ b/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
@@ -224,17 +224,25 @@
 
     /** While some engines load, as many others already take no new requests. */
     private boolean hasRoom(ListedEndpoint engine) {
-        List<ListedEndpoint> pool = engines.values().stream()
-                .filter(other -> other.service().equals(engine.service()))
-                .toList();
+        List<ListedEndpoint> pool = sameService(engine);
         long progressing = pool.stream()
                 .filter(other -> inProgress.containsKey(other.id()))
                 .count();
-        long ordered = pool.stream()
-                .filter(other -> inProgress.containsKey(other.id()) && inProgress.get(other.id()).ordered)
-                .count();
         long atOnce = atOnce(engine, pool.size());
-        return progressing - ordered < atOnce && progressing < 2 * atOnce;
+        return progressing - orderedIn(pool) < atOnce && progressing < 2 * atOnce;
+    }
+
+    private List<ListedEndpoint> sameService(ListedEndpoint engine) {
+        return engines.values().stream()
+                .filter(other -> other.service().equals(engine.service()))
+                .toList();
+    }
+
+    private long orderedIn(List<ListedEndpoint> pool) {
+        return pool.stream()
+                .map(other -> inProgress.get(other.id()))
+                .filter(loading -> loading != null && loading.ordered)
+                .count();
     }
 
     private Optional<ModelWeights> missing(ListedEndpoint engine) {
@@ -275,14 +283,8 @@
     }
 
     private boolean mayOrder(ListedEndpoint engine, Loading loading) {
-        long pool = engines.values().stream()
-                .filter(other -> other.service().equals(engine.service()))
-                .count();
-        long loadingNow = inProgress.entrySet().stream()
-                .filter(other -> other.getValue().ordered && engines.containsKey(other.getKey()))
-                .filter(other -> engines.get(other.getKey()).service().equals(engine.service()))
-                .count();
-        return loading.ordered || loadingNow < atOnce(engine, pool);
+        List<ListedEndpoint> pool = sameService(engine);
+        return loading.ordered || orderedIn(pool) < atOnce(engine, pool.size());
     }
 
     private long atOnce(ListedEndpoint engine, long pool) {
