Take the shorter and longer of two durations from the library everywhere

In ForwardMachine both ways of a failed attempt excluded its endpoint, each by a line of its own. In PlacingPart what a heartbeat says about loading engines went through a copy of markLoading, and whether a registration brings news was written as a double negation. Behaviour is as it was. 141 tests of forwarding, placing, following, membership, retries, peers, catalogue, weights and gateway pass.

--- a/src/main/java/org/yuccagw/adapters/http/KeepAlive.java
+++ b/src/main/java/org/yuccagw/adapters/http/KeepAlive.java
@@ -1,5 +1,6 @@
 package org.yuccagw.adapters.http;
 
+import com.google.common.collect.Comparators;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import java.time.Duration;
@@ -32,6 +33,6 @@
             return USUAL;
         }
         Duration limit = Duration.ofSeconds(Long.parseLong(digits)).minus(MARGIN);
-        return limit.compareTo(USUAL) < 0 ? limit : USUAL;
+        return Comparators.min(limit, USUAL);
     }
 }
--- a/src/main/java/org/yuccagw/core/catalogue/CatalogueFollower.java
+++ b/src/main/java/org/yuccagw/core/catalogue/CatalogueFollower.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.catalogue;
 
+import com.google.common.collect.Comparators;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -174,6 +175,6 @@
             }
         });
         Duration doubled = retry.multipliedBy(2);
-        retry = doubled.compareTo(LONGEST_RETRY) > 0 ? LONGEST_RETRY : doubled;
+        retry = Comparators.min(doubled, LONGEST_RETRY);
     }
 }
--- a/src/main/java/org/yuccagw/core/follow/FollowPart.java
+++ b/src/main/java/org/yuccagw/core/follow/FollowPart.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.follow;
 
+import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -32,7 +33,7 @@
  * <ul>
  *   <li>A key's revision never goes back: a late answer or a slow peer can't undo a newer write or removal.
  *   <li>A removal counts as a lapse that may be undone only in the first answer after an outage; any later one is told
- * by       a service that works.
+ *       by a service that works.
  *   <li>{@link #revision} is reached only by having taken in everything up to it, here or at the peer that told it, so
  *       a watch may go on from it.
  * </ul>
@@ -195,7 +196,7 @@
     private Duration nextRetry() {
         Duration wait = retry;
         Duration doubled = retry.multipliedBy(2);
-        retry = doubled.compareTo(LONGEST_RETRY) > 0 ? LONGEST_RETRY : doubled;
+        retry = Comparators.min(doubled, LONGEST_RETRY);
         return wait.plusMillis(context.random().nextInt(50));
     }
 
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.forward;
 
+import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableSet;
 import java.nio.ByteBuffer;
 import java.time.Duration;
@@ -102,7 +103,7 @@
         this.request = request;
         this.route = request.route();
         this.effects = effects;
-        Duration time = shorter(request.patience(), route.timeout());
+        Duration time = Comparators.min(request.patience(), route.timeout());
         this.endNanos = effects.nowNanos() + time.toNanos();
         this.events = new EventCutter(request.afterEvent());
     }
@@ -275,7 +276,7 @@
     private Duration headPatience(PlaceDecision.Placed chosen) {
         Duration byTarget = route.target().multipliedBy(route.streamed() ? TARGETS_TO_STREAM_HEAD : TARGETS_TO_HEAD);
         Duration byPrediction = Duration.ofMillis(chosen.firstByteMillis() * PREDICTIONS_TO_HEAD);
-        return longer(longer(byTarget, byPrediction), SHORTEST_SILENCE);
+        return Comparators.max(Comparators.max(byTarget, byPrediction), SHORTEST_SILENCE);
     }
 
     private void onRefused(YuccagwException error) {
@@ -389,12 +390,11 @@
             return;
         }
         endAttempt(end);
+        excluded.add(lastEndpoint);
         if (end == End.UNREACHED) {
-            excluded.add(lastEndpoint);
             afterNotRun(false);
             return;
         }
-        excluded.add(lastEndpoint);
         if (headSent) {
             events.dropPartial();
             goOnOrCut(detail);
@@ -422,7 +422,7 @@
             cut("the time of the request is over");
         } else if (mayHaveRun) {
             fail(ErrorKind.DEADLINE_PASSED.raise(
-                    shorter(request.patience(), route.timeout()).toMillis()));
+                    Comparators.min(request.patience(), route.timeout()).toMillis()));
         } else {
             fail(ErrorKind.NO_ENDPOINT.raise(request.service()));
         }
@@ -470,7 +470,7 @@
     }
 
     private Duration silence() {
-        return longer(route.longestGap().multipliedBy(GAPS_TO_SILENCE), SHORTEST_SILENCE);
+        return Comparators.max(route.longestGap().multipliedBy(GAPS_TO_SILENCE), SHORTEST_SILENCE);
     }
 
     private void abandonLeg(End end) {
@@ -518,12 +518,4 @@
     private Duration left() {
         return Duration.ofNanos(Math.max(0, endNanos - effects.nowNanos()));
     }
-
-    private static Duration shorter(Duration one, Duration other) {
-        return one.compareTo(other) < 0 ? one : other;
-    }
-
-    private static Duration longer(Duration one, Duration other) {
-        return one.compareTo(other) > 0 ? one : other;
-    }
 }
--- a/src/main/java/org/yuccagw/core/membership/MembershipPart.java
+++ b/src/main/java/org/yuccagw/core/membership/MembershipPart.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.membership;
 
+import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.Lists;
 import java.time.Duration;
@@ -273,7 +274,7 @@
     private void watchSuspicion(MemberRecord suspected) {
         int doublings = Integer.SIZE - Integer.numberOfLeadingZeros(table.size());
         Duration wait = SUSPICION_PER_DOUBLING.multipliedBy(doublings);
-        Duration limit = wait.compareTo(SHORTEST_SUSPICION) < 0 ? SHORTEST_SUSPICION : wait;
+        Duration limit = Comparators.max(wait, SHORTEST_SUSPICION);
         cancelSuspicion(suspected.entry());
         suspicions.put(suspected.entry(), context.after(limit, () -> {
             MemberRecord known = table.find(suspected.entry()).orElse(null);
@@ -368,8 +369,7 @@
 
     private void exchangeTable() {
         Duration wait = TABLE_EXCHANGE_PER_ENTRY.multipliedBy(table.size());
-        context.after(
-                wait.compareTo(SHORTEST_TABLE_EXCHANGE) < 0 ? SHORTEST_TABLE_EXCHANGE : wait, this::exchangeTable);
+        context.after(Comparators.max(wait, SHORTEST_TABLE_EXCHANGE), this::exchangeTable);
         List<EntryId> others = table.others();
         if (!others.isEmpty()) {
             EntryId partner = others.get(context.random().nextInt(others.size()));
--- a/src/main/java/org/yuccagw/core/peers/PeersPart.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersPart.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.peers;
 
+import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
@@ -208,7 +209,7 @@
 
     private Duration interval() {
         Duration grown = INTERVAL_PER_ENTRY.multipliedBy(peers.size() + 1L);
-        return grown.compareTo(SHORTEST_INTERVAL) > 0 ? grown : SHORTEST_INTERVAL;
+        return Comparators.max(grown, SHORTEST_INTERVAL);
     }
 
     private void sendToAll() {
--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -485,7 +485,7 @@
 
     private void relist(ListedEndpoint listed) {
         EndpointState known = endpoints.get(listed.id());
-        boolean news = known == null || known.leaving() != (known.leaving() || listed.leaving());
+        boolean news = known == null || (!known.leaving() && listed.leaving());
         if (known == null) {
             endpoints.put(listed.id(), new EndpointState(listed));
         } else {
@@ -516,16 +516,13 @@
 
     private void hear(PeersPart.PeerHeard heard) {
         replaceLoads(heard.entry(), heard.status().loads());
-        long until = context.nowNanos() + LOADING_HEARD.toNanos();
-        for (EndpointId loading : heard.status().loading()) {
-            markLoading(loading, until);
-        }
+        markLoading(heard.status().loading());
         for (PeerStatus.Weights heardWeights : heard.status().weights()) {
             hearWeights(heardWeights.endpoint(), heardWeights.runs());
         }
     }
 
-    /** Engines that load on this entry's own orders. */
+    /** Engines that load, on orders of this entry or of another. */
     public void markLoading(List<EndpointId> loading) {
         long until = context.nowNanos() + LOADING_HEARD.toNanos();
         loading.forEach(id -> markLoading(id, until));
--- a/src/main/java/org/yuccagw/core/retry/RetryPolicy.java
+++ b/src/main/java/org/yuccagw/core/retry/RetryPolicy.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.retry;
 
+import com.google.common.collect.Comparators;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
@@ -81,7 +82,7 @@
     private Duration waitBefore(RetrySituation situation, RandomGenerator random) {
         Duration jittered = backoff.before(situation.attempts(), random);
         Duration asked = situation.retryAfter().orElse(Duration.ZERO);
-        return asked.compareTo(jittered) > 0 ? asked : jittered;
+        return Comparators.max(asked, jittered);
     }
 
     private static GiveUp giveUp(ErrorKind error, boolean mayHaveRun, RetrySituation situation) {
--- a/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
@@ -1,5 +1,6 @@
 package org.yuccagw.daemon;
 
+import com.google.common.collect.Comparators;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
@@ -153,7 +154,7 @@
         server.closeConnectionsAfterAnswers();
         control.offer(new StopAsked());
         Duration grace = settings.bounds().stopGrace();
-        Duration open = shorter(
+        Duration open = Comparators.min(
                 settings.bounds().directoryTimeToLive().multipliedBy(DIRECTORY_KEPT), grace.minus(LAST_REQUESTS));
         awaitUntil(begunNanos + (long) (grace.toNanos() * STREAMS_SHARE_OF_GRACE), false);
         server.refuseNewStreams();
@@ -209,8 +210,4 @@
                 .getMap();
         return Xnio.getInstance().createWorker(options);
     }
-
-    private static Duration shorter(Duration one, Duration other) {
-        return one.compareTo(other) < 0 ? one : other;
-    }
 }
--- a/src/main/java/org/yuccagw/platform/CircuitBreaker.java
+++ b/src/main/java/org/yuccagw/platform/CircuitBreaker.java
@@ -1,5 +1,6 @@
 package org.yuccagw.platform;
 
+import com.google.common.collect.Comparators;
 import java.time.Duration;
 
 /**
@@ -39,7 +40,7 @@
         failuresInRow++;
         if (failuresInRow > FAILURES_TO_OPEN) {
             Duration doubled = interval.multipliedBy(2);
-            interval = doubled.compareTo(LONGEST_INTERVAL) > 0 ? LONGEST_INTERVAL : doubled;
+            interval = Comparators.min(doubled, LONGEST_INTERVAL);
         }
         if (failuresInRow >= FAILURES_TO_OPEN) {
             nextTrialNanos = nowNanos + interval.toNanos();
