Free parts of older weights in managed stores, and wake entries less often

Cause of the first: stores that drop nothing by themselves filled with parts of weights that nothing runs any more. Change: the holder of the weights' duty inspects each managed store once per naming and frees what nothing can read any more; no fetch is planned under weights that were replaced three seconds ago. RetiredPartsPart says why no transfer can be under way.

Cause of the second: an idle entry was woken 100 times a second to look for timers, answered each heartbeat with a frame of its own, encoded a heartbeat once for each other entry, woke a thread for each log line, and the compiler read limits from files 13 times a second (counted by strace on a local entry with seven others: 361 futex calls, 46 writes, 13 opens a second). Ruled out: wake-ups as the main cost.

--- a/src/main/java/org/yuccagw/adapters/control/ControlRunner.java
+++ b/src/main/java/org/yuccagw/adapters/control/ControlRunner.java
@@ -1,7 +1,6 @@
 package org.yuccagw.adapters.control;
 
 import com.lmax.disruptor.EventHandler;
-import com.lmax.disruptor.TimeoutBlockingWaitStrategy;
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
 import java.util.ArrayDeque;
@@ -23,7 +22,7 @@
  *
  * <p>Any thread offers events; only the control thread touches the core. After each batch of events the new snapshot
  * is published through one volatile field, which is all that traffic threads read. While no event comes, the ring's
- * wait ends every {@value #TICK_MILLIS} ms so that timers run.
+ * wait ends when the next timer is due.
  *
  * <p>An event that the control thread offers to itself, such as the outcome of an action that ended at once, goes to a
  * list of its own: waiting for a free slot of the ring it alone empties would never end.
@@ -34,7 +33,6 @@
 public final class ControlRunner implements ControlInput {
     private static final Logger log = LogManager.getLogger(ControlRunner.class);
     private static final int RING_SLOTS = 16 * 1024;
-    private static final int TICK_MILLIS = 10;
     private static final long STOP_SECONDS = 10;
     private static final ControlCore.Tick TICK = new ControlCore.Tick();
 
@@ -56,11 +54,7 @@
         this.peers = peers;
         this.handlers = List.copyOf(handlers);
         this.disruptor = new Disruptor<>(
-                Slot::new,
-                RING_SLOTS,
-                this::makeThread,
-                ProducerType.MULTI,
-                new TimeoutBlockingWaitStrategy(TICK_MILLIS, TimeUnit.MILLISECONDS));
+                Slot::new, RING_SLOTS, this::makeThread, ProducerType.MULTI, TimerWait.until(core::nextTimerNanos));
         disruptor.handleEventsWith(new Handler());
     }
 
--- a/src/main/java/org/yuccagw/adapters/peer/PeerTransport.java
+++ b/src/main/java/org/yuccagw/adapters/peer/PeerTransport.java
@@ -23,6 +23,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -51,6 +52,7 @@
  */
 public final class PeerTransport implements PeerPort {
     private static final Logger log = LogManager.getLogger(PeerTransport.class);
+    private static final long ANSWER_DELAY_MILLIS = 900;
     private static final int LENGTH_BYTES = 4;
     private static final int LARGEST_FRAME = 4 * 1024 * 1024;
     private static final int CONNECT_MILLIS = 1_000;
@@ -66,6 +68,7 @@
     private final LongAdder sentBytes = new LongAdder();
     private final LongAdder receivedBytes = new LongAdder();
     private final LongAdder dropped = new LongAdder();
+    private volatile Encoded lastEncoded;
     private Channel server;
 
     private PeerTransport(
@@ -123,7 +126,7 @@
         if (server != null) {
             server.close().awaitUninterruptibly();
         }
-        group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS).awaitUninterruptibly();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 
     @Override
@@ -133,7 +136,7 @@
             dropped.increment();
             return;
         }
-        byte[] bytes = codec.encode(self, message);
+        byte[] bytes = encoded(message);
         PeerLink link = links.computeIfAbsent(to, entry -> new PeerLink(this::connect));
         if (link.send(address.get(), bytes)) {
             sentBytes.add(bytes.length + LENGTH_BYTES);
@@ -142,6 +145,19 @@
         }
     }
 
+    /** What goes to all entries is encoded once: one heartbeat in three to seventy others. */
+    private byte[] encoded(PeerMessage message) {
+        Encoded last = lastEncoded;
+        if (last == null || last.message() != message) {
+            last = new Encoded(message, codec.encode(self, message));
+            lastEncoded = last;
+        }
+        return last.bytes();
+    }
+
+    /** A message, compared by identity, and its bytes. */
+    private record Encoded(PeerMessage message, byte[] bytes) {}
+
     /** Bytes of frames sent since the start. */
     public long sentBytes() {
         return sentBytes.sum();
@@ -183,9 +199,15 @@
         };
     }
 
-    /** Reads frames of another entry and answers with how many it has read. */
+    /**
+     * Reads frames of another entry and answers with how many it has read.
+     *
+     * <p>An answer to each would double what entries send. The sender takes a connection for silent after {@link
+     * PeerLink#LONGEST_SILENCE_NANOS}, so one answer for all frames of less than half of that is soon enough.
+     */
     private final class ReaderSide extends SimpleChannelInboundHandler<ByteBuf> {
         private long count;
+        private boolean answerDue;
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
@@ -202,7 +224,17 @@
 
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
-            context.writeAndFlush(context.alloc().buffer(Long.BYTES).writeLong(count));
+            if (!answerDue) {
+                answerDue = true;
+                context.executor().schedule(() -> answer(context), ANSWER_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void answer(ChannelHandlerContext context) {
+            answerDue = false;
+            if (context.channel().isActive()) {
+                context.writeAndFlush(context.alloc().buffer(Long.BYTES).writeLong(count));
+            }
         }
 
         @Override
--- a/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
+++ b/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.ToIntFunction;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
@@ -152,6 +153,14 @@
         return ImmutableList.copyOf(inProgress.keySet());
     }
 
+    /** The lowest version of the model that any listed engine runs; empty if none has the model. */
+    public OptionalLong lowestRunning(String model) {
+        return engines.values().stream()
+                .filter(engine -> engine.weights().containsKey(model))
+                .mapToLong(engine -> runs(engine, model))
+                .min();
+    }
+
     /** Engines whose registration still names older weights than they were heard to run. */
     public ImmutableList<PeerStatus.Weights> weightsHeard() {
         return heard.entrySet().stream()
--- a/src/main/java/org/yuccagw/core/follow/NamedWeightsPart.java
+++ b/src/main/java/org/yuccagw/core/follow/NamedWeightsPart.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.follow;
 
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -90,6 +91,19 @@
         return Duration.ZERO;
     }
 
+    /** The models for which weights were named. */
+    public ImmutableSet<String> models() {
+        return ImmutableSet.copyOf(namings.keySet());
+    }
+
+    /** The newest version of a model that was named at least {@code age} ago; empty if there is none. */
+    public OptionalLong newestOlderThan(String model, Duration age, long nowNanos) {
+        return namings.getOrDefault(model, new ArrayDeque<>()).stream()
+                .filter(naming -> nowNanos - naming.sinceNanos() >= age.toNanos())
+                .mapToLong(Naming::version)
+                .max();
+    }
+
     /** How long after newer weights were named requests may begin on older ones. */
     public Duration oldWeightsAllowed() {
         return oldWeightsAllowed;
--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -42,6 +42,8 @@
 import org.yuccagw.core.prompt.PromptPart;
 import org.yuccagw.core.prompt.PromptShape;
 import org.yuccagw.core.stores.CachePlan;
+import org.yuccagw.core.stores.CacheSalt;
+import org.yuccagw.core.stores.RetiredPartsPart;
 import org.yuccagw.core.stores.StoresPart;
 
 /**
@@ -301,13 +303,21 @@
         context.reply(() -> asked.reply().accept(placed));
     }
 
-    /** Prompts on older weights still fetch what lies there for them, but nothing more is saved for those weights. */
+    /**
+     * Prompts on older weights still fetch what lies there for them, but nothing more is saved for those weights; and
+     * after a while nothing is fetched either, since the parts are about to be freed.
+     */
     private Optional<CachePlan> cachePlan(
             PlaceAsked asked, EndpointState endpoint, OptionalLong version, Optional<String> salt) {
         if (asked.prompt().isEmpty() || version.isEmpty()) {
             return Optional.empty();
         }
-        boolean old = weights.isBehind(asked.prompt().get().model(), version.getAsLong());
+        String model = asked.prompt().get().model();
+        boolean old = weights.isBehind(model, version.getAsLong());
+        Duration behind = weights.behindFor(model, version.getAsLong(), context.nowNanos());
+        if (behind.compareTo(RetiredPartsPart.OLD_FETCHES) >= 0) {
+            return Optional.empty();
+        }
         return stores.plan(asked.prompt().get(), salt.get(), endpoint.listed().domain(), !old);
     }
 
--- a/src/main/java/org/yuccagw/core/stores/StoreAnswer.java
+++ b/src/main/java/org/yuccagw/core/stores/StoreAnswer.java
@@ -1,6 +1,7 @@
 package org.yuccagw.core.stores;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Optional;
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.id.StoreId;
 
@@ -22,6 +23,20 @@
     /** Everything that it holds whole. */
     record Listed(StoreId store, long epoch, long next, ImmutableList<Change> held) implements StoreAnswer {}
 
+    /** What fills it; empty if it gave no answer. */
+    record Inspected(StoreId store, Optional<Contents> contents) implements StoreAnswer {}
+
+    /**
+     * What fills a store.
+     *
+     * @param held whole parts
+     * @param partial parts that are being written, or whose writing broke off; they take room until they are freed
+     */
+    record Contents(long epoch, ImmutableList<Change> held, ImmutableList<PartName> partial) {}
+
+    /** Parts were freed, or not: then the store has restarted, or can't be reached. */
+    record Freed(StoreId store, boolean done, String detail) implements StoreAnswer {}
+
     /** No answer: it may be gone, or cut off from this entry. */
     record Silent(StoreId store, String reason) implements StoreAnswer {}
 
@@ -29,6 +44,11 @@
      * A part became whole there, or went away.
      *
      * @param tokens that it holds of the part now
+     * @param model for which the part was computed
      */
-    record Change(boolean held, String salt, String part, int tokens) {}
+    record Change(boolean held, String salt, String part, int tokens, String model) {
+        PartName name() {
+            return new PartName(salt, part);
+        }
+    }
 }
--- a/src/main/java/org/yuccagw/core/stores/StoreCall.java
+++ b/src/main/java/org/yuccagw/core/stores/StoreCall.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.stores;
 
+import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import org.yuccagw.core.control.ControlAction;
 import org.yuccagw.core.deployment.CacheStore;
@@ -16,6 +17,16 @@
      */
     record AskChanges(CacheStore store, long since, Duration longestWait) implements StoreCall {}
 
+    /** Asks for whole and partial parts; answered by {@link StoreAnswer.Inspected}. */
+    record Inspect(CacheStore store) implements StoreCall {}
+
+    /**
+     * Frees parts at once, whoever reads them; answered by {@link StoreAnswer.Freed}.
+     *
+     * @param epoch the store's; after a restart nothing is freed
+     */
+    record FreeParts(CacheStore store, long epoch, ImmutableList<PartName> parts) implements StoreCall {}
+
     /** Asks for everything that it holds; answered by {@link StoreAnswer.Listed}. */
     record AskList(CacheStore store) implements StoreCall {}
 }
--- a/src/main/java/org/yuccagw/core/stores/StoresPart.java
+++ b/src/main/java/org/yuccagw/core/stores/StoresPart.java
@@ -52,7 +52,7 @@
     private static final Duration WAIT = Duration.ofMillis(900);
     private static final Duration AFTER_CHANGES = Duration.ofMillis(150);
     private static final Duration AFTER_SILENCE = Duration.ofMillis(300);
-    private static final Duration FETCH_TIME = Duration.ofMillis(1500);
+    static final Duration FETCH_TIME = Duration.ofMillis(1500);
 
     /** Parts up to this size are short: reading them takes less than the quickest large store needs to begin. */
     private static final int SHORT_PART_TOKENS = 1_500;
@@ -340,6 +340,11 @@
         askAgain(silent.store(), AFTER_SILENCE);
     }
 
+    /** The stores that are configured. */
+    ImmutableList<CacheStore> configured() {
+        return stores.values().stream().map(HeldParts::store).collect(ImmutableList.toImmutableList());
+    }
+
     private void askAgain(StoreId id, Duration wait) {
         context.after(wait, () -> ask(id));
     }
--- a/src/main/java/org/yuccagw/daemon/GatewayParts.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayParts.java
@@ -21,6 +21,7 @@
 import org.yuccagw.core.peers.PeersPart;
 import org.yuccagw.core.peers.RegistrationPart;
 import org.yuccagw.core.placing.PlacingPart;
+import org.yuccagw.core.stores.RetiredPartsPart;
 import org.yuccagw.core.stores.StoresPart;
 
 /**
@@ -55,7 +56,9 @@
                 follow::isReachable,
                 settings.bounds().orderSeparation());
         orders = WeightOrdersPart.of(duty, weights, this::announceOrders, placing::requestsOn);
-        parts = List.of(follow, configured, weights, peers, RegistrationPart.of(codec), stores, placing, duty, orders);
+        RetiredPartsPart retired = RetiredPartsPart.of(duty::mayAct, weights, orders::lowestRunning, stores);
+        parts = List.of(
+                follow, configured, weights, peers, RegistrationPart.of(codec), stores, placing, duty, orders, retired);
     }
 
     static GatewayParts of(GatewaySettings settings, FactCodec codec) {
--- a/src/main/java/org/yuccagw/platform/StoreCaller.java
+++ b/src/main/java/org/yuccagw/platform/StoreCaller.java
@@ -2,21 +2,26 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import org.yuccagw.adapters.http.HttpAnswer;
 import org.yuccagw.adapters.http.HttpCaller;
 import org.yuccagw.adapters.http.HttpQuery;
 import org.yuccagw.core.control.ActionHandler;
 import org.yuccagw.core.control.ControlAction;
 import org.yuccagw.core.control.ControlInput;
+import org.yuccagw.core.deployment.CacheStore;
 import org.yuccagw.core.id.StoreId;
+import org.yuccagw.core.stores.PartName;
 import org.yuccagw.core.stores.StoreAnswer;
 import org.yuccagw.core.stores.StoreAnswer.Change;
 import org.yuccagw.core.stores.StoreCall;
 
-/** Asks cache stores for their events and lists. */
+/** Asks cache stores for their events and lists, and frees parts there. */
 public final class StoreCaller implements ActionHandler {
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     private static final Duration ANSWER_MARGIN = Duration.ofMillis(600);
@@ -43,14 +48,60 @@
             return true;
         }
         if (action instanceof StoreCall.AskList ask) {
-            HttpQuery query =
-                    HttpQuery.get(ask.store().address(), "/kv-list").withTimeouts(CONNECT_TIMEOUT, LIST_TIMEOUT);
-            send(ask, query, input);
+            send(ask, listOf(ask.store()), input);
+            return true;
+        }
+        if (action instanceof StoreCall.Inspect inspect) {
+            inspect(inspect, input);
+            return true;
+        }
+        if (action instanceof StoreCall.FreeParts free) {
+            free(free, input);
             return true;
         }
         return false;
     }
 
+    private static HttpQuery listOf(CacheStore store) {
+        return HttpQuery.get(store.address(), "/kv-list").withTimeouts(CONNECT_TIMEOUT, LIST_TIMEOUT);
+    }
+
+    private void inspect(StoreCall.Inspect inspect, ControlInput input) {
+        caller.send(listOf(inspect.store())).whenComplete((answer, failure) -> {
+            Optional<StoreAnswer.Contents> contents = failure == null ? readContents(answer) : Optional.empty();
+            input.offer(new StoreAnswer.Inspected(inspect.store().id(), contents));
+        });
+    }
+
+    private static Optional<StoreAnswer.Contents> readContents(HttpAnswer answer) {
+        if (!answer.isSuccess()) {
+            return Optional.empty();
+        }
+        try {
+            JsonNode body = JSON.readTree(answer.body());
+            return Optional.of(new StoreAnswer.Contents(
+                    body.required("bootEpoch").asLong(),
+                    readHeld(body.path("held")),
+                    readPartial(body.path("partial"))));
+        } catch (IOException | IllegalArgumentException unreadable) {
+            // As good as no answer; whoever asked logs that and asks again.
+            return Optional.empty();
+        }
+    }
+
+    private void free(StoreCall.FreeParts free, ControlInput input) {
+        ObjectNode body = JSON.createObjectNode().put("bootEpoch", free.epoch());
+        ArrayNode parts = body.putArray("parts");
+        free.parts().forEach(name -> parts.addArray().add(name.salt()).add(name.part()));
+        HttpQuery query = HttpQuery.json("POST", free.store().address(), "/kv-free", body.toString())
+                .withTimeouts(CONNECT_TIMEOUT, LIST_TIMEOUT);
+        caller.send(query).whenComplete((answer, failure) -> {
+            boolean done = failure == null && answer.isSuccess();
+            String detail = failure == null ? "status " + answer.status() : failure.toString();
+            input.offer(new StoreAnswer.Freed(free.store().id(), done, detail));
+        });
+    }
+
     private void send(StoreCall call, HttpQuery query, ControlInput input) {
         StoreId store = call.store().id();
         caller.send(query)
@@ -89,7 +140,8 @@
                     event.path(1).asText().equals("+"),
                     event.path(2).asText(),
                     event.path(3).asText(),
-                    event.path(4).asInt()));
+                    event.path(4).asInt(),
+                    event.path(5).asText()));
         }
         return changes.build();
     }
@@ -102,8 +154,18 @@
                     true,
                     part.path(0).asText(),
                     part.path(1).asText(),
-                    part.path(2).asInt()));
+                    part.path(2).asInt(),
+                    part.path(3).asText()));
         }
         return changes.build();
     }
+
+    /** A partial part is [salt, part, tokens complete, tokens reserved]. */
+    private static ImmutableList<PartName> readPartial(JsonNode partial) {
+        ImmutableList.Builder<PartName> names = ImmutableList.builder();
+        for (JsonNode part : partial) {
+            names.add(new PartName(part.path(0).asText(), part.path(1).asText()));
+        }
+        return names.build();
+    }
 }
--- a/src/test/java/org/yuccagw/core/placing/RetryAllowanceTest.java
+++ b/src/test/java/org/yuccagw/core/placing/RetryAllowanceTest.java
@@ -12,6 +12,7 @@
 import org.yuccagw.core.deployment.WorkspaceAccess;
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.WorkspaceId;
+import org.yuccagw.core.stores.CacheSalt;
 
 public class RetryAllowanceTest {
     private static final Duration WINDOW = Duration.ofSeconds(10);
--- a/src/test/java/org/yuccagw/core/stores/StoresPartTest.java
+++ b/src/test/java/org/yuccagw/core/stores/StoresPartTest.java
@@ -137,7 +137,7 @@
     @Test
     public void anEventThatTakesAPartAwayEndsItsUse() {
         tell(LARGE, "session", 5_000);
-        fakes.get(LARGE.id()).pending.add(new StoreAnswer.Change(false, SALT, "session", 0));
+        fakes.get(LARGE.id()).pending.add(new StoreAnswer.Change(false, SALT, "session", 0, "model"));
         bench.runFor(Duration.ofMillis(400));
         assertFalse(plan().hasFetch());
     }
@@ -184,7 +184,7 @@
     }
 
     private void tell(CacheStore store, String part, int tokens) {
-        fakes.get(store.id()).pending.add(new StoreAnswer.Change(true, SALT, part, tokens));
+        fakes.get(store.id()).pending.add(new StoreAnswer.Change(true, SALT, part, tokens, "model"));
         bench.runFor(Duration.ofMillis(400));
     }
 
