Tell the story of one request, and count outcomes and refusals, from entries' logs

Cause: on call, the lines of a request had to be searched by hand in the output of all entries, without what these believed meanwhile. Change: commands explain and summarize over a small library that reads decisions back. Tests: DecisionLogReadingTest.

--- a/src/main/java/org/yuccagw/cli/YuccagwTool.java
+++ b/src/main/java/org/yuccagw/cli/YuccagwTool.java
@@ -27,6 +27,8 @@
             ShardsCommand.class,
             DrainCommand.class,
             TraceCommand.class,
+            ExplainCommand.class,
+            SummarizeCommand.class,
             ExperimentCommand.class,
             DemoCommand.class,
             DevCommand.class,
--- /dev/null
+++ b/src/test/java/org/yuccagw/adapters/decisions/DecisionLogReadingTest.java
@@ -0,0 +1,72 @@
+package org.yuccagw.adapters.decisions;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.testng.annotations.Test;
+
+public class DecisionLogReadingTest {
+    private static final List<DecisionLine> LOG = read(
+            "entry-2 2026-06-25T18:41:09,000+0000 INFO  decisions    event=\"dependency-lost\" dependency=\"store a\"",
+            "entry-1 2026-06-25T18:41:08,900+0000 INFO  decisions    event=\"endpoint-avoided\" endpoint=\"i-1\"",
+            "entry-1 2026-06-25T18:41:08,950+0000 INFO  decisions    event=\"endpoint-avoided\" endpoint=\"i-9\"",
+            "entry-1 2026-06-25T18:41:10,138+0000 INFO  decisions    event=\"refused\" reason=\"wait too long\""
+                    + " request=\"r1\"",
+            "entry-1 2026-06-25T18:41:09,138+0000 INFO  decisions    event=\"placed\" endpoint=\"i-1\" request=\"r1\"",
+            "entry-1 2026-06-25T18:41:10,139+0000 INFO  decisions    event=\"ended\" first_byte_ms=\"-1\""
+                    + " outcome=\"overloaded\" request=\"r1\"",
+            "entry-2 2026-06-25T18:41:09,139+0000 INFO  decisions    event=\"placed\" endpoint=\"i-1\" request=\"r2\"",
+            "entry-2 2026-06-25T18:41:10,150+0000 INFO  decisions    event=\"ended\" first_byte_ms=\"40\""
+                    + " outcome=\"answered 200\" request=\"r2\"",
+            "not a decision at all");
+
+    private static List<DecisionLine> read(String... lines) {
+        return List.of(lines).stream()
+                .map(line -> DecisionLine.parse(line, "file.log"))
+                .flatMap(Optional::stream)
+                .toList();
+    }
+
+    @Test
+    public void aLineKeepsItsEntryItsTimeAndItsFields() {
+        DecisionLine line = LOG.get(0);
+        assertEquals(line.entry(), "entry-2");
+        assertEquals(line.time().toString(), "2026-06-25T18:41:09Z");
+        assertEquals(line.field("dependency"), "store a");
+        assertEquals(line.text(), "dependency-lost dependency=store a");
+    }
+
+    @Test
+    public void aLineWithoutAnEntryIsOfTheFileItStandsIn() {
+        String line = "2026-06-25T18:41:09,000+0000 INFO  decisions    event=\"ready\"";
+        assertEquals(DecisionLine.parse(line, "file.log").orElseThrow().entry(), "file.log");
+    }
+
+    @Test
+    public void theStoryOfARequestIsInOrderAndNamesWhatWasBelievedOfItsEndpoints() {
+        String text = RequestStory.of("r1", LOG).text();
+        assertTrue(text.indexOf("endpoint-avoided endpoint=i-1") < text.indexOf("placed"), text);
+        assertTrue(text.indexOf("placed") < text.indexOf("refused"), text);
+        assertTrue(text.indexOf("refused") < text.indexOf("outcome=overloaded"), text);
+        assertFalse(text.contains("i-9"), text);
+        assertFalse(text.contains("r2"), text);
+        assertFalse(text.contains("store a"), text);
+        assertTrue(RequestStory.of("r2", LOG).text().contains("store a"));
+    }
+
+    @Test
+    public void anUnknownRequestHasNoStory() {
+        assertFalse(RequestStory.of("r3", LOG).isKnown());
+    }
+
+    @Test
+    public void theSummaryCountsOutcomesAndRefusalsAndMeasuresAnswersThatBegan() {
+        LogSummary summary = LogSummary.of(LOG);
+        assertEquals(summary.outcomes().toString(), "{answered 200=1, overloaded=1}");
+        assertEquals(summary.refusals().toString(), "{wait too long=1}");
+        assertEquals(summary.seconds(), List.of(new LogSummary.Second(0, 1, 40, 40)));
+    }
+}
