--- a/src/main/java/org/yuccagw/core/peers/PeersPart.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersPart.java
@@ -203,7 +203,8 @@
      * Tells all entries at once when this one becomes ready or stops being so.
      *
      * <p>Guards against directories that lack an entry which could serve: after a loss of power of all entries each
-     * came back 0.3 s later than it had to, the time until its next heartbeat, and callers crowd the few that are named.
+     * came back 0.3 s later than it had to, the time until its next heartbeat, and callers crowded the few that were
+     * named.
      */
     private void noteReadiness() {
         String reason = reason();
