Tell entries that become known after this one is ready

Change: an entry that is ready sends its status to each entry that it learns of. Test: anEntryThatComesBackIsInEveryDirectoryAtOnce, green now with the rest of GatewayCoreTest, GatewayStopTest, GatewayPathTest, GatewayProcessTest.

--- a/src/main/java/org/yuccagw/core/peers/PeersPart.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersPart.java
@@ -296,8 +296,12 @@
         if (contact.entry().equals(context.self().entry())) {
             return;
         }
+        boolean isNew = !peers.containsKey(contact.entry());
         Peer peer = peers.computeIfAbsent(contact.entry(), name -> new Peer(contact, context.nowNanos()));
         peer.listed = true;
+        if (isNew && wasReady) {
+            context.send(contact.entry(), status());
+        }
         if (contact.incarnation() > peer.contact.incarnation()) {
             peer.contact = contact;
         }
