Bound what all entries send to a cold endpoint, and spare evacuated failure domains

Cause: nothing read a service's bound on requests to cold endpoints, and nothing read evacuations. In virtual time 52 to 93 prompts went to one cold engine in a second, where 19.7 are allowed, and evacuated engines were used on.

Change: a cold endpoint gets requests only from the two leads of its domain, or from every known entry of a mesh, each with an equal part of the bound (ColdLimit). An evacuated domain's endpoints aren't usable, and count as cold for the service's cold time once the evacuation is taken back, since their registrations tell up to a heartbeat later.

Ruled out: a share for each entry of a large fleet, which is below one request a second, so cold endpoints would idle.

--- a/src/main/java/org/yuccagw/adapters/settings/GatewaySettings.java
+++ b/src/main/java/org/yuccagw/adapters/settings/GatewaySettings.java
@@ -6,6 +6,7 @@
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.core.placing.ColdBounds;
 import org.yuccagw.core.placing.RetryBounds;
 
 /**
@@ -38,6 +39,7 @@
     /**
      * What the platform promises and demands.
      *
+     * @param cold by how much requests may pass what cold endpoints bear
      * @param stopGrace time between the request to stop and the end by force
      * @param orderSeparation least time between the orders of two holders to one engine
      * @param oldWeightsAllowed how long after newer weights were named requests may begin on older ones
@@ -46,6 +48,7 @@
      */
     public record Bounds(
             RetryBounds retries,
+            ColdBounds cold,
             Duration stopGrace,
             Duration orderSeparation,
             Duration oldWeightsAllowed,
--- a/src/main/java/org/yuccagw/core/follow/Fact.java
+++ b/src/main/java/org/yuccagw/core/follow/Fact.java
@@ -6,6 +6,7 @@
 import org.yuccagw.core.fleet.ModelWeights;
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EntryId;
+import org.yuccagw.core.id.FailureDomain;
 
 /** What one key of the key-value service says. */
 public sealed interface Fact {
@@ -24,6 +25,9 @@
     /** An entry holds a duty under its lease. */
     record DutyHeld(String duty, EntryId holder, long incarnation) implements Fact {}
 
+    /** Operators want nothing more sent to the endpoints of a failure domain, until the key is removed. */
+    record DomainEvacuated(FailureDomain domain) implements Fact {}
+
     /** The key that says a fact is gone, and with it the fact. */
     sealed interface Subject {
         record EndpointSubject(EndpointId endpoint) implements Subject {}
@@ -32,6 +36,8 @@
 
         record DutySubject(String duty) implements Subject {}
 
+        record EvacuationSubject(FailureDomain domain) implements Subject {}
+
         /** A key whose removal means nothing. */
         record OtherSubject(String key) implements Subject {}
     }
--- a/src/main/java/org/yuccagw/core/peers/PeersPart.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersPart.java
@@ -56,6 +56,9 @@
  * lead some 45 each, where a mesh at the same interval sends and receives 190 at every entry.
  */
 public final class PeersPart implements ControlPart {
+    /** How many entries lead one failure domain at most. */
+    public static final int LEADS_OF_DOMAIN = LeadOrder.LEADS;
+
     /** In a mesh of 16 an entry sends 50 messages a second, as much as a lead of 16 others. */
     static final int MOST_IN_MESH = 16;
 
@@ -192,6 +195,24 @@
         return 1 + peers.aliveCount();
     }
 
+    /** Entries of which this one knows, those that have died lately and this one included. */
+    public int knownCount() {
+        return 1 + peers.size();
+    }
+
+    /** Whether over half of the known entries of the own failure domain are alive, this one included. */
+    public boolean hearsMostOfOwnDomain() {
+        int known = 1;
+        int alive = 1;
+        for (Peer peer : peers.all()) {
+            if (peer.contact().domain().equals(ownDomain)) {
+                known++;
+                alive += peer.isAlive() ? 1 : 0;
+            }
+        }
+        return alive * 2 > known;
+    }
+
     /** Entries that are alive and take requests, this one included if it does, in the order of their ids. */
     public List<EntryId> serving() {
         return FleetView.ids(view().serving());
--- a/src/main/java/org/yuccagw/core/placing/EndpointState.java
+++ b/src/main/java/org/yuccagw/core/placing/EndpointState.java
@@ -1,6 +1,7 @@
 package org.yuccagw.core.placing;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -39,14 +40,18 @@
     private long loadingUntilNanos = Long.MIN_VALUE;
     private int unreachedInRow;
     private double faultShare;
+    private boolean evacuated;
+    private long coldUntilNanos = Long.MIN_VALUE;
+    private final ArrayDeque<Long> sentNanos = new ArrayDeque<>();
     private final Map<String, Heard> heardVersions = new HashMap<>();
 
     /** Weights that were heard of otherwise than by the registration. */
     private record Heard(long version, long sinceNanos) {}
 
-    EndpointState(ListedEndpoint listed) {
+    EndpointState(ListedEndpoint listed, long nowNanos) {
         this.listed = listed;
         this.leaving = listed.leaving();
+        coldFor(Duration.ofMillis(listed.coldMillis()), nowNanos);
     }
 
     ListedEndpoint listed() {
@@ -61,6 +66,7 @@
                 .removeIf(heard -> nowNanos - heard.sinceNanos() > WeightOrdersPart.REGISTRATION_LAG.toNanos());
         leaving |= newer.leaving();
         usableUntilNanos = Long.MAX_VALUE;
+        coldFor(Duration.ofMillis(newer.coldMillis()), nowNanos);
     }
 
     void leave() {
@@ -77,13 +83,51 @@
     }
 
     boolean isUsable(long nowNanos) {
-        return !leaving && (usableUntilNanos == Long.MAX_VALUE || nowNanos - usableUntilNanos < 0);
+        return !leaving && !evacuated && (usableUntilNanos == Long.MAX_VALUE || nowNanos - usableUntilNanos < 0);
     }
 
     boolean isForgettable(long nowNanos) {
         return usableUntilNanos != Long.MAX_VALUE && nowNanos - usableUntilNanos > 0 && own.requests() == 0;
     }
 
+    /** Whether nothing may be sent to its failure domain. */
+    void evacuated(boolean nowEvacuated) {
+        evacuated = nowEvacuated;
+    }
+
+    // ---- Cold.
+
+    /** It is cold for so long from now on, whatever was known before. */
+    void coldFor(Duration left, long nowNanos) {
+        coldUntilNanos = left.isZero() ? Long.MIN_VALUE : nowNanos + left.toNanos();
+    }
+
+    boolean isCold(long nowNanos) {
+        return coldLeftMillis(nowNanos) > 0;
+    }
+
+    long coldLeftMillis(long nowNanos) {
+        return coldUntilNanos == Long.MIN_VALUE ? 0 : Math.max(0, (coldUntilNanos - nowNanos) / 1_000_000);
+    }
+
+    /** Notes that a request is sent there now. */
+    void sent(long nowNanos) {
+        forgetSent(nowNanos);
+        sentNanos.add(nowNanos);
+    }
+
+    /** How many requests this entry sent there within the last {@link ColdLimit#SPAN}. */
+    int sentLately(long nowNanos) {
+        forgetSent(nowNanos);
+        return sentNanos.size();
+    }
+
+    private void forgetSent(long nowNanos) {
+        while (!sentNanos.isEmpty() && nowNanos - sentNanos.peek() >= ColdLimit.SPAN.toNanos()) {
+            sentNanos.remove();
+        }
+    }
+
     // ---- Load.
 
     /** Counts work of this entry; what ended is given back by {@link #remove}. */
--- a/src/main/java/org/yuccagw/core/placing/EndpointTable.java
+++ b/src/main/java/org/yuccagw/core/placing/EndpointTable.java
@@ -4,18 +4,24 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.control.PeerReceived;
+import org.yuccagw.core.deployment.BackEndService;
+import org.yuccagw.core.deployment.ColdTraits;
+import org.yuccagw.core.deployment.Deployment;
 import org.yuccagw.core.duty.WeightOrdersPart;
 import org.yuccagw.core.fleet.ListedEndpoint;
 import org.yuccagw.core.fleet.ModelWeights;
+import org.yuccagw.core.follow.ConfiguredPart;
 import org.yuccagw.core.follow.Fact;
 import org.yuccagw.core.follow.FactGone;
 import org.yuccagw.core.follow.FactSeen;
@@ -23,6 +29,8 @@
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
+import org.yuccagw.core.id.FailureDomain;
+import org.yuccagw.core.id.ServiceName;
 import org.yuccagw.core.peers.PeerStatus;
 import org.yuccagw.core.peers.PeersPart;
 
@@ -40,6 +48,8 @@
     private final Map<EndpointId, EndpointState> endpoints = new LinkedHashMap<>();
     private final Map<EntryId, Map<EndpointIncarnation, Work>> peerLoads = new HashMap<>();
     private final Map<EntryId, List<EndpointIncarnation>> loadingBy = new HashMap<>();
+    private final Set<FailureDomain> evacuated = new HashSet<>();
+    private Optional<Deployment> deployment = Optional.empty();
     private ControlContext context;
 
     void start(ControlContext startContext) {
@@ -52,6 +62,12 @@
             list(listed.endpoint());
         } else if (event instanceof FactGone gone && gone.subject() instanceof Fact.Subject.EndpointSubject subject) {
             unlist(subject.endpoint(), gone.afterOutage());
+        } else if (event instanceof FactSeen seen && seen.fact() instanceof Fact.DomainEvacuated fact) {
+            evacuate(fact.domain());
+        } else if (event instanceof FactGone gone && gone.subject() instanceof Fact.Subject.EvacuationSubject subject) {
+            endEvacuation(subject.domain());
+        } else if (event instanceof ConfiguredPart.Applied applied) {
+            deployment = Optional.of(applied.deployment());
         } else if (event instanceof PeersPart.PeerHeard heard) {
             hear(heard);
         } else if (event instanceof PeerReceived received && received.message() instanceof LoadNews news) {
@@ -124,7 +140,9 @@
         boolean first = known == null || known.listed().incarnation().isBefore(listed.incarnation());
         boolean news = first || (!known.leaving() && listed.leaving());
         if (first) {
-            endpoints.put(listed.id(), new EndpointState(listed));
+            EndpointState state = new EndpointState(listed, context.nowNanos());
+            state.evacuated(evacuated.contains(listed.domain()));
+            endpoints.put(listed.id(), state);
         } else {
             known.relist(listed, context.nowNanos());
         }
@@ -148,6 +166,58 @@
                 .with("after_outage", afterOutage));
     }
 
+    // ---- Evacuation of failure domains.
+
+    /**
+     * Sends nothing more to the endpoints of a failure domain. What runs there goes on to its end: callers are waiting
+     * for it, and only what begins later is forbidden.
+     */
+    private void evacuate(FailureDomain domain) {
+        evacuated.add(domain);
+        note("domain-evacuated", domain);
+        in(domain).forEach(endpoint -> endpoint.evacuated(true));
+    }
+
+    /**
+     * Uses the endpoints of a failure domain again, as cold ones.
+     *
+     * <p>Guards against a rush that ends them: they turn cold while nobody uses them, and say so with their next
+     * registration only, up to a heartbeat later; until then they look like the emptiest ones of all.
+     */
+    private void endEvacuation(FailureDomain domain) {
+        if (!evacuated.remove(domain)) {
+            return;
+        }
+        note("domain-evacuation-ended", domain);
+        in(domain).forEach(endpoint -> {
+            endpoint.evacuated(false);
+            Duration cold = coldTraits(endpoint.listed().service()).lasts();
+            if (!cold.isZero()) {
+                endpoint.coldFor(cold, context.nowNanos());
+            }
+        });
+    }
+
+    private List<EndpointState> in(FailureDomain domain) {
+        return endpoints.values().stream()
+                .filter(endpoint -> endpoint.listed().domain().equals(domain))
+                .toList();
+    }
+
+    private void note(String decision, FailureDomain domain) {
+        context.perform(Decision.of(decision)
+                .with("domain", domain)
+                .with("endpoints", in(domain).size()));
+    }
+
+    /** What cold endpoints of the service bear. */
+    ColdTraits coldTraits(ServiceName service) {
+        return deployment
+                .flatMap(known -> known.service(service))
+                .map(BackEndService::cold)
+                .orElse(ColdTraits.NEVER_COLD);
+    }
+
     private void forget() {
         context.after(FORGET_INTERVAL, this::forget);
         endpoints.values().removeIf(endpoint -> endpoint.isForgettable(context.nowNanos()));
--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -67,6 +67,7 @@
     private static final Duration SUSPECT_RETRY_AFTER = Duration.ofSeconds(20);
 
     private final RetryBounds bounds;
+    private final ColdLimit cold;
     private final NamedWeightsPart weights;
     private final StoresPart stores;
     private final PromptNeeds needs;
@@ -83,6 +84,7 @@
     private EndpointChoice choice;
     private long nextTicket = 1;
     private boolean lookScheduled;
+    private long startedNanos;
 
     /** An attempt on its way. */
     private static final class Running {
@@ -109,12 +111,14 @@
 
     private PlacingPart(
             RetryBounds bounds,
+            ColdBounds coldBounds,
             NamedWeightsPart weights,
             StoresPart stores,
             EngineCachesPart caches,
             Fleet fleet,
             Answers answers) {
         this.bounds = bounds;
+        this.cold = new ColdLimit(coldBounds);
         this.stores = stores;
         this.needs = new PromptNeeds(stores, caches);
         this.weights = weights;
@@ -125,6 +129,7 @@
     /**
      * The placing of one entry.
      *
+     * @param coldBounds of what all entries send to cold endpoints
      * @param weights which weights are named
      * @param stores plans what is fetched from and saved to cache stores
      * @param caches what engines hold themselves
@@ -133,12 +138,13 @@
      */
     public static PlacingPart of(
             RetryBounds bounds,
+            ColdBounds coldBounds,
             NamedWeightsPart weights,
             StoresPart stores,
             EngineCachesPart caches,
             Fleet fleet,
             Answers answers) {
-        return new PlacingPart(bounds, weights, stores, caches, fleet, answers);
+        return new PlacingPart(bounds, coldBounds, weights, stores, caches, fleet, answers);
     }
 
     /** The entries that place requests. */
@@ -149,6 +155,12 @@
         /** Into how many equal parts the slack of the retry budget is divided, of which this entry has one. */
         int retryShares();
 
+        /**
+         * Into how many equal parts the bound on requests to one cold endpoint of a failure domain is divided, of which
+         * this entry has one; 0 if it has none.
+         */
+        int coldShares(FailureDomain domain);
+
         /** Sends to all others that place requests. */
         void tellAll(PeerMessage message);
 
@@ -167,6 +179,7 @@
     @Override
     public void start(ControlContext startContext) {
         context = startContext;
+        startedNanos = context.nowNanos();
         endpoints.start(startContext);
         choice = new EndpointChoice(
                 new Scoring(context.self().domain()),
@@ -357,6 +370,7 @@
         Work work = Work.ofOne(tokens, chosen.need().map(PromptNeed::readTokens).orElse(0));
         boolean alone = endpoint.work().unreadTokens() == 0;
         endpoint.add(work);
+        endpoint.sent(context.nowNanos());
         tellIfLong(endpoint, work);
         running.put(ticket, new Running(chosen, asked, work, alone, context.nowNanos()));
         OptionalLong version = asked.prompt().isPresent()
@@ -462,8 +476,9 @@
     }
 
     /**
-     * The endpoints that may take the request now. One that loads, has just turned a request away or couldn't be
-     * reached is none while others are there; if all are like that, those that couldn't be reached are tried.
+     * The endpoints that may take the request now. One that loads, is cold and has got all that it bears, has just
+     * turned a request away or couldn't be reached is none while others are there; if all are like that, those that
+     * couldn't be reached are tried.
      */
     private List<EndpointState> candidates(PlaceAsked asked) {
         long now = context.nowNanos();
@@ -476,7 +491,7 @@
             }
             if (endpoint.isAvoided(now)) {
                 unreached.add(endpoint);
-            } else if (endpoint.isLoading(now) || endpoint.hasJustShed(now)) {
+            } else if (endpoint.isLoading(now) || endpoint.hasJustShed(now) || !bearsAnother(endpoint)) {
                 soon = true;
             } else {
                 ready.add(endpoint);
@@ -485,6 +500,17 @@
         return ready.isEmpty() && !soon ? unreached : ready;
     }
 
+    /** Whether the endpoint isn't cold, or this entry may send one more request to it all the same. */
+    private boolean bearsAnother(EndpointState endpoint) {
+        long now = context.nowNanos();
+        if (!endpoint.isCold(now)) {
+            return true;
+        }
+        boolean knowsFleet = now - startedNanos >= ColdLimit.FLEET_UNKNOWN.toNanos();
+        int shares = knowsFleet ? fleet.coldShares(endpoint.listed().domain()) : 0;
+        return cold.allows(endpoint, endpoints.coldTraits(endpoint.listed().service()), shares, now);
+    }
+
     private boolean mayTake(EndpointState endpoint, PlaceAsked asked) {
         return endpoint.listed().service().equals(asked.service())
                 && endpoint.isUsable(context.nowNanos())
--- a/src/main/java/org/yuccagw/core/placing/Scoring.java
+++ b/src/main/java/org/yuccagw/core/placing/Scoring.java
@@ -112,7 +112,7 @@
                 + (endpoint.hasJustShed(nowNanos) ? SHED_MILLIS : 0)
                 + (endpoint.isAvoided(nowNanos) ? AVOIDED_MILLIS : 0)
                 + (endpoint.isLoading(nowNanos) ? LOADING_MILLIS : 0)
-                + Math.min(endpoint.listed().coldMillis(), MOST_COLD_MILLIS) * COLD_MILLIS_SHARE;
+                + Math.min(endpoint.coldLeftMillis(nowNanos), MOST_COLD_MILLIS) * COLD_MILLIS_SHARE;
     }
 
     private static double farMillis(PromptShape prompt) {
--- a/src/main/java/org/yuccagw/daemon/GatewayParts.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayParts.java
@@ -45,6 +45,7 @@
     private static final String WEIGHTS_DUTY = "weights";
 
     private final EntryId self;
+    private final FailureDomain ownDomain;
     private final FollowPart follow;
     private final ConfiguredPart configured;
     private final PeersPart peers;
@@ -56,6 +57,7 @@
 
     private GatewayParts(GatewaySettings settings, FactCodec codec) {
         self = settings.entry();
+        ownDomain = settings.domain();
         follow = FollowPart.of(
                 codec,
                 settings.bounds().keysUnconfirmed().isPresent() ? FollowPart.Fleet.ofWatchers() : new Following());
@@ -65,7 +67,8 @@
         stores = StoresPart.of(peers::firstLeads);
         EngineCachesPart caches = EngineCachesPart.of(peers::ownLeads);
         PlacingDesk desk = PlacingDesk.of(this::workOf);
-        placing = PlacingPart.of(settings.bounds().retries(), weights, stores, caches, new Placing(), desk);
+        placing = PlacingPart.of(
+                settings.bounds().retries(), settings.bounds().cold(), weights, stores, caches, new Placing(), desk);
         PlacingRelay relay = PlacingRelay.of(this::leadsToAsk, placing::usableEndpoint);
         duty = DutyPart.of(
                 WEIGHTS_DUTY,
@@ -182,6 +185,16 @@
             return leading ? leads.size() : SHARES_OF_LONE_ENTRY * peers.aliveCount();
         }
 
+        /** One share for each known entry of a mesh; else one for each lead of the endpoint's failure domain. */
+        @Override
+        public int coldShares(FailureDomain domain) {
+            if (peers.isMeshed()) {
+                return peers.knownCount();
+            }
+            boolean leads = peers.ownLeads().contains(self) && peers.hearsMostOfOwnDomain();
+            return leads && domain.equals(ownDomain) ? PeersPart.LEADS_OF_DOMAIN : 0;
+        }
+
         @Override
         public void tellAll(PeerMessage message) {
             peers.tellAll(message);
--- a/src/main/java/org/yuccagw/platform/DeploymentReader.java
+++ b/src/main/java/org/yuccagw/platform/DeploymentReader.java
@@ -10,6 +10,7 @@
 import java.util.OptionalInt;
 import org.yuccagw.core.deployment.BackEndService;
 import org.yuccagw.core.deployment.CacheStore;
+import org.yuccagw.core.deployment.ColdTraits;
 import org.yuccagw.core.deployment.Deployment;
 import org.yuccagw.core.deployment.EngineTraits;
 import org.yuccagw.core.deployment.RequestLimits;
@@ -33,6 +34,7 @@
     private static final int USUAL_TARGET_MILLIS = 500;
     private static final int USUAL_GAP_MILLIS = 500;
     private static final int USUAL_WATCHERS = 4;
+    private static final int MILLIS_IN_SECOND = 1_000;
 
     private DeploymentReader() {}
 
@@ -99,7 +101,14 @@
                 ServiceName.of(service.required("name").asText()),
                 service.hasNonNull("engine") ? Optional.of(readEngine(service.path("engine"))) : Optional.empty(),
                 service.path("maxConnections").asInt(0),
-                service.path("healthPath").asText(""));
+                service.path("healthPath").asText(""),
+                readCold(service));
+    }
+
+    private static ColdTraits readCold(JsonNode service) {
+        long millis = Math.round(service.path("coldStartS").asDouble(0) * MILLIS_IN_SECOND);
+        return new ColdTraits(
+                Duration.ofMillis(millis), service.path("coldPerS").asDouble(0));
     }
 
     private static EngineTraits readEngine(JsonNode engine) {
--- a/src/main/java/org/yuccagw/platform/GatewaySettingsReader.java
+++ b/src/main/java/org/yuccagw/platform/GatewaySettingsReader.java
@@ -15,6 +15,7 @@
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.core.placing.ColdBounds;
 import org.yuccagw.core.placing.RetryBounds;
 
 /**
@@ -29,6 +30,7 @@
     private static final double USUAL_RETRY_RATIO = 0.1;
     private static final long USUAL_RETRY_SLACK = 20;
     private static final long USUAL_RETRY_WINDOW_SECONDS = 10;
+    private static final double USUAL_COLD_OVERAGE = 1;
     private static final long USUAL_GRACE_SECONDS = 8;
     private static final long USUAL_LEASE_MILLIS = 3_000;
     private static final long USUAL_VERSION_MILLIS = 8_000;
@@ -108,6 +110,9 @@
                         bounds.has("retryBudgetRatio") ? bounds.decimal("retryBudgetRatio") : USUAL_RETRY_RATIO,
                         optional(bounds, "retrySlack", USUAL_RETRY_SLACK),
                         Duration.ofSeconds(optional(bounds, "budgetWindowS", USUAL_RETRY_WINDOW_SECONDS))),
+                new ColdBounds(
+                        bounds.has("coldOverage") ? bounds.decimal("coldOverage") : USUAL_COLD_OVERAGE,
+                        bounds.has("coldSlack") ? bounds.decimal("coldSlack") : 0),
                 Duration.ofSeconds(optional(bounds, "graceS", USUAL_GRACE_SECONDS)),
                 Duration.ofMillis(optional(bounds, "leaseMs", USUAL_LEASE_MILLIS)),
                 Duration.ofMillis(optional(bounds, "versionMs", USUAL_VERSION_MILLIS)),
--- a/src/main/java/org/yuccagw/platform/PlatformFacts.java
+++ b/src/main/java/org/yuccagw/platform/PlatformFacts.java
@@ -54,6 +54,9 @@
             return Optional.of(new Fact.WeightsNamed(new ModelWeights(
                     named.required("model").asText(), named.required("version").asLong())));
         }
+        if (key.startsWith(PlatformNames.EVACUATION_KEYS)) {
+            return Optional.of(new Fact.DomainEvacuated(evacuatedDomain(key)));
+        }
         if (key.startsWith(PlatformNames.ENDPOINT_KEYS)) {
             String id = key.substring(PlatformNames.ENDPOINT_KEYS.length());
             return Optional.of(new Fact.EndpointListed(EndpointReader.readRegistration(id, JSON.readTree(value))));
@@ -82,9 +85,16 @@
         if (key.startsWith(PlatformNames.DUTY_KEYS)) {
             return new Fact.Subject.DutySubject(key.substring(PlatformNames.DUTY_KEYS.length()));
         }
+        if (key.startsWith(PlatformNames.EVACUATION_KEYS)) {
+            return new Fact.Subject.EvacuationSubject(evacuatedDomain(key));
+        }
         return new Fact.Subject.OtherSubject(key);
     }
 
+    private static FailureDomain evacuatedDomain(String key) {
+        return FailureDomain.of(key.substring(PlatformNames.EVACUATION_KEYS.length()));
+    }
+
     @Override
     public Entry encode(Fact.EntryListed listed) {
         EntryContact contact = listed.contact();
--- a/src/main/java/org/yuccagw/platform/PlatformNames.java
+++ b/src/main/java/org/yuccagw/platform/PlatformNames.java
@@ -52,6 +52,9 @@
     // ---- Keys.
     static final String CONFIGURATION_KEY = "op/config";
     static final String WEIGHTS_KEYS = "op/version/";
+    /** Followed by the name of a failure domain; what lies there says nothing more. */
+    static final String EVACUATION_KEYS = "op/evacuate/";
+
     static final String ENDPOINT_KEYS = "servers/";
     static final String ENTRY_KEYS = "yuccagw/entry/";
     static final String DUTY_KEYS = "yuccagw/duty/";
--- a/src/main/java/org/yuccagw/standins/platform/PlatformDocuments.java
+++ b/src/main/java/org/yuccagw/standins/platform/PlatformDocuments.java
@@ -67,6 +67,15 @@
         return this;
     }
 
+    /** Bounds what cold endpoints of the last service bear. */
+    public PlatformDocuments cold(double lastsSeconds, double perSecond) {
+        ArrayNode services = (ArrayNode) root.path("services");
+        ((ObjectNode) services.get(services.size() - 1))
+                .put("coldStartS", lastsSeconds)
+                .put("coldPerS", perSecond);
+        return this;
+    }
+
     /** A service of model engines. */
     public PlatformDocuments engines(String service, String model) {
         ObjectNode engine = ((ArrayNode) root.path("services"))
@@ -131,11 +140,29 @@
     /** The registration of a model engine that started at a time. */
     public static byte[] engine(
             String service, NetworkAddress address, String domain, String model, long version, long startedMillis) {
+        return engine(service, address, domain, model, version, startedMillis, 0);
+    }
+
+    /** The registration of a model engine that stays cold for a while. */
+    public static byte[] engine(
+            String service,
+            NetworkAddress address,
+            String domain,
+            String model,
+            long version,
+            long startedMillis,
+            long coldMillis) {
         ObjectNode registration = registration(service, address, domain, false, startedMillis);
+        registration.put("coldLeftMs", coldMillis);
         registration.putArray("models").addObject().put("name", model).put("version", version);
         return StandInJson.bytes(registration);
     }
 
+    /** The key whose presence says that a failure domain is evacuated. */
+    public static String evacuationKey(String domain) {
+        return "op/evacuate/" + domain;
+    }
+
     /** The key under which weights of a model are named. */
     public static String weightsKey(String model) {
         return "op/version/" + model;
--- a/src/test/java/org/yuccagw/core/placing/PromptNeedsTest.java
+++ b/src/test/java/org/yuccagw/core/placing/PromptNeedsTest.java
@@ -18,6 +18,7 @@
 import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.deployment.BackEndService;
 import org.yuccagw.core.deployment.CacheStore;
+import org.yuccagw.core.deployment.ColdTraits;
 import org.yuccagw.core.deployment.Deployment;
 import org.yuccagw.core.deployment.EngineTraits;
 import org.yuccagw.core.deployment.RequestLimits;
@@ -105,15 +106,17 @@
     }
 
     private static EndpointState engine(String domain, long version) {
-        return new EndpointState(new ListedEndpoint(
-                EndpointIncarnation.of(EndpointId.of("engine"), 1),
-                SERVICE,
-                NetworkAddress.of("127.0.0.1", 2),
-                FailureDomain.of(domain),
-                8,
-                false,
-                0,
-                ImmutableMap.of("model", version)));
+        return new EndpointState(
+                new ListedEndpoint(
+                        EndpointIncarnation.of(EndpointId.of("engine"), 1),
+                        SERVICE,
+                        NetworkAddress.of("127.0.0.1", 2),
+                        FailureDomain.of(domain),
+                        8,
+                        false,
+                        0,
+                        ImmutableMap.of("model", version)),
+                0);
     }
 
     private static PlaceAsked asked() {
@@ -149,7 +152,7 @@
         return Deployment.of(
                 1,
                 List.of(),
-                List.of(new BackEndService(SERVICE, Optional.of(ENGINE), 100, "")),
+                List.of(new BackEndService(SERVICE, Optional.of(ENGINE), 100, "", ColdTraits.NEVER_COLD)),
                 List.of(STORE),
                 List.of(),
                 new RequestLimits(1, 1, Duration.ofSeconds(1), Duration.ofSeconds(1)));
--- a/src/test/java/org/yuccagw/core/stores/EngineCachesPartTest.java
+++ b/src/test/java/org/yuccagw/core/stores/EngineCachesPartTest.java
@@ -19,6 +19,7 @@
 import org.yuccagw.core.control.ControlInput;
 import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.deployment.BackEndService;
+import org.yuccagw.core.deployment.ColdTraits;
 import org.yuccagw.core.deployment.Deployment;
 import org.yuccagw.core.deployment.EngineTraits;
 import org.yuccagw.core.deployment.RequestLimits;
@@ -163,7 +164,8 @@
         return Deployment.of(
                 1,
                 List.of(),
-                List.of(new BackEndService(ServiceName.of("engines"), Optional.of(engine), 100, "")),
+                List.of(new BackEndService(
+                        ServiceName.of("engines"), Optional.of(engine), 100, "", ColdTraits.NEVER_COLD)),
                 List.of(),
                 List.of(),
                 new RequestLimits(1, 1, Duration.ofSeconds(1), Duration.ofSeconds(1)));
--- a/src/test/java/org/yuccagw/core/stores/StoresPartTest.java
+++ b/src/test/java/org/yuccagw/core/stores/StoresPartTest.java
@@ -20,6 +20,7 @@
 import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.deployment.BackEndService;
 import org.yuccagw.core.deployment.CacheStore;
+import org.yuccagw.core.deployment.ColdTraits;
 import org.yuccagw.core.deployment.Deployment;
 import org.yuccagw.core.deployment.EngineTraits;
 import org.yuccagw.core.deployment.RequestLimits;
@@ -215,7 +216,8 @@
         return Deployment.of(
                 1,
                 List.of(),
-                List.of(new BackEndService(ServiceName.of("engines"), Optional.of(engine), 100, "")),
+                List.of(new BackEndService(
+                        ServiceName.of("engines"), Optional.of(engine), 100, "", ColdTraits.NEVER_COLD)),
                 List.of(QUICK, LARGE),
                 List.of(),
                 new RequestLimits(1, 1, Duration.ofSeconds(1), Duration.ofSeconds(1)));
--- a/src/test/java/org/yuccagw/daemon/VirtualFleet.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualFleet.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import org.yuccagw.adapters.settings.GatewaySettings;
 import org.yuccagw.bench.control.BenchNode;
 import org.yuccagw.bench.control.ControlBench;
@@ -30,6 +31,7 @@
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.core.id.RequestId;
+import org.yuccagw.core.placing.ColdBounds;
 import org.yuccagw.core.placing.PlaceAsked;
 import org.yuccagw.core.placing.PlaceDecision;
 import org.yuccagw.core.placing.RetryBounds;
@@ -47,6 +49,11 @@
     static final Duration SEPARATION = Duration.ofSeconds(3);
     static final Duration OLD_WEIGHTS_ALLOWED = Duration.ofSeconds(8);
 
+    private static final int COLD_SECONDS = 3;
+    static final Duration COLD = Duration.ofSeconds(COLD_SECONDS);
+    static final double COLD_PER_SECOND = 9.8;
+    static final ColdBounds COLD_BOUNDS = new ColdBounds(1.5, 5);
+
     private static final Duration LOADING = Duration.ofMillis(420);
     private static final long STARTS_APART_MILLIS = 1_000;
     private static final NetworkAddress ANYWHERE = NetworkAddress.of("127.0.0.1", 9);
@@ -116,6 +123,7 @@
                                 .resumable()
                                 .route("/plain/", "idempotent", "plain", 800, 2)
                                 .engines("engines", MODEL)
+                                .cold(COLD_SECONDS, COLD_PER_SECOND)
                                 .plain("plain")
                                 .bytes());
     }
@@ -126,6 +134,32 @@
         register(EndpointId.of(id));
     }
 
+    /** An engine of a failure domain registers, cold for so long or not at all; a later call registers it anew. */
+    void addEngine(String id, FailureDomain domain, Duration cold) {
+        EndpointId engine = EndpointId.of(id);
+        weights.putIfAbsent(engine, 1L);
+        starts.putIfAbsent(engine, PlatformDocuments.FIRST_START_MILLIS);
+        bench.keyValue()
+                .put(
+                        PlatformDocuments.endpointKey(id),
+                        PlatformDocuments.engine(
+                                "engines",
+                                ANYWHERE,
+                                domain.value(),
+                                MODEL,
+                                weights.get(engine),
+                                starts.get(engine),
+                                cold.toMillis()));
+    }
+
+    void evacuate(FailureDomain domain) {
+        bench.keyValue().put(PlatformDocuments.evacuationKey(domain.value()), new byte[] {'{', '}'});
+    }
+
+    void endEvacuation(FailureDomain domain) {
+        bench.keyValue().remove(PlatformDocuments.evacuationKey(domain.value()));
+    }
+
     void addPlain(String id) {
         bench.keyValue()
                 .put(
@@ -189,11 +223,29 @@
 
     private PlaceDecision place(
             BenchNode node, String path, PlaceAsked.Kind kind, String fingerprint, Optional<PromptShape> prompt) {
+        AtomicReference<PlaceDecision> decided = new AtomicReference<>();
+        ask(node, path, kind, fingerprint, prompt, decided::set);
+        bench.runUntil(() -> decided.get() != null, Duration.ofSeconds(2));
+        return decided.get();
+    }
+
+    /** Asks for a place for a prompt of so many tokens, which no other prompt shares, and doesn't wait for it. */
+    void askPrompt(BenchNode node, int tokens, Consumer<PlaceDecision> reply) {
+        PromptShape prompt = new PromptShape(MODEL, tokens, 50, ImmutableList.of(new PromptPart("own", tokens)));
+        ask(node, "/model/x", PlaceAsked.Kind.FIRST, "f" + nextRequest, Optional.of(prompt), reply);
+    }
+
+    private void ask(
+            BenchNode node,
+            String path,
+            PlaceAsked.Kind kind,
+            String fingerprint,
+            Optional<PromptShape> prompt,
+            Consumer<PlaceDecision> reply) {
         Route route = node.state(Deployment.class)
                 .orElseThrow()
                 .route("a.example", path)
                 .orElseThrow();
-        AtomicReference<PlaceDecision> decided = new AtomicReference<>();
         node.offer(new PlaceAsked(
                 RequestId.of("r" + nextRequest++),
                 route,
@@ -205,9 +257,7 @@
                 kind,
                 OptionalLong.empty(),
                 route.timeout().toMillis(),
-                decided::set));
-        bench.runUntil(() -> decided.get() != null, Duration.ofSeconds(2));
-        return decided.get();
+                reply));
     }
 
     private void register(EndpointId engine) {
@@ -299,6 +349,7 @@
                 List.of(),
                 new GatewaySettings.Bounds(
                         new RetryBounds(0.2, 56, Duration.ofSeconds(10)),
+                        COLD_BOUNDS,
                         Duration.ofSeconds(8),
                         SEPARATION,
                         OLD_WEIGHTS_ALLOWED,
--- a/src/test/java/org/yuccagw/platform/PlatformWordsTest.java
+++ b/src/test/java/org/yuccagw/platform/PlatformWordsTest.java
@@ -17,9 +17,11 @@
     private static final List<Path> SPEAK_IT = List.of(SOURCES.resolve("platform"), SOURCES.resolve("standins"));
     private static final Pattern NAMES = Pattern.compile("Yuccagw-[A-Z]|Kv-From|Last-Event-Id|Wait-Ms"
             + "|/kv-(key|range|watch|txn|lease|keep|events|list|free|copy)|\"/(resolve|report|order)\""
-            + "|op/(config|version)|\"servers/|nodeName|listenAddrs|seedNodes|portRange|pathPrefix\"|trafficSplit"
+            + "|op/(config|version|evacuate)"
+            + "|\"servers/|nodeName|listenAddrs|seedNodes|portRange|pathPrefix\"|trafficSplit"
             + "|targetLatencyMs|maxAttempts|noAuth|sessionAffinity|gapAimMs|apiKeys|kvStoreAddr|kvCapacity|tokenKvBytes"
-            + "|storeRevision|createdRev|bootEpoch|retrySlack|strictRevoke|YUCCAGW_CONFIG");
+            + "|storeRevision|createdRev|bootEpoch|retrySlack|strictRevoke"
+            + "|cold(StartS|PerS|LeftMs|Overage|Slack)|YUCCAGW_CONFIG");
     private static final Pattern WORDS =
             Pattern.compile("(?i)\\b(tenants?|zones?|back ?ends?|requesters?|check-ins?|work units?|allotments?)\\b");
 
