Start an entry without a management server, bean mapping and the logging library's core

Cause, by samples of the main thread each half millisecond until callers can connect: 0.24 the management server that the network library registers with, 0.10 formatting one line of that library, 0.10 making the JSON object mapper (calendars of all countries among it), 0.13 linking joined texts and records' equals and hashCode; and 0.16 to 0.2 s of the logging library's core 3 s later. Ruled out: class loading, of 5,300 classes 160 came from outside the archive.

Change: no management server, libraries below warnings not logged, JSON trees by parser and generator alone, joined texts without linkage, ids with equals and hashCode of their own, plain log lines by the logging interface itself. The rehearsal gets real answers, so that what answered streams need is archived; it got 404 for each until now.

--- a/src/main/java/org/yuccagw/adapters/http/ErrorAnswers.java
+++ b/src/main/java/org/yuccagw/adapters/http/ErrorAnswers.java
@@ -1,6 +1,5 @@
 package org.yuccagw.adapters.http;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -20,7 +19,6 @@
  * "code":"unknown_model","ran":"not-run","retry":"never"}}</pre>
  */
 public final class ErrorAnswers {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final String JSON = "application/json";
     private static final int UNAUTHORIZED = 401;
 
@@ -29,14 +27,14 @@
     /** The body, which also is the data of the last event of a stream that ends with an error. */
     public static String body(YuccagwException error) {
         ErrorKind kind = error.kind();
-        ObjectNode root = MAPPER.createObjectNode();
+        ObjectNode root = JsonText.object();
         root.putObject("error")
                 .put("message", error.getMessage())
                 .put("type", type(kind))
                 .put("code", kind.code())
                 .put("ran", kind.ran().text())
                 .put("retry", kind.retry().text());
-        return root.toString();
+        return JsonText.write(root);
     }
 
     /** Seconds for the header {@code Retry-After}: rounded up, so that nobody comes back too early; at least 1. */
--- a/src/main/java/org/yuccagw/bench/local/Rehearsal.java
+++ b/src/main/java/org/yuccagw/bench/local/Rehearsal.java
@@ -21,6 +21,7 @@
 import org.yuccagw.standins.keyvalue.KeyValueSettings;
 import org.yuccagw.standins.keyvalue.KeyValueStandIn;
 import org.yuccagw.standins.platform.SmallDeployment;
+import org.yuccagw.standins.platform.WillingEndpoint;
 
 /**
  * Starts two entries against a stand-in of the key-value service and sends them some requests, all on loopback.
@@ -61,7 +62,8 @@
         long startedNanos = System.nanoTime();
         GatewayDaemon daemon = GatewayDaemon.start(settings);
         GatewayDaemon other = GatewayDaemon.start(otherSettings);
-        SmallDeployment deployment = SmallDeployment.at(keyValue.address());
+        WillingEndpoint endpoint = WillingEndpoint.start();
+        SmallDeployment deployment = SmallDeployment.at(endpoint.address());
         deployment.publish(keyValue);
         long until = System.nanoTime() + LONGEST_START.toNanos();
         while (status(caller, settings.readiness(), SmallDeployment.READINESS) != 200
@@ -78,6 +80,7 @@
         daemon.halt();
         other.halt();
         caller.stop();
+        endpoint.stop();
         keyValue.stop();
     }
 
--- a/src/main/java/org/yuccagw/cli/GatewayCommand.java
+++ b/src/main/java/org/yuccagw/cli/GatewayCommand.java
@@ -38,6 +38,7 @@
         if (System.getProperty(LOG_LEVEL) == null) {
             System.setProperty(LOG_LEVEL, settings.logLevel());
         }
+        PlainLog.choose(System.getProperty(LOG_LEVEL));
         GatewayDaemon daemon = GatewayDaemon.start(settings);
         GracefulExit.onSignal(daemon::stop);
         HangUpSignal.handle(() -> reload(daemon));
--- a/src/main/java/org/yuccagw/cli/GatewayMain.java
+++ b/src/main/java/org/yuccagw/cli/GatewayMain.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import org.yuccagw.bench.local.Rehearsal;
 import org.yuccagw.core.error.YuccagwException;
+import org.yuccagw.daemon.NoManagementServer;
 import picocli.CommandLine;
 
 /**
@@ -23,6 +24,7 @@
 
     /** Runs the program; ends with the exit code of the command. */
     public static void main(String[] arguments) throws YuccagwException, InterruptedException, IOException {
+        NoManagementServer.keepOut();
         System.setProperty("log4j2.disable.jmx", "true");
         // The libraries below log through the JDK, which costs a start nothing; see DecisionLog on what Log4j costs it.
         System.setProperty("org.jboss.logging.provider", "jdk");
@@ -31,6 +33,7 @@
         System.setProperty("io.netty.machineId", "00:00:00:00:00:01");
         if (arguments.length == 1 && arguments[0].equals(REHEARSE)) {
             new CommandLine(new GatewayCommand()).parseArgs("--settings", "none");
+            PlainLog.choose("info");
             Rehearsal.run();
             System.exit(ExitCode.OK);
         }
--- a/src/main/java/org/yuccagw/core/id/EndpointId.java
+++ b/src/main/java/org/yuccagw/core/id/EndpointId.java
@@ -23,4 +23,14 @@
     public String toString() {
         return value;
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof EndpointId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
 }
--- a/src/main/java/org/yuccagw/core/id/EndpointIncarnation.java
+++ b/src/main/java/org/yuccagw/core/id/EndpointIncarnation.java
@@ -27,4 +27,16 @@
     public String toString() {
         return startedMillis == UNTOLD ? endpoint.value() : endpoint.value() + '@' + startedMillis;
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof EndpointIncarnation that
+                && endpoint.equals(that.endpoint)
+                && startedMillis == that.startedMillis;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * endpoint.hashCode() + Long.hashCode(startedMillis);
+    }
 }
--- a/src/main/java/org/yuccagw/core/id/EntryId.java
+++ b/src/main/java/org/yuccagw/core/id/EntryId.java
@@ -23,4 +23,14 @@
     public String toString() {
         return value;
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof EntryId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
 }
--- a/src/main/java/org/yuccagw/core/id/FailureDomain.java
+++ b/src/main/java/org/yuccagw/core/id/FailureDomain.java
@@ -23,4 +23,14 @@
     public String toString() {
         return value;
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof FailureDomain that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
 }
--- a/src/main/java/org/yuccagw/core/id/NetworkAddress.java
+++ b/src/main/java/org/yuccagw/core/id/NetworkAddress.java
@@ -47,4 +47,14 @@
     public String toString() {
         return host.indexOf(':') >= 0 ? "[" + host + "]:" + port : host + ":" + port;
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof NetworkAddress that && host.equals(that.host) && port == that.port;
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * host.hashCode() + port;
+    }
 }
--- a/src/main/java/org/yuccagw/core/id/RequestId.java
+++ b/src/main/java/org/yuccagw/core/id/RequestId.java
@@ -23,4 +23,14 @@
     public String toString() {
         return value;
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof RequestId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
 }
--- a/src/main/java/org/yuccagw/core/id/ServiceName.java
+++ b/src/main/java/org/yuccagw/core/id/ServiceName.java
@@ -23,4 +23,14 @@
     public String toString() {
         return value;
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ServiceName that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
 }
--- a/src/main/java/org/yuccagw/core/id/StoreId.java
+++ b/src/main/java/org/yuccagw/core/id/StoreId.java
@@ -23,4 +23,14 @@
     public String toString() {
         return value;
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof StoreId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
 }
--- a/src/main/java/org/yuccagw/core/id/WorkspaceId.java
+++ b/src/main/java/org/yuccagw/core/id/WorkspaceId.java
@@ -23,4 +23,14 @@
     public String toString() {
         return value;
     }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof WorkspaceId that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
 }
--- a/src/main/java/org/yuccagw/platform/EngineCaller.java
+++ b/src/main/java/org/yuccagw/platform/EngineCaller.java
@@ -1,6 +1,5 @@
 package org.yuccagw.platform;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.time.Duration;
@@ -9,6 +8,7 @@
 import org.yuccagw.adapters.http.HttpAnswer;
 import org.yuccagw.adapters.http.HttpCaller;
 import org.yuccagw.adapters.http.HttpQuery;
+import org.yuccagw.adapters.http.JsonText;
 import org.yuccagw.core.control.ActionHandler;
 import org.yuccagw.core.control.ControlAction;
 import org.yuccagw.core.control.ControlInput;
@@ -27,8 +27,6 @@
 public final class EngineCaller implements ActionHandler {
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     private static final Duration SILENCE_TIMEOUT = Duration.ofMillis(900);
-    private static final ObjectMapper JSON = new ObjectMapper();
-
     /** Running requests go on with the newer weights. */
     private static final String UNDER_RUNNING_REQUESTS = "retain";
 
@@ -72,7 +70,7 @@
             return Optional.empty();
         }
         try {
-            return Optional.of(EndpointReader.readState(JSON.readTree(answer.body())));
+            return Optional.of(EndpointReader.readState(JsonText.read(answer.body())));
         } catch (IOException | IllegalArgumentException ignored) {
             // Whatever answered there is no engine; the state stays unknown, which is logged, and is asked again.
             return Optional.empty();
@@ -93,7 +91,7 @@
     }
 
     private HttpQuery orderQuery(EngineCall.OrderWeights order) {
-        ObjectNode body = JSON.createObjectNode()
+        ObjectNode body = JsonText.object()
                 .put("op", "version")
                 .put("model", order.weights().model())
                 .put("version", order.weights().version())
@@ -101,7 +99,8 @@
                 .put("holder", self.value())
                 .put("fence", order.fence())
                 .put("expected", order.expectedOrders());
-        HttpQuery query = HttpQuery.json("POST", order.endpoint().address(), PlatformNames.ORDER_PATH, body.toString());
+        HttpQuery query =
+                HttpQuery.json("POST", order.endpoint().address(), PlatformNames.ORDER_PATH, JsonText.write(body));
         return to(order, query);
     }
 
--- a/src/main/java/org/yuccagw/platform/EntryPages.java
+++ b/src/main/java/org/yuccagw/platform/EntryPages.java
@@ -1,16 +1,14 @@
 package org.yuccagw.platform;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.time.Duration;
 import java.util.List;
+import org.yuccagw.adapters.http.JsonText;
 import org.yuccagw.core.fleet.EntryContact;
 
 /** What callers and the platform ask of an entry itself. */
 final class EntryPages {
-    private static final ObjectMapper JSON = new ObjectMapper();
-
     private EntryPages() {}
 
     static boolean isReadiness(String path) {
@@ -28,10 +26,10 @@
 
     /** The directory's answer: where to connect, and for how long that may be kept. */
     static String directory(List<EntryContact> entries, Duration timeToLive) {
-        ObjectNode answer = JSON.createObjectNode();
+        ObjectNode answer = JsonText.object();
         ArrayNode addresses = answer.putArray("addresses");
         entries.forEach(entry -> addresses.add(entry.callers().toString()));
         answer.put("ttlS", timeToLive.toMillis() / 1_000.0);
-        return answer.toString();
+        return JsonText.write(answer);
     }
 }
--- a/src/main/java/org/yuccagw/platform/KeyValueClient.java
+++ b/src/main/java/org/yuccagw/platform/KeyValueClient.java
@@ -1,7 +1,6 @@
 package org.yuccagw.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.undertow.util.HeaderMap;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -15,6 +14,7 @@
 import org.yuccagw.adapters.http.HttpCaller;
 import org.yuccagw.adapters.http.HttpQuery;
 import org.yuccagw.adapters.http.HttpStreamListener;
+import org.yuccagw.adapters.http.JsonText;
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.core.port.KeyValueAnswer;
 import org.yuccagw.core.port.KeyValueAnswer.Item;
@@ -48,8 +48,6 @@
     private static final int TOO_LARGE = 413;
     private static final int OVER_RATE = 429;
     private static final int UNAVAILABLE = 503;
-    private static final ObjectMapper JSON = new ObjectMapper();
-
     private final HttpCaller caller;
     private final NetworkAddress address;
     private final CircuitBreaker breaker = new CircuitBreaker();
@@ -149,15 +147,15 @@
             case TOO_LARGE -> new KeyValueAnswer.Refused("the key-value service says that the value is too large");
             case HISTORY_GONE -> new KeyValueAnswer.HistoryGone();
             case NOT_FOUND -> readAbsent(call, body);
-            case CONDITION_FAILED -> new KeyValueAnswer.Conflict(currentRevision(call, JSON.readTree(body)));
-            case OK -> readDone(call, JSON.readTree(body));
+            case CONDITION_FAILED -> new KeyValueAnswer.Conflict(currentRevision(call, JsonText.read(body)));
+            case OK -> readDone(call, JsonText.read(body));
             default -> new KeyValueAnswer.Lost("the key-value service answered with status " + status);
         };
     }
 
     private static KeyValueAnswer readAbsent(KeyValueCall call, byte[] body) throws IOException {
         if (call instanceof KeyValueCall.Read) {
-            JsonNode answer = body.length == 0 ? JSON.createObjectNode() : JSON.readTree(body);
+            JsonNode answer = body.length == 0 ? JsonText.object() : JsonText.read(body);
             return new KeyValueAnswer.Found(
                     List.of(), answer.path(PlatformNames.STORE_REVISION).asLong(0));
         }
--- a/src/main/java/org/yuccagw/platform/KeyValueRequests.java
+++ b/src/main/java/org/yuccagw/platform/KeyValueRequests.java
@@ -1,19 +1,17 @@
 package org.yuccagw.platform;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import org.yuccagw.adapters.http.HttpQuery;
+import org.yuccagw.adapters.http.JsonText;
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.core.port.KeyValueCall;
 
 /** Calls of the key-value service as HTTP requests. */
 final class KeyValueRequests {
-    private static final ObjectMapper JSON = new ObjectMapper();
-
     private KeyValueRequests() {}
 
     /** One page of the keys under a prefix, those after {@code afterKey}, empty for the first page. */
@@ -43,12 +41,12 @@
             return post(address, PlatformNames.TRANSACTION_PATH, body);
         }
         if (call instanceof KeyValueCall.GrantLease grant) {
-            ObjectNode body = JSON.createObjectNode()
+            ObjectNode body = JsonText.object()
                     .put(PlatformNames.TIME_TO_LIVE, grant.timeToLive().toMillis());
             return post(address, PlatformNames.LEASE_PATH, body);
         }
         if (call instanceof KeyValueCall.RenewLease renew) {
-            return post(address, PlatformNames.RENEW_PATH + renew.lease().value(), JSON.createObjectNode());
+            return post(address, PlatformNames.RENEW_PATH + renew.lease().value(), JsonText.object());
         }
         if (call instanceof KeyValueCall.RevokeLease revoke) {
             return HttpQuery.of(
@@ -71,13 +69,13 @@
     }
 
     private static ObjectNode conditions(String key, long revision) {
-        ObjectNode body = JSON.createObjectNode();
+        ObjectNode body = JsonText.object();
         body.putArray("expected").addObject().put(PlatformNames.KEY, key).put(PlatformNames.REVISION, revision);
         return body;
     }
 
     private static HttpQuery post(NetworkAddress address, String path, ObjectNode body) {
-        return HttpQuery.json("POST", address, path, body.toString());
+        return HttpQuery.json("POST", address, path, JsonText.write(body));
     }
 
     private static String escape(String text) {
--- a/src/main/java/org/yuccagw/platform/PlatformFacts.java
+++ b/src/main/java/org/yuccagw/platform/PlatformFacts.java
@@ -1,11 +1,11 @@
 package org.yuccagw.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import org.yuccagw.adapters.http.JsonText;
 import org.yuccagw.core.control.EntryIdentity;
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
@@ -20,8 +20,6 @@
 
 /** The keys of the platform's key-value service, those of operators and endpoints and our own. */
 public final class PlatformFacts implements FactCodec {
-    private static final ObjectMapper JSON = new ObjectMapper();
-
     /** One watch over all keys costs a third of three watches, and our own keys change rarely. */
     private static final String ALL_KEYS = "";
 
@@ -47,10 +45,10 @@
 
     private static Optional<Fact> read(String key, byte[] value) throws IOException {
         if (key.equals(PlatformNames.CONFIGURATION_KEY)) {
-            return Optional.of(new Fact.Configured(DeploymentReader.read(JSON.readTree(value))));
+            return Optional.of(new Fact.Configured(DeploymentReader.read(JsonText.read(value))));
         }
         if (key.startsWith(PlatformNames.WEIGHTS_KEYS)) {
-            JsonNode named = JSON.readTree(value);
+            JsonNode named = JsonText.read(value);
             return Optional.of(new Fact.WeightsNamed(new ModelWeights(
                     named.required("model").asText(), named.required("version").asLong())));
         }
@@ -59,13 +57,13 @@
         }
         if (key.startsWith(PlatformNames.ENDPOINT_KEYS)) {
             String id = key.substring(PlatformNames.ENDPOINT_KEYS.length());
-            return Optional.of(new Fact.EndpointListed(EndpointReader.readRegistration(id, JSON.readTree(value))));
+            return Optional.of(new Fact.EndpointListed(EndpointReader.readRegistration(id, JsonText.read(value))));
         }
         if (key.startsWith(PlatformNames.ENTRY_KEYS)) {
-            return Optional.of(new Fact.EntryListed(readContact(JSON.readTree(value))));
+            return Optional.of(new Fact.EntryListed(readContact(JsonText.read(value))));
         }
         if (key.startsWith(PlatformNames.DUTY_KEYS)) {
-            JsonNode held = JSON.readTree(value);
+            JsonNode held = JsonText.read(value);
             return Optional.of(new Fact.DutyHeld(
                     key.substring(PlatformNames.DUTY_KEYS.length()),
                     EntryId.of(held.required("holder").asText()),
@@ -98,7 +96,7 @@
     @Override
     public Entry encode(Fact.EntryListed listed) {
         EntryContact contact = listed.contact();
-        ObjectNode value = JSON.createObjectNode()
+        ObjectNode value = JsonText.object()
                 .put("entry", contact.entry().value())
                 .put("incarnation", contact.incarnation())
                 .put("domain", contact.domain().value())
@@ -111,12 +109,12 @@
     @Override
     public Entry encode(Fact.DutyHeld held) {
         ObjectNode value =
-                JSON.createObjectNode().put("holder", held.holder().value()).put("incarnation", held.incarnation());
+                JsonText.object().put("holder", held.holder().value()).put("incarnation", held.incarnation());
         return entry(PlatformNames.DUTY_KEYS + held.duty(), value);
     }
 
     private static Entry entry(String key, ObjectNode value) {
-        return new Entry(key, value.toString().getBytes(StandardCharsets.UTF_8));
+        return new Entry(key, JsonText.write(value).getBytes(StandardCharsets.UTF_8));
     }
 
     private static EntryContact readContact(JsonNode value) {
--- a/src/main/java/org/yuccagw/platform/StoreCaller.java
+++ b/src/main/java/org/yuccagw/platform/StoreCaller.java
@@ -1,7 +1,6 @@
 package org.yuccagw.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
@@ -11,6 +10,7 @@
 import org.yuccagw.adapters.http.HttpAnswer;
 import org.yuccagw.adapters.http.HttpCaller;
 import org.yuccagw.adapters.http.HttpQuery;
+import org.yuccagw.adapters.http.JsonText;
 import org.yuccagw.core.control.ActionHandler;
 import org.yuccagw.core.control.ControlAction;
 import org.yuccagw.core.control.ControlInput;
@@ -26,8 +26,6 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     private static final Duration ANSWER_MARGIN = Duration.ofMillis(600);
     private static final Duration LIST_TIMEOUT = Duration.ofSeconds(2);
-    private static final ObjectMapper JSON = new ObjectMapper();
-
     private final HttpCaller caller;
 
     private StoreCaller(HttpCaller caller) {
@@ -78,7 +76,7 @@
             return Optional.empty();
         }
         try {
-            JsonNode body = JSON.readTree(answer.body());
+            JsonNode body = JsonText.read(answer.body());
             return Optional.of(new StoreAnswer.Contents(
                     body.required("bootEpoch").asLong(),
                     readHeld(body.path("held")),
@@ -90,10 +88,10 @@
     }
 
     private void free(StoreCall.FreeParts free, ControlInput input) {
-        ObjectNode body = JSON.createObjectNode().put("bootEpoch", free.epoch());
+        ObjectNode body = JsonText.object().put("bootEpoch", free.epoch());
         ArrayNode parts = body.putArray("parts");
         free.parts().forEach(name -> parts.addArray().add(name.salt()).add(name.part()));
-        HttpQuery query = HttpQuery.json("POST", free.store().address(), "/kv-free", body.toString())
+        HttpQuery query = HttpQuery.json("POST", free.store().address(), "/kv-free", JsonText.write(body))
                 .withTimeouts(CONNECT_TIMEOUT, LIST_TIMEOUT);
         caller.send(query).whenComplete((answer, failure) -> {
             boolean done = failure == null && answer.isSuccess();
@@ -115,7 +113,7 @@
             return new StoreAnswer.Silent(store, "status " + answer.status());
         }
         try {
-            JsonNode body = JSON.readTree(answer.body());
+            JsonNode body = JsonText.read(answer.body());
             long epoch = body.required("bootEpoch").asLong();
             long next = body.required("nextToken").asLong();
             return call instanceof StoreCall.AskList
--- /dev/null
+++ b/src/test/java/org/yuccagw/adapters/http/JsonTextTest.java
@@ -0,0 +1,57 @@
+package org.yuccagw.adapters.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class JsonTextTest {
+    private static final ObjectMapper LIBRARY = new ObjectMapper();
+
+    @DataProvider
+    public Object[][] documents() {
+        return new Object[][] {
+            {"{}"},
+            {"[]"},
+            {"{\"a\":1,\"b\":[true,false,null],\"c\":{\"d\":\"text\"}}"},
+            {"[0,-1,2147483648,9223372036854775807,9223372036854775808,1.5,-2.5E-3]"},
+            {"{\"line\":\"one\\ntwo\",\"quoted\":\"\\\"x\\\"\",\"sign\":\"\\u00e4\\u20ac\"}"},
+            {"\"alone\""},
+            {"{\"twice\":1,\"twice\":2}"},
+        };
+    }
+
+    @Test(dataProvider = "documents")
+    public void aDocumentIsReadAsTheLibraryReadsIt(String document) throws IOException {
+        byte[] bytes = document.getBytes(StandardCharsets.UTF_8);
+        assertEquals(JsonText.read(bytes), LIBRARY.readTree(bytes));
+    }
+
+    @Test(dataProvider = "documents")
+    public void whatIsWrittenReadsAsTheSameDocument(String document) throws IOException {
+        byte[] bytes = document.getBytes(StandardCharsets.UTF_8);
+        String written = JsonText.write(JsonText.read(bytes));
+        assertEquals(LIBRARY.readTree(written), LIBRARY.readTree(bytes));
+        assertTrue(!written.contains("\n"), "in one line: " + written);
+    }
+
+    @Test
+    public void nothingIsReadAsMissing() throws IOException {
+        assertTrue(JsonText.read(new byte[0]).isMissingNode());
+    }
+
+    @DataProvider
+    public Object[][] broken() {
+        return new Object[][] {{"{"}, {"[1,"}, {"{\"a\"}"}, {"nul"}, {"{\"a\":}"}, {"\"open"}};
+    }
+
+    @Test(dataProvider = "broken")
+    public void aBrokenDocumentIsRefused(String document) {
+        assertThrows(IOException.class, () -> JsonText.read(document.getBytes(StandardCharsets.UTF_8)));
+    }
+}
--- a/src/test/java/org/yuccagw/process/GatewayProcessTest.java
+++ b/src/test/java/org/yuccagw/process/GatewayProcessTest.java
@@ -11,10 +11,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import org.yuccagw.adapters.decisions.DecisionLine;
 import org.yuccagw.adapters.http.HttpAnswer;
 import org.yuccagw.adapters.http.HttpCaller;
 import org.yuccagw.adapters.http.HttpQuery;
@@ -75,6 +77,22 @@
         }
     }
 
+    // Someone explains a failed request from an entry's output. Its lines have to be those that the commands read.
+    @Test
+    public void theLinesOfAnEntryAreReadByTheCommandsThatExplain() throws Exception {
+        GatewaySettings entry = settings.get(0);
+        await().atMost(LONG).until(() -> status(entry.callers(), SmallDeployment.PLAIN + "x") == 200);
+        await().atMost(LONG).until(() -> eventsWrittenBy("entry-1").containsAll(List.of("started", "placed", "ended")));
+    }
+
+    private List<String> eventsWrittenBy(String name) throws IOException {
+        return Files.readAllLines(outputOf(name)).stream()
+                .map(line -> DecisionLine.parse(line, name))
+                .flatMap(Optional::stream)
+                .map(DecisionLine::event)
+                .toList();
+    }
+
     // Every entry loses power in the same moment and comes back while the service is away for a while longer. Until it
     // returns nobody knows where requests go, so nobody may say that it is ready; then all serve again by themselves.
     @Test
