--- a/src/main/java/org/yuccagw/core/placing/EndpointChoice.java
+++ b/src/main/java/org/yuccagw/core/placing/EndpointChoice.java
@@ -49,9 +49,10 @@
 
     /** The best candidate for a plain call; empty if there is none. */
     Optional<Chosen> forPlainCall(List<EndpointState> candidates, long nowNanos) {
+        UsualFaults faults = UsualFaults.of(candidates);
         List<Chosen> scored = new ArrayList<>();
         for (EndpointState candidate : candidates) {
-            double cost = scoring.ofPlainCall(candidate, nowNanos) + tieBreak.getAsDouble();
+            double cost = scoring.ofPlainCall(candidate, faults, nowNanos) + tieBreak.getAsDouble();
             double firstByte = Scoring.plainWaitMillis(candidate) + Scoring.PLAIN_MILLIS;
             scored.add(new Chosen(candidate, cost, Optional.empty(), firstByte));
         }
@@ -69,6 +70,7 @@
         PromptShape prompt = asked.prompt().orElseThrow();
         Optional<EndpointState> home = home(prompt, candidates);
         Duration shortest = shortestTarget.apply(asked.service());
+        UsualFaults faults = UsualFaults.of(candidates);
         List<Chosen> scored = new ArrayList<>();
         for (EndpointState candidate : candidates) {
             boolean expected = home.isPresent() && home.get() == candidate;
@@ -85,7 +87,7 @@
             if (room) {
                 boolean old = newest.isPresent()
                         && candidate.versionOf(prompt.model()).orElse(0) < newest.getAsLong();
-                double cost = scoring.ofPrompt(candidate, prompt, need, first, expected, old, nowNanos);
+                double cost = scoring.ofPrompt(candidate, prompt, need, first, expected, old, faults, nowNanos);
                 scored.add(new Chosen(candidate, cost + tieBreak.getAsDouble(), Optional.of(need), first.millis()));
             }
         }
--- a/src/main/java/org/yuccagw/core/placing/EndpointState.java
+++ b/src/main/java/org/yuccagw/core/placing/EndpointState.java
@@ -28,7 +28,7 @@
     private static final Duration SHED_AVOIDANCE = Duration.ofMillis(60);
 
     /** Weight of the newest outcome in the share of faults: half of the memory is about ten outcomes. */
-    private static final double FAULT_MEMORY = 0.07;
+    static final double FAULT_MEMORY = 0.07;
 
     private ListedEndpoint listed;
     private boolean leaving;
--- a/src/main/java/org/yuccagw/core/placing/Scoring.java
+++ b/src/main/java/org/yuccagw/core/placing/Scoring.java
@@ -53,7 +53,7 @@
 
     private static final double PLAIN_REQUEST_MILLIS = 4;
 
-    /** An endpoint that fails every request costs as much as a second of waiting. */
+    /** An endpoint that fails every request, while others fail none, costs as much as a second of waiting. */
     private static final double FAULT_MILLIS = 1_000;
 
     private static final double SHED_MILLIS = 400;
@@ -83,8 +83,9 @@
             FirstToken firstToken,
             boolean expected,
             boolean oldWeights,
+            UsualFaults faults,
             long nowNanos) {
-        return ofAny(endpoint, nowNanos)
+        return ofAny(endpoint, faults, nowNanos)
                 + firstToken.millis()
                 + need.sharedReadTokens() * MISS_MILLIS_PER_TOKEN
                 + need.fetchTokens() * FETCH_MILLIS_PER_TOKEN
@@ -95,8 +96,8 @@
     }
 
     /** The cost of a call to a plain service. */
-    double ofPlainCall(EndpointState endpoint, long nowNanos) {
-        return ofAny(endpoint, nowNanos) + plainWaitMillis(endpoint) + (isFar(endpoint) ? FAR_PLAIN_MILLIS : 0);
+    double ofPlainCall(EndpointState endpoint, UsualFaults faults, long nowNanos) {
+        return ofAny(endpoint, faults, nowNanos) + plainWaitMillis(endpoint) + (isFar(endpoint) ? FAR_PLAIN_MILLIS : 0);
     }
 
     /** Predicted wait before a plain endpoint begins with one more call, in milliseconds. */
@@ -107,8 +108,8 @@
         return full + requests * PLAIN_REQUEST_MILLIS;
     }
 
-    private static double ofAny(EndpointState endpoint, long nowNanos) {
-        return endpoint.faultShare() * FAULT_MILLIS
+    private static double ofAny(EndpointState endpoint, UsualFaults faults, long nowNanos) {
+        return faults.beyond(endpoint) * FAULT_MILLIS
                 + (endpoint.hasJustShed(nowNanos) ? SHED_MILLIS : 0)
                 + (endpoint.isAvoided(nowNanos) ? AVOIDED_MILLIS : 0)
                 + (endpoint.isLoading(nowNanos) ? LOADING_MILLIS : 0)
