See that a caller has left before anything is sent on for it

An entry that is behind reads a request from a connection that was closed meanwhile, asks for a place, and sends it on before its thread comes round to the end of the connection.

Change: the connection is looked at once more when the place is known. One more read of the socket for each attempt. Ruled out: a limit on accepted connections, which leaves those that are read late.

--- a/src/main/java/org/yuccagw/adapters/serving/CallerWatch.java
+++ b/src/main/java/org/yuccagw/adapters/serving/CallerWatch.java
@@ -16,20 +16,33 @@
  * on: the end of the connection closes it, and bytes of a next request are given back to the server for later.
  */
 final class CallerWatch {
-    private CallerWatch() {}
+    private final HttpServerExchange exchange;
+    private final HttpServerConnection connection;
+    private final StreamSourceConduit conduit;
+
+    private CallerWatch(HttpServerExchange exchange, HttpServerConnection connection) {
+        this.exchange = exchange;
+        this.connection = connection;
+        this.conduit = connection.getOriginalSourceConduit();
+    }
 
     /** Watches from now until the answer is written; on the exchange's I/O thread, after the whole request was read. */
-    static void begin(HttpServerExchange exchange) {
-        if (exchange.getConnection() instanceof HttpServerConnection connection) {
-            StreamSourceConduit conduit = connection.getOriginalSourceConduit();
-            connection.getChannel().getSourceChannel().setReadListener(channel -> look(exchange, connection, conduit));
-            conduit.resumeReads();
-        }
+    static CallerWatch begin(HttpServerExchange exchange) {
+        CallerWatch watch = new CallerWatch(exchange, (HttpServerConnection) exchange.getConnection());
+        watch.connection.getChannel().getSourceChannel().setReadListener(channel -> watch.look());
+        watch.conduit.resumeReads();
+        return watch;
     }
 
-    private static void look(
-            HttpServerExchange exchange, HttpServerConnection connection, StreamSourceConduit conduit) {
-        if (exchange.isComplete()) {
+    /**
+     * Looks at once whether the caller has closed its connection, which is closed then.
+     *
+     * <p>Guards against work for callers who left long ago. An entry that has just started on a small share of a
+     * processor reads its first requests seconds after they came. What its thread does next is to send them on, and
+     * only after all of them does it hear of the connections that were closed meanwhile.
+     */
+    void look() {
+        if (exchange.isComplete() || !conduit.isReadResumed()) {
             return;
         }
         PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
--- a/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
@@ -47,6 +47,7 @@
     private final CallerResponse response;
     private final ForwardMachine machine;
     private final Runnable ended;
+    private final CallerWatch watch;
     private final long arrivedNanos = System.nanoTime();
     private final Map<TimerKind, XnioExecutor.Key> timers = new EnumMap<>(TimerKind.class);
     private long firstByteNanos;
@@ -69,6 +70,7 @@
         this.ended = ended;
         this.response = new CallerResponse(exchange, this);
         this.machine = ForwardMachine.of(request, this);
+        this.watch = CallerWatch.begin(exchange);
     }
 
     /** Begins the run of a request that was read whole; {@code ended} runs once it is over. */
@@ -80,7 +82,6 @@
             byte[] body,
             Runnable ended) {
         ServingRun run = new ServingRun(services, exchange, head, request, body, ended);
-        CallerWatch.begin(exchange);
         run.machine.begin();
     }
 
@@ -105,7 +106,12 @@
                         kind,
                         pinned,
                         left.toMillis(),
-                        decision -> thread.execute(() -> machine.onPlaced(decision))));
+                        decision -> thread.execute(() -> onPlaced(decision))));
+    }
+
+    private void onPlaced(PlaceDecision decision) {
+        watch.look();
+        machine.onPlaced(decision);
     }
 
     @Override
--- a/src/main/java/org/yuccagw/core/control/ControlSnapshot.java
+++ b/src/main/java/org/yuccagw/core/control/ControlSnapshot.java
@@ -28,6 +28,11 @@
         return Optional.ofNullable(parts.getInstance(type));
     }
 
+    /** A state to which parts add. */
+    public static Builder builder() {
+        return EMPTY.toBuilder();
+    }
+
     Builder toBuilder() {
         return new Builder(new HashMap<>(parts));
     }
@@ -45,7 +50,7 @@
             return this;
         }
 
-        ControlSnapshot build() {
+        public ControlSnapshot build() {
             return new ControlSnapshot(ImmutableClassToInstanceMap.copyOf(parts));
         }
     }
