Serve requests of routes and workspaces with homes in these regions only

Change: Homes of route and workspace, both bind where both are there; looked up when an endpoint is placed and when a store is chosen to save in; parts of bound prompts have a cache name of their own, so that nobody fetches them elsewhere; the directory names entries of the caller's region as long as there are some. What no home can serve is refused at once.

--- a/src/main/java/org/yuccagw/adapters/serving/ServingServer.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingServer.java
@@ -24,6 +24,7 @@
 import org.yuccagw.adapters.settings.GatewaySettings;
 import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.deployment.Deployment;
+import org.yuccagw.core.deployment.Regions;
 import org.yuccagw.core.deployment.Route;
 import org.yuccagw.core.deployment.WorkspaceAccess;
 import org.yuccagw.core.error.ErrorKind;
@@ -57,12 +58,14 @@
     private final RunCount runs;
     private final Undertow server;
     private volatile boolean stopping;
+    private final Regions regions;
     private volatile boolean refusingStreams;
     private volatile boolean refusing;
 
     private ServingServer(ServingServices services, GatewaySettings settings, XnioWorker worker, RunCount runs) {
         this.services = services;
         this.runs = runs;
+        this.regions = settings.regions();
         this.server = Undertow.builder()
                 .setWorker(worker)
                 .setSocketOption(Options.TCP_NODELAY, true)
@@ -270,6 +273,7 @@
         List<EntryContact> chosen = new ArrayList<>(DirectoryChoice.choose(
                 peers().serving(),
                 domain == null ? Optional.empty() : Optional.of(FailureDomain.of(domain.getFirst())),
+                regions,
                 ThreadLocalRandom.current().nextInt()));
         if (chosen.isEmpty()) {
             exchange.setStatusCode(503);
--- a/src/main/java/org/yuccagw/adapters/settings/GatewaySettings.java
+++ b/src/main/java/org/yuccagw/adapters/settings/GatewaySettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.yuccagw.core.deployment.Regions;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.NetworkAddress;
@@ -12,6 +13,7 @@
 /**
  * Settings of an entry on the users' platform.
  *
+ * @param regions where failure domains lie
  * @param callers where requests arrive
  * @param readiness where the platform asks whether this entry takes requests
  * @param directory where callers ask which entries to use
@@ -23,6 +25,7 @@
 public record GatewaySettings(
         EntryId entry,
         FailureDomain domain,
+        Regions regions,
         NetworkAddress callers,
         NetworkAddress readiness,
         NetworkAddress directory,
--- a/src/main/java/org/yuccagw/adapters/settings/StrictObject.java
+++ b/src/main/java/org/yuccagw/adapters/settings/StrictObject.java
@@ -72,6 +72,11 @@
         return object.fields().containsKey(field);
     }
 
+    /** The names of its fields, in the file's order. */
+    public List<String> fieldNames() {
+        return List.copyOf(object.fields().keySet());
+    }
+
     /** A required text. */
     public String text(String field) throws YuccagwException {
         PositionedValue value = required(field, "a text");
--- a/src/main/java/org/yuccagw/core/deployment/Route.java
+++ b/src/main/java/org/yuccagw/core/deployment/Route.java
@@ -17,6 +17,7 @@
  * @param open whether it is served without a key
  * @param affine whether its requests carry prompts whose parts come back
  * @param resumable whether a stream may go on at another endpoint after its last event
+ * @param homes where its requests may be served
  */
 public record Route(
         String name,
@@ -31,7 +32,8 @@
         int mostAttempts,
         boolean open,
         boolean affine,
-        boolean resumable) {
+        boolean resumable,
+        Homes homes) {
 
     /** Whether a request may run again although it may have run before. */
     public boolean repeatable() {
--- /dev/null
+++ b/src/main/java/org/yuccagw/core/id/Region.java
@@ -0,0 +1,36 @@
+package org.yuccagw.core.id;
+
+/**
+ * A region: failure domains that lie near each other.
+ *
+ * @param value the name that settings and configuration use, such as {@code tallinn}
+ */
+public record Region(String value) implements Comparable<Region> {
+    public Region {
+        Names.requirePresent("Region", value);
+    }
+
+    public static Region of(String value) {
+        return new Region(value);
+    }
+
+    @Override
+    public int compareTo(Region other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Region that && value.equals(that.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
+}
--- a/src/main/java/org/yuccagw/core/placing/PlaceAsked.java
+++ b/src/main/java/org/yuccagw/core/placing/PlaceAsked.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.yuccagw.core.control.ControlEvent;
+import org.yuccagw.core.deployment.Homes;
 import org.yuccagw.core.deployment.Route;
 import org.yuccagw.core.deployment.WorkspaceAccess;
 import org.yuccagw.core.id.EndpointId;
@@ -63,6 +64,11 @@
                 reply);
     }
 
+    /** Where it may be served, by its route and its workspace. */
+    Homes homes() {
+        return route.homes().and(workspace.map(WorkspaceAccess::homes).orElse(Homes.ANYWHERE));
+    }
+
     boolean isRepeat() {
         return kind == Kind.REPEAT;
     }
--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -17,6 +17,7 @@
 import org.yuccagw.core.deployment.BackEndService;
 import org.yuccagw.core.deployment.Deployment;
 import org.yuccagw.core.deployment.EngineTraits;
+import org.yuccagw.core.deployment.Regions;
 import org.yuccagw.core.duty.WeightOrdersPart;
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
@@ -68,6 +69,7 @@
 
     private final RetryBounds bounds;
     private final ColdLimit cold;
+    private final Regions regions;
     private final NamedWeightsPart weights;
     private final StoresPart stores;
     private final PromptNeeds needs;
@@ -112,11 +114,13 @@
     private PlacingPart(
             RetryBounds bounds,
             ColdBounds coldBounds,
+            Regions regions,
             NamedWeightsPart weights,
             StoresPart stores,
             EngineCachesPart caches,
             Fleet fleet,
             Answers answers) {
+        this.regions = regions;
         this.bounds = bounds;
         this.cold = new ColdLimit(coldBounds);
         this.stores = stores;
@@ -130,6 +134,7 @@
      * The placing of one entry.
      *
      * @param coldBounds of what all entries send to cold endpoints
+     * @param regions in which homes of routes and workspaces are looked up
      * @param weights which weights are named
      * @param stores plans what is fetched from and saved to cache stores
      * @param caches what engines hold themselves
@@ -139,12 +144,13 @@
     public static PlacingPart of(
             RetryBounds bounds,
             ColdBounds coldBounds,
+            Regions regions,
             NamedWeightsPart weights,
             StoresPart stores,
             EngineCachesPart caches,
             Fleet fleet,
             Answers answers) {
-        return new PlacingPart(bounds, coldBounds, weights, stores, caches, fleet, answers);
+        return new PlacingPart(bounds, coldBounds, regions, weights, stores, caches, fleet, answers);
     }
 
     /** The entries that place requests. */
@@ -276,8 +282,16 @@
         }
     }
 
-    /** Whether every endpoint that is there has failed this request already, so that waiting can't help. */
+    /**
+     * Whether every endpoint that is there has failed this request already or lies outside of its homes, so that
+     * waiting can't help.
+     */
     private boolean isHopeless(PlaceAsked asked) {
+        if (asked.homes().isBinding()
+                && usable(asked.service())
+                        .noneMatch(each -> isHome(asked, each.listed().domain()))) {
+            return true;
+        }
         if (asked.excluded().isEmpty()) {
             return false;
         }
@@ -376,7 +390,8 @@
         OptionalLong version = asked.prompt().isPresent()
                 ? endpoint.versionOf(asked.prompt().get().model())
                 : OptionalLong.empty();
-        Optional<String> salt = asked.prompt().map(prompt -> CacheSalt.of(asked.workspace(), version.orElse(0)));
+        Optional<String> salt =
+                asked.prompt().map(prompt -> CacheSalt.of(asked.workspace(), asked.homes(), version.orElse(0)));
         Optional<CachePlan> cache = cachePlan(asked, endpoint, version, salt);
         context.perform(Decision.of("placed")
                 .with("request", asked.request())
@@ -442,7 +457,12 @@
             return Optional.empty();
         }
         int held = needs.heldParts(asked, endpoint);
-        return stores.plan(asked.prompt().get(), salt.get(), endpoint.listed().domain(), held, !old);
+        FailureDomain domain = endpoint.listed().domain();
+        return stores.plan(asked.prompt().get(), salt.get(), domain, held, kept -> !old && isHome(asked, kept));
+    }
+
+    private boolean isHome(PlaceAsked asked, FailureDomain domain) {
+        return asked.homes().allow(regions.of(domain));
     }
 
     private void refuse(PlaceAsked asked, YuccagwException error, String reason) {
@@ -514,6 +534,7 @@
     private boolean mayTake(EndpointState endpoint, PlaceAsked asked) {
         return endpoint.listed().service().equals(asked.service())
                 && endpoint.isUsable(context.nowNanos())
+                && isHome(asked, endpoint.listed().domain())
                 && !asked.excluded().contains(endpoint.listed().id())
                 && versionFits(endpoint, asked);
     }
--- a/src/main/java/org/yuccagw/core/placing/PromptNeeds.java
+++ b/src/main/java/org/yuccagw/core/placing/PromptNeeds.java
@@ -70,7 +70,8 @@
 
     private static String saltFor(PlaceAsked asked, EndpointState endpoint) {
         String model = asked.prompt().orElseThrow().model();
-        return CacheSalt.of(asked.workspace(), endpoint.versionOf(model).orElse(0));
+        return CacheSalt.of(
+                asked.workspace(), asked.homes(), endpoint.versionOf(model).orElse(0));
     }
 
     private static int tokensOf(List<PromptPart> parts) {
--- a/src/main/java/org/yuccagw/core/stores/StoresPart.java
+++ b/src/main/java/org/yuccagw/core/stores/StoresPart.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
@@ -130,10 +131,10 @@
      * @param domain of the endpoint
      * @param heldParts how many parts at the beginning of the prompt the endpoint holds; they are named as fetches
      *     all the same, in case it drops them meanwhile, but don't count as transfers
-     * @param withSaves whether parts that no store holds are to be saved
+     * @param mayKeep whether parts that no store holds may be saved in a failure domain
      */
     public Optional<CachePlan> plan(
-            PromptShape prompt, String salt, FailureDomain domain, int heldParts, boolean withSaves) {
+            PromptShape prompt, String salt, FailureDomain domain, int heldParts, Predicate<FailureDomain> mayKeep) {
         if (events.all().isEmpty() || prompt.parts().size() < 2) {
             return Optional.empty();
         }
@@ -149,7 +150,7 @@
             if (index >= heldParts) {
                 source.ifPresent(held -> countTransfer(held, part.tokens()));
             }
-            Optional<HeldParts> target = withSaves ? target(salt, part, isSession, source, domain) : Optional.empty();
+            Optional<HeldParts> target = target(salt, part, isSession, source, domain, mayKeep);
             target.ifPresent(held -> {
                 held.beginSave(salt, part.id(), context.nowNanos());
                 countTransfer(held, part.tokens());
@@ -200,7 +201,12 @@
      * gets a copy in a quick store; the part of one session gets one copy, in a quick store if it is short.
      */
     private Optional<HeldParts> target(
-            String salt, PromptPart part, boolean isSession, Optional<HeldParts> source, FailureDomain domain) {
+            String salt,
+            PromptPart part,
+            boolean isSession,
+            Optional<HeldParts> source,
+            FailureDomain domain,
+            Predicate<FailureDomain> mayKeep) {
         boolean saving = events.all().stream().anyMatch(held -> held.isSaving(salt, part.id(), context.nowNanos()));
         boolean heldSomewhere = events.all().stream().anyMatch(held -> held.tokens(salt, part.id()) >= part.tokens());
         if (saving || (isSession && heldSomewhere)) {
@@ -208,6 +214,7 @@
         }
         boolean quick = !isSession || part.tokens() <= SHORT_PART_TOKENS;
         Optional<HeldParts> best = events.all().stream()
+                .filter(held -> mayKeep.test(held.store().domain()))
                 .filter(held -> held.takesSaves(context.nowNanos()) && held.hasRoom(part.tokens()))
                 .filter(held -> hasLink(held, LONGEST_LINK_WAIT_FOR_SAVES))
                 .min(Comparator.comparingDouble(
--- a/src/main/java/org/yuccagw/daemon/GatewayParts.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayParts.java
@@ -68,7 +68,14 @@
         EngineCachesPart caches = EngineCachesPart.of(peers::ownLeads);
         PlacingDesk desk = PlacingDesk.of(this::workOf);
         placing = PlacingPart.of(
-                settings.bounds().retries(), settings.bounds().cold(), weights, stores, caches, new Placing(), desk);
+                settings.bounds().retries(),
+                settings.bounds().cold(),
+                settings.regions(),
+                weights,
+                stores,
+                caches,
+                new Placing(),
+                desk);
         PlacingRelay relay = PlacingRelay.of(this::leadsToAsk, placing::usableEndpoint);
         duty = DutyPart.of(
                 WEIGHTS_DUTY,
--- a/src/main/java/org/yuccagw/platform/DeploymentReader.java
+++ b/src/main/java/org/yuccagw/platform/DeploymentReader.java
@@ -13,6 +13,7 @@
 import org.yuccagw.core.deployment.ColdTraits;
 import org.yuccagw.core.deployment.Deployment;
 import org.yuccagw.core.deployment.EngineTraits;
+import org.yuccagw.core.deployment.Homes;
 import org.yuccagw.core.deployment.RequestLimits;
 import org.yuccagw.core.deployment.Route;
 import org.yuccagw.core.deployment.RouteKind;
@@ -20,6 +21,7 @@
 import org.yuccagw.core.deployment.WorkspaceAccess;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.core.id.Region;
 import org.yuccagw.core.id.ServiceName;
 import org.yuccagw.core.id.StoreId;
 import org.yuccagw.core.id.WorkspaceId;
@@ -84,7 +86,8 @@
                 Math.max(1, route.path("maxAttempts").asInt(1)),
                 route.path("noAuth").asBoolean(false),
                 route.path("sessionAffinity").asBoolean(false),
-                route.path("resumable").asBoolean(false));
+                route.path("resumable").asBoolean(false),
+                readHomes(route));
     }
 
     private static RouteKind readKind(String word) {
@@ -145,7 +148,14 @@
                 WorkspaceId.of(workspace.required("name").asText()),
                 keys.build(),
                 priority,
-                workspace.path("isolated").asBoolean(false));
+                workspace.path("isolated").asBoolean(false),
+                readHomes(workspace));
+    }
+
+    private static Homes readHomes(JsonNode object) {
+        List<Region> regions = new ArrayList<>();
+        object.path("allowedRegions").forEach(region -> regions.add(Region.of(region.asText())));
+        return Homes.in(regions);
     }
 
     private static RequestLimits readLimits(JsonNode limits) {
--- a/src/main/java/org/yuccagw/platform/GatewaySettingsReader.java
+++ b/src/main/java/org/yuccagw/platform/GatewaySettingsReader.java
@@ -1,5 +1,6 @@
 package org.yuccagw.platform;
 
+import com.google.common.collect.ImmutableMap;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -10,11 +11,13 @@
 import org.yuccagw.adapters.settings.GatewaySettings;
 import org.yuccagw.adapters.settings.StrictObject;
 import org.yuccagw.core.control.EntryIdentity;
+import org.yuccagw.core.deployment.Regions;
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.core.id.Region;
 import org.yuccagw.core.placing.ColdBounds;
 import org.yuccagw.core.placing.RetryBounds;
 
@@ -76,6 +79,7 @@
         return new GatewaySettings(
                 EntryId.of(told.text("nodeName")),
                 FailureDomain.of(told.text("zone")),
+                readRegions(told),
                 address(listens, "front"),
                 address(listens, "ready"),
                 address(listens, "directory"),
@@ -87,6 +91,18 @@
                 root.optionalText("log_level").orElse("info"));
     }
 
+    private static Regions readRegions(StrictObject told) throws YuccagwException {
+        if (!told.has("zones")) {
+            return Regions.UNKNOWN;
+        }
+        StrictObject zones = told.lenient("zones");
+        ImmutableMap.Builder<FailureDomain, Region> regions = ImmutableMap.builder();
+        for (String name : zones.fieldNames()) {
+            regions.put(FailureDomain.of(name), Region.of(zones.text(name)));
+        }
+        return new Regions(regions.buildOrThrow());
+    }
+
     /**
      * The smaller one of what the processor and the network can carry. A lead of 60 entries needs some 5 hundredths of
      * a core and 2.5 megabits a second, so a megabit counts as two hundredths.
--- a/src/main/java/org/yuccagw/standins/platform/PlatformDocuments.java
+++ b/src/main/java/org/yuccagw/standins/platform/PlatformDocuments.java
@@ -52,6 +52,14 @@
         return this;
     }
 
+    /** Binds the requests of the last route to regions. */
+    public PlatformDocuments homes(String... regions) {
+        ArrayNode routes = (ArrayNode) root.path("routes");
+        ArrayNode homes = ((ObjectNode) routes.get(routes.size() - 1)).putArray("allowedRegions");
+        List.of(regions).forEach(homes::add);
+        return this;
+    }
+
     /** Sets the target and the priority of the last route. */
     public PlatformDocuments wanted(int targetMillis, int priority) {
         ArrayNode routes = (ArrayNode) root.path("routes");
--- a/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
+++ b/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
@@ -13,6 +13,7 @@
 import java.util.OptionalLong;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import org.yuccagw.core.deployment.Homes;
 import org.yuccagw.core.deployment.Route;
 import org.yuccagw.core.deployment.RouteKind;
 import org.yuccagw.core.deployment.ServiceShare;
@@ -344,7 +345,8 @@
                 attempts,
                 false,
                 false,
-                resumable);
+                resumable,
+                Homes.ANYWHERE);
         ForwardRequest request = new ForwardRequest(
                 RequestId.of("r1"),
                 route,
--- a/src/test/java/org/yuccagw/core/placing/PromptNeedsTest.java
+++ b/src/test/java/org/yuccagw/core/placing/PromptNeedsTest.java
@@ -21,6 +21,7 @@
 import org.yuccagw.core.deployment.ColdTraits;
 import org.yuccagw.core.deployment.Deployment;
 import org.yuccagw.core.deployment.EngineTraits;
+import org.yuccagw.core.deployment.Homes;
 import org.yuccagw.core.deployment.RequestLimits;
 import org.yuccagw.core.deployment.Route;
 import org.yuccagw.core.deployment.RouteKind;
@@ -133,7 +134,8 @@
                 1,
                 true,
                 true,
-                false);
+                false,
+                Homes.ANYWHERE);
         return new PlaceAsked(
                 RequestId.of("r1"),
                 route,
--- a/src/test/java/org/yuccagw/core/placing/RetryAllowanceTest.java
+++ b/src/test/java/org/yuccagw/core/placing/RetryAllowanceTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.testng.annotations.Test;
+import org.yuccagw.core.deployment.Homes;
 import org.yuccagw.core.deployment.WorkspaceAccess;
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EndpointIncarnation;
@@ -67,14 +68,19 @@
 
     @Test
     public void onlyAnIsolatedWorkspaceHasACacheOfItsOwnAndEveryVersionHas() {
-        assertEquals(CacheSalt.of(Optional.of(workspace("a", false)), 1), CacheSalt.of(Optional.empty(), 1));
-        assertFalse(CacheSalt.of(Optional.of(workspace("a", true)), 1).equals(CacheSalt.of(Optional.empty(), 1)));
-        assertFalse(CacheSalt.of(Optional.of(workspace("a", true)), 1)
-                .equals(CacheSalt.of(Optional.of(workspace("b", true)), 1)));
-        assertFalse(CacheSalt.of(Optional.empty(), 1).equals(CacheSalt.of(Optional.empty(), 2)));
+        assertEquals(
+                CacheSalt.of(Optional.of(workspace("a", false)), Homes.ANYWHERE, 1),
+                CacheSalt.of(Optional.empty(), Homes.ANYWHERE, 1));
+        assertFalse(CacheSalt.of(Optional.of(workspace("a", true)), Homes.ANYWHERE, 1)
+                .equals(CacheSalt.of(Optional.empty(), Homes.ANYWHERE, 1)));
+        assertFalse(CacheSalt.of(Optional.of(workspace("a", true)), Homes.ANYWHERE, 1)
+                .equals(CacheSalt.of(Optional.of(workspace("b", true)), Homes.ANYWHERE, 1)));
+        assertFalse(CacheSalt.of(Optional.empty(), Homes.ANYWHERE, 1)
+                .equals(CacheSalt.of(Optional.empty(), Homes.ANYWHERE, 2)));
     }
 
     private static WorkspaceAccess workspace(String name, boolean isolated) {
-        return new WorkspaceAccess(WorkspaceId.of(name), ImmutableSet.of(), OptionalInt.empty(), isolated);
+        return new WorkspaceAccess(
+                WorkspaceId.of(name), ImmutableSet.of(), OptionalInt.empty(), isolated, Homes.ANYWHERE);
     }
 }
--- a/src/test/java/org/yuccagw/core/placing/WaitingRequestsTest.java
+++ b/src/test/java/org/yuccagw/core/placing/WaitingRequestsTest.java
@@ -12,6 +12,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.testng.annotations.Test;
+import org.yuccagw.core.deployment.Homes;
 import org.yuccagw.core.deployment.Route;
 import org.yuccagw.core.deployment.RouteKind;
 import org.yuccagw.core.deployment.ServiceShare;
@@ -97,9 +98,14 @@
                 1,
                 false,
                 true,
-                false);
+                false,
+                Homes.ANYWHERE);
         WorkspaceAccess workspace = new WorkspaceAccess(
-                WorkspaceId.of("w" + workspacePriority), ImmutableSet.of(), OptionalInt.of(workspacePriority), false);
+                WorkspaceId.of("w" + workspacePriority),
+                ImmutableSet.of(),
+                OptionalInt.of(workspacePriority),
+                false,
+                Homes.ANYWHERE);
         PromptShape prompt = new PromptShape("model", 900, 50, ImmutableList.of(new PromptPart("own", 900)));
         return new PlaceAsked(
                 RequestId.of(name),
--- a/src/test/java/org/yuccagw/core/stores/StoresPartTest.java
+++ b/src/test/java/org/yuccagw/core/stores/StoresPartTest.java
@@ -94,9 +94,12 @@
     @Test
     public void partsUnderAnotherNameAreNotFetched() {
         tell(LARGE, "session", 5_000);
-        assertFalse(
-                stores.plan(PROMPT, "w.other.1", HERE, 0, true).orElseThrow().hasFetch());
-        assertFalse(stores.plan(PROMPT, "s.2", HERE, 0, true).orElseThrow().hasFetch());
+        assertFalse(stores.plan(PROMPT, "w.other.1", HERE, 0, domain -> true)
+                .orElseThrow()
+                .hasFetch());
+        assertFalse(stores.plan(PROMPT, "s.2", HERE, 0, domain -> true)
+                .orElseThrow()
+                .hasFetch());
     }
 
     @Test
@@ -181,8 +184,16 @@
         assertEquals(followers, LARGE.mostWatchers() - 2);
     }
 
+    // A prompt is bound to its region. What it leaves must not lie in a store elsewhere, however much room is there.
+    @Test
+    public void nothingIsSavedWhereItMayNotBeKept() {
+        CachePlan plan = stores.plan(PROMPT, SALT, HERE, 0, domain -> !domain.equals(HERE))
+                .orElseThrow();
+        assertTrue(plan.saves().stream().allMatch(Optional::isEmpty), "saves: " + plan.saves());
+    }
+
     private CachePlan plan() {
-        return stores.plan(PROMPT, SALT, HERE, 0, true).orElseThrow();
+        return stores.plan(PROMPT, SALT, HERE, 0, domain -> true).orElseThrow();
     }
 
     private void tell(CacheStore store, String part, int tokens) {
--- a/src/test/java/org/yuccagw/daemon/VirtualFleet.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualFleet.java
@@ -20,6 +20,7 @@
 import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.control.EntryIdentity;
 import org.yuccagw.core.deployment.Deployment;
+import org.yuccagw.core.deployment.Regions;
 import org.yuccagw.core.deployment.Route;
 import org.yuccagw.core.duty.EngineAnswer;
 import org.yuccagw.core.duty.EngineCall;
@@ -30,6 +31,7 @@
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.core.id.Region;
 import org.yuccagw.core.id.RequestId;
 import org.yuccagw.core.placing.ColdBounds;
 import org.yuccagw.core.placing.PlaceAsked;
@@ -49,6 +51,11 @@
     static final Duration SEPARATION = Duration.ofSeconds(3);
     static final Duration OLD_WEIGHTS_ALLOWED = Duration.ofSeconds(8);
 
+    static final FailureDomain NORTHERN = FailureDomain.of("ulemiste");
+    static final FailureDomain SOUTHERN = FailureDomain.of("kadaka");
+    private static final Regions REGIONS =
+            new Regions(ImmutableMap.of(NORTHERN, Region.of("north"), SOUTHERN, Region.of("south")));
+
     private static final int COLD_SECONDS = 3;
     static final Duration COLD = Duration.ofSeconds(COLD_SECONDS);
     static final double COLD_PER_SECOND = 9.8;
@@ -341,6 +348,7 @@
         return new GatewaySettings(
                 EntryId.of(name),
                 domain,
+                REGIONS,
                 ANYWHERE,
                 ANYWHERE,
                 ANYWHERE,
--- a/src/test/java/org/yuccagw/platform/GatewaySettingsReaderTest.java
+++ b/src/test/java/org/yuccagw/platform/GatewaySettingsReaderTest.java
@@ -9,11 +9,16 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.testng.annotations.Test;
 import org.yuccagw.adapters.settings.GatewaySettings;
 import org.yuccagw.core.control.EntryIdentity;
+import org.yuccagw.core.deployment.Regions;
 import org.yuccagw.core.error.YuccagwException;
+import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.core.id.Region;
+import org.yuccagw.core.placing.ColdBounds;
 
 public class GatewaySettingsReaderTest {
     private static final String TOLD = """
@@ -34,6 +39,20 @@
         assertTrue(settings.bounds().keysUnconfirmed().isEmpty());
     }
 
+    @Test
+    public void regionsOfFailureDomainsAreRead() throws YuccagwException {
+        String told = TOLD.replace("\"bounds\":", "\"zones\": {\"a\": \"north\", \"b\": \"south\"}, \"bounds\":");
+        Regions regions = GatewaySettingsReader.parse(rendered(told)).regions();
+        assertEquals(regions.of(FailureDomain.of("b")), Optional.of(Region.of("south")));
+        assertEquals(regions.of(FailureDomain.of("c")), Optional.empty());
+    }
+
+    @Test
+    public void boundsOnColdEndpointsAreRead() throws YuccagwException {
+        String told = TOLD.replace("\"bounds\": {", "\"bounds\": {\"coldOverage\": 1.5, \"coldSlack\": 5, ");
+        assertEquals(GatewaySettingsReader.parse(rendered(told)).bounds().cold(), new ColdBounds(1.5, 5));
+    }
+
     @Test
     public void whatAVmCanCarryIsTheSmallerOneOfItsProcessorAndItsNetwork() throws YuccagwException {
         assertEquals(capacityOf("{\"cpuShare\": 0.75, \"cores\": 2, \"linkMbps\": 1000.0}"), 150);
--- a/src/test/java/org/yuccagw/platform/PlatformWordsTest.java
+++ b/src/test/java/org/yuccagw/platform/PlatformWordsTest.java
@@ -21,7 +21,7 @@
             + "|\"servers/|nodeName|listenAddrs|seedNodes|portRange|pathPrefix\"|trafficSplit"
             + "|targetLatencyMs|maxAttempts|noAuth|sessionAffinity|gapAimMs|apiKeys|kvStoreAddr|kvCapacity|tokenKvBytes"
             + "|storeRevision|createdRev|bootEpoch|retrySlack|strictRevoke"
-            + "|cold(StartS|PerS|LeftMs|Overage|Slack)|YUCCAGW_CONFIG");
+            + "|allowedRegions|cold(StartS|PerS|LeftMs|Overage|Slack)|YUCCAGW_CONFIG");
     private static final Pattern WORDS =
             Pattern.compile("(?i)\\b(tenants?|zones?|back ?ends?|requesters?|check-ins?|work units?|allotments?)\\b");
 
