--- a/src/main/java/org/yuccagw/core/placing/EndpointTable.java
+++ b/src/main/java/org/yuccagw/core/placing/EndpointTable.java
@@ -4,13 +4,11 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.control.Decision;
@@ -29,7 +27,6 @@
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
-import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.ServiceName;
 import org.yuccagw.core.peers.PeerStatus;
 import org.yuccagw.core.peers.PeersPart;
@@ -48,7 +45,7 @@
     private final Map<EndpointId, EndpointState> endpoints = new LinkedHashMap<>();
     private final Map<EntryId, Map<EndpointIncarnation, Work>> peerLoads = new HashMap<>();
     private final Map<EntryId, List<EndpointIncarnation>> loadingBy = new HashMap<>();
-    private final Set<FailureDomain> evacuated = new HashSet<>();
+    private final Evacuations evacuations = new Evacuations(endpoints::values, this::coldTraits);
     private Optional<Deployment> deployment = Optional.empty();
     private ControlContext context;
 
@@ -58,14 +55,11 @@
     }
 
     void handle(ControlEvent event) {
+        evacuations.handle(event, context);
         if (event instanceof FactSeen seen && seen.fact() instanceof Fact.EndpointListed listed) {
             list(listed.endpoint());
         } else if (event instanceof FactGone gone && gone.subject() instanceof Fact.Subject.EndpointSubject subject) {
             unlist(subject.endpoint(), gone.afterOutage());
-        } else if (event instanceof FactSeen seen && seen.fact() instanceof Fact.DomainEvacuated fact) {
-            evacuate(fact.domain());
-        } else if (event instanceof FactGone gone && gone.subject() instanceof Fact.Subject.EvacuationSubject subject) {
-            endEvacuation(subject.domain());
         } else if (event instanceof ConfiguredPart.Applied applied) {
             deployment = Optional.of(applied.deployment());
         } else if (event instanceof PeersPart.PeerHeard heard) {
@@ -141,7 +135,7 @@
         boolean news = first || (!known.leaving() && listed.leaving());
         if (first) {
             EndpointState state = new EndpointState(listed, context.nowNanos());
-            state.evacuated(evacuated.contains(listed.domain()));
+            evacuations.adopt(state);
             endpoints.put(listed.id(), state);
         } else {
             known.relist(listed, context.nowNanos());
@@ -166,50 +160,6 @@
                 .with("after_outage", afterOutage));
     }
 
-    // ---- Evacuation of failure domains.
-
-    /**
-     * Sends nothing more to the endpoints of a failure domain. What runs there goes on to its end: callers are waiting
-     * for it, and only what begins later is forbidden.
-     */
-    private void evacuate(FailureDomain domain) {
-        evacuated.add(domain);
-        note("domain-evacuated", domain);
-        in(domain).forEach(endpoint -> endpoint.evacuated(true));
-    }
-
-    /**
-     * Uses the endpoints of a failure domain again, as cold ones.
-     *
-     * <p>Guards against a rush that ends them: they turn cold while nobody uses them, and say so with their next
-     * registration only, up to a heartbeat later; until then they look like the emptiest ones of all.
-     */
-    private void endEvacuation(FailureDomain domain) {
-        if (!evacuated.remove(domain)) {
-            return;
-        }
-        note("domain-evacuation-ended", domain);
-        in(domain).forEach(endpoint -> {
-            endpoint.evacuated(false);
-            Duration cold = coldTraits(endpoint.listed().service()).lasts();
-            if (!cold.isZero()) {
-                endpoint.coldFor(cold, context.nowNanos());
-            }
-        });
-    }
-
-    private List<EndpointState> in(FailureDomain domain) {
-        return endpoints.values().stream()
-                .filter(endpoint -> endpoint.listed().domain().equals(domain))
-                .toList();
-    }
-
-    private void note(String decision, FailureDomain domain) {
-        context.perform(Decision.of(decision)
-                .with("domain", domain)
-                .with("endpoints", in(domain).size()));
-    }
-
     /** What cold endpoints of the service bear. */
     ColdTraits coldTraits(ServiceName service) {
         return deployment
