Spare cold endpoints that couldn't be reached, too

ColdEndpointsTest: 50 prompts of one entry in 0.3 s on one cold engine before, within the bound now.

--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -509,9 +509,11 @@
             if (!mayTake(endpoint, asked)) {
                 continue;
             }
-            if (endpoint.isAvoided(now)) {
+            if (!bearsAnother(endpoint)) {
+                soon = true;
+            } else if (endpoint.isAvoided(now)) {
                 unreached.add(endpoint);
-            } else if (endpoint.isLoading(now) || endpoint.hasJustShed(now) || !bearsAnother(endpoint)) {
+            } else if (endpoint.isLoading(now) || endpoint.hasJustShed(now)) {
                 soon = true;
             } else {
                 ready.add(endpoint);
--- a/src/test/java/org/yuccagw/daemon/ColdEndpointsTest.java
+++ b/src/test/java/org/yuccagw/daemon/ColdEndpointsTest.java
@@ -214,6 +214,32 @@
         }
     }
 
+    // All that is left is cold, and an entry has failed to connect to each of them once. Those that couldn't be reached
+    // are tried when nothing else is there, but not beyond what they bear.
+    @Test
+    public void coldEnginesThatCouldNotBeReachedAreSparedToo() {
+        start(MESH);
+        fleet.evacuate(OTHER);
+        for (int index = 0; index < WARM; index += 2) {
+            fleet.addEngine("warm-" + index, HOME, Duration.ofSeconds(6));
+        }
+        fleet.bench.runFor(Duration.ofSeconds(2));
+        BenchNode node = nodes.get(0);
+        for (int index = 0; index < WARM / 2; index++) {
+            fleet.askPrompt(node, TOKENS, decision -> {
+                if (decision instanceof PlaceDecision.Placed placed) {
+                    node.offer(new AttemptEnded(placed.ticket(), End.UNREACHED));
+                }
+            });
+        }
+        fleet.bench.runFor(Duration.ofMillis(50));
+        long from = now();
+        nodes = List.of(node);
+        play(Duration.ofMillis(300));
+        assertBound("warm-0", from);
+        assertBound("warm-2", from);
+    }
+
     // News that an engine is warm again comes before the time that it gave; it must be of use at once.
     @Test
     public void anEngineThatSaysThatItIsWarmIsUsedLikeAnyOther() {
