--- a/src/main/java/org/yuccagw/adapters/telemetry/DecisionLog.java
+++ b/src/main/java/org/yuccagw/adapters/telemetry/DecisionLog.java
@@ -17,11 +17,10 @@
  * <p>The lines go through a bounded queue to a thread of their own; when the queue is full, lines are dropped, which a
  * later line counts, and never waited for.
  *
- * <p>That thread begins its work {@link #FIRST_LOOK} after the start. Loading the logging library takes 0.43 s of
- * processor time, 0.4 of all that a start took until callers could connect; after a loss of all entries every caller
- * waits for that, and those that come back at once are served late while it goes on beside them: 0.36 of what they were
- * owed in these two seconds was earned with a first look after 0.8 s, 0.67 after 3 s. The lines of the first moments
- * wait in the queue meanwhile, and say by how much they are late.
+ * <p>That thread begins its work {@link #FIRST_LOOK} after the start. Guards against a start that the logging library
+ * slows down: after a loss of all entries callers come back all at once, and whatever is loaded beside their first
+ * requests makes these late. The lines of the first moments wait in the queue meanwhile, and say by how much they are
+ * late.
  */
 public final class DecisionLog implements ActionHandler {
     private static final int QUEUE_LINES = 4_096;
--- a/src/main/java/org/yuccagw/core/placing/EngineRoom.java
+++ b/src/main/java/org/yuccagw/core/placing/EngineRoom.java
@@ -28,13 +28,13 @@
 
     /**
      * Part of an engine's memory that running requests may take. Answers take seconds, so memory is what runs out
-     * first: at 0.75 long prompts waited for 0.7 s while engines had a fifth of their memory to spare.
+     * first, and what is kept free makes long prompts wait for nothing.
      */
     private static final double MEMORY_FOR_RUNNING = 0.95;
 
     /**
-     * The same for prompts that aren't of the shortest target of their service, since those come at any moment. With
-     * one limit for all, 0.60 of them were in time under 2.5 times the usual load, with this one 0.84 (StepLoadTest).
+     * The same for prompts that aren't of the shortest target of their service: those come at any moment, and find no
+     * room under load where one limit holds for all.
      */
     private static final double MEMORY_FOR_PATIENT = 0.85;
 
--- a/src/main/java/org/yuccagw/core/placing/Scoring.java
+++ b/src/main/java/org/yuccagw/core/placing/Scoring.java
@@ -35,8 +35,8 @@
 
     /**
      * Bytes between failure domains are dear, and a prompt's body grows with its tokens, about a byte for each: a long
-     * one is worth 4 % of its answer. Twice the price of fetching all its shared parts; at the same price three of five
-     * prompts were sent to other domains.
+     * one is worth 4 % of its answer. Twice the price of fetching all its shared parts, since prompts would follow
+     * these into other domains otherwise.
      */
     private static final double FAR_MILLIS_PER_PROMPT_TOKEN = 0.025;
 
