--- a/src/main/java/org/yuccagw/adapters/serving/ServingServer.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingServer.java
@@ -57,8 +57,8 @@
     private final ServingServices services;
     private final RunCount runs;
     private final Undertow server;
-    private volatile boolean stopping;
     private final Regions regions;
+    private volatile boolean stopping;
     private volatile boolean refusingStreams;
     private volatile boolean refusing;
 
--- a/src/main/java/org/yuccagw/core/placing/EndpointTable.java
+++ b/src/main/java/org/yuccagw/core/placing/EndpointTable.java
@@ -9,17 +9,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Function;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.control.PeerReceived;
-import org.yuccagw.core.deployment.BackEndService;
 import org.yuccagw.core.deployment.ColdTraits;
-import org.yuccagw.core.deployment.Deployment;
 import org.yuccagw.core.duty.WeightOrdersPart;
 import org.yuccagw.core.fleet.ListedEndpoint;
 import org.yuccagw.core.fleet.ModelWeights;
-import org.yuccagw.core.follow.ConfiguredPart;
 import org.yuccagw.core.follow.Fact;
 import org.yuccagw.core.follow.FactGone;
 import org.yuccagw.core.follow.FactSeen;
@@ -45,10 +43,18 @@
     private final Map<EndpointId, EndpointState> endpoints = new LinkedHashMap<>();
     private final Map<EntryId, Map<EndpointIncarnation, Work>> peerLoads = new HashMap<>();
     private final Map<EntryId, List<EndpointIncarnation>> loadingBy = new HashMap<>();
-    private final Evacuations evacuations = new Evacuations(endpoints::values, this::coldTraits);
-    private Optional<Deployment> deployment = Optional.empty();
+    private final Evacuations evacuations;
     private ControlContext context;
 
+    /**
+     * Knows no endpoint yet.
+     *
+     * @param cold what cold endpoints of a service bear
+     */
+    EndpointTable(Function<ServiceName, ColdTraits> cold) {
+        this.evacuations = new Evacuations(endpoints::values, cold);
+    }
+
     void start(ControlContext startContext) {
         context = startContext;
         context.after(FORGET_INTERVAL, this::forget);
@@ -60,8 +66,6 @@
             list(listed.endpoint());
         } else if (event instanceof FactGone gone && gone.subject() instanceof Fact.Subject.EndpointSubject subject) {
             unlist(subject.endpoint(), gone.afterOutage());
-        } else if (event instanceof ConfiguredPart.Applied applied) {
-            deployment = Optional.of(applied.deployment());
         } else if (event instanceof PeersPart.PeerHeard heard) {
             hear(heard);
         } else if (event instanceof PeerReceived received && received.message() instanceof LoadNews news) {
@@ -160,14 +164,6 @@
                 .with("after_outage", afterOutage));
     }
 
-    /** What cold endpoints of the service bear. */
-    ColdTraits coldTraits(ServiceName service) {
-        return deployment
-                .flatMap(known -> known.service(service))
-                .map(BackEndService::cold)
-                .orElse(ColdTraits.NEVER_COLD);
-    }
-
     private void forget() {
         context.after(FORGET_INTERVAL, this::forget);
         endpoints.values().removeIf(endpoint -> endpoint.isForgettable(context.nowNanos()));
--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -15,8 +15,10 @@
 import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.control.PeerReceived;
 import org.yuccagw.core.deployment.BackEndService;
+import org.yuccagw.core.deployment.ColdTraits;
 import org.yuccagw.core.deployment.Deployment;
 import org.yuccagw.core.deployment.EngineTraits;
+import org.yuccagw.core.deployment.Homes;
 import org.yuccagw.core.deployment.Regions;
 import org.yuccagw.core.duty.WeightOrdersPart;
 import org.yuccagw.core.error.ErrorKind;
@@ -75,7 +77,7 @@
     private final PromptNeeds needs;
     private final Fleet fleet;
     private final Answers answers;
-    private final EndpointTable endpoints = new EndpointTable();
+    private final EndpointTable endpoints = new EndpointTable(this::coldTraits);
     private final ReadSpeed speed = new ReadSpeed();
     private final Map<ServiceName, RetryAllowance> allowances = new HashMap<>();
     private final SuspectRequests suspects = new SuspectRequests();
@@ -287,9 +289,10 @@
      * waiting can't help.
      */
     private boolean isHopeless(PlaceAsked asked) {
-        if (asked.homes().isBinding()
+        Homes homes = asked.homes();
+        if (homes.isBinding()
                 && usable(asked.service())
-                        .noneMatch(each -> isHome(asked, each.listed().domain()))) {
+                        .noneMatch(each -> isIn(homes, each.listed().domain()))) {
             return true;
         }
         if (asked.excluded().isEmpty()) {
@@ -457,12 +460,13 @@
             return Optional.empty();
         }
         int held = needs.heldParts(asked, endpoint);
+        Homes homes = asked.homes();
         FailureDomain domain = endpoint.listed().domain();
-        return stores.plan(asked.prompt().get(), salt.get(), domain, held, kept -> !old && isHome(asked, kept));
+        return stores.plan(asked.prompt().get(), salt.get(), domain, held, kept -> !old && isIn(homes, kept));
     }
 
-    private boolean isHome(PlaceAsked asked, FailureDomain domain) {
-        return asked.homes().allow(regions.of(domain));
+    private boolean isIn(Homes homes, FailureDomain domain) {
+        return homes.allow(regions.of(domain));
     }
 
     private void refuse(PlaceAsked asked, YuccagwException error, String reason) {
@@ -502,11 +506,12 @@
      */
     private List<EndpointState> candidates(PlaceAsked asked) {
         long now = context.nowNanos();
+        Homes homes = asked.homes();
         List<EndpointState> ready = new ArrayList<>();
         List<EndpointState> unreached = new ArrayList<>();
         boolean soon = false;
         for (EndpointState endpoint : endpoints.all()) {
-            if (!mayTake(endpoint, asked)) {
+            if (!mayTake(endpoint, asked, homes)) {
                 continue;
             }
             if (!bearsAnother(endpoint)) {
@@ -530,13 +535,20 @@
         }
         boolean knowsFleet = now - startedNanos >= ColdLimit.FLEET_UNKNOWN.toNanos();
         int shares = knowsFleet ? fleet.coldShares(endpoint.listed().domain()) : 0;
-        return cold.allows(endpoint, endpoints.coldTraits(endpoint.listed().service()), shares, now);
+        return cold.allows(endpoint, coldTraits(endpoint.listed().service()), shares, now);
     }
 
-    private boolean mayTake(EndpointState endpoint, PlaceAsked asked) {
+    private ColdTraits coldTraits(ServiceName service) {
+        return deployment
+                .flatMap(known -> known.service(service))
+                .map(BackEndService::cold)
+                .orElse(ColdTraits.NEVER_COLD);
+    }
+
+    private boolean mayTake(EndpointState endpoint, PlaceAsked asked, Homes homes) {
         return endpoint.listed().service().equals(asked.service())
                 && endpoint.isUsable(context.nowNanos())
-                && isHome(asked, endpoint.listed().domain())
+                && isIn(homes, endpoint.listed().domain())
                 && !asked.excluded().contains(endpoint.listed().id())
                 && versionFits(endpoint, asked);
     }
--- a/src/main/java/org/yuccagw/standins/platform/PlatformDocuments.java
+++ b/src/main/java/org/yuccagw/standins/platform/PlatformDocuments.java
@@ -44,28 +44,20 @@
 
     /** Lets the streams of the last route be resumed at another endpoint. */
     public PlatformDocuments resumable() {
-        ArrayNode routes = (ArrayNode) root.path("routes");
-        ((ObjectNode) routes.get(routes.size() - 1))
-                .put("resumable", true)
-                .put("sessionAffinity", true)
-                .put("gapAimMs", 200);
+        last("routes").put("resumable", true).put("sessionAffinity", true).put("gapAimMs", 200);
         return this;
     }
 
     /** Binds the requests of the last route to regions. */
     public PlatformDocuments homes(String... regions) {
-        ArrayNode routes = (ArrayNode) root.path("routes");
-        ArrayNode homes = ((ObjectNode) routes.get(routes.size() - 1)).putArray("allowedRegions");
+        ArrayNode homes = last("routes").putArray("allowedRegions");
         List.of(regions).forEach(homes::add);
         return this;
     }
 
     /** Sets the target and the priority of the last route. */
     public PlatformDocuments wanted(int targetMillis, int priority) {
-        ArrayNode routes = (ArrayNode) root.path("routes");
-        ((ObjectNode) routes.get(routes.size() - 1))
-                .put("targetLatencyMs", targetMillis)
-                .put("priority", priority);
+        last("routes").put("targetLatencyMs", targetMillis).put("priority", priority);
         return this;
     }
 
@@ -77,10 +69,7 @@
 
     /** Bounds what cold endpoints of the last service bear. */
     public PlatformDocuments cold(double lastsSeconds, double perSecond) {
-        ArrayNode services = (ArrayNode) root.path("services");
-        ((ObjectNode) services.get(services.size() - 1))
-                .put("coldStartS", lastsSeconds)
-                .put("coldPerS", perSecond);
+        last("services").put("coldStartS", lastsSeconds).put("coldPerS", perSecond);
         return this;
     }
 
@@ -120,6 +109,11 @@
         return this;
     }
 
+    private ObjectNode last(String list) {
+        ArrayNode all = (ArrayNode) root.path(list);
+        return (ObjectNode) all.get(all.size() - 1);
+    }
+
     public byte[] bytes() {
         return StandInJson.bytes(root);
     }
--- a/src/test/java/org/yuccagw/daemon/VirtualFleet.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualFleet.java
@@ -71,6 +71,7 @@
     private final Map<EntryId, GatewayParts> started = new LinkedHashMap<>();
     private final Map<EndpointId, Long> accepted = new LinkedHashMap<>();
     private final Map<EndpointId, Boolean> loading = new LinkedHashMap<>();
+    private final Map<EndpointId, FailureDomain> domains = new LinkedHashMap<>();
     private final Map<EndpointId, Long> starts = new LinkedHashMap<>();
     private int ordersToIgnore;
     private boolean dropping;
@@ -84,7 +85,7 @@
     }
 
     BenchNode start(String name) {
-        return start(name, FailureDomain.of("ulemiste"));
+        return start(name, NORTHERN);
     }
 
     BenchNode start(String name, FailureDomain domain) {
@@ -136,9 +137,7 @@
     }
 
     void addEngine(String id) {
-        weights.put(EndpointId.of(id), 1L);
-        starts.put(EndpointId.of(id), PlatformDocuments.FIRST_START_MILLIS);
-        register(EndpointId.of(id));
+        addEngine(id, NORTHERN, Duration.ZERO);
     }
 
     /** An engine of a failure domain registers, cold for so long or not at all; a later call registers it anew. */
@@ -146,17 +145,8 @@
         EndpointId engine = EndpointId.of(id);
         weights.putIfAbsent(engine, 1L);
         starts.putIfAbsent(engine, PlatformDocuments.FIRST_START_MILLIS);
-        bench.keyValue()
-                .put(
-                        PlatformDocuments.endpointKey(id),
-                        PlatformDocuments.engine(
-                                "engines",
-                                ANYWHERE,
-                                domain.value(),
-                                MODEL,
-                                weights.get(engine),
-                                starts.get(engine),
-                                cold.toMillis()));
+        domains.put(engine, domain);
+        register(engine, cold);
     }
 
     void evacuate(FailureDomain domain) {
@@ -268,11 +258,21 @@
     }
 
     private void register(EndpointId engine) {
+        register(engine, Duration.ZERO);
+    }
+
+    private void register(EndpointId engine, Duration cold) {
         bench.keyValue()
                 .put(
                         PlatformDocuments.endpointKey(engine.value()),
                         PlatformDocuments.engine(
-                                "engines", ANYWHERE, "ulemiste", MODEL, weights.get(engine), starts.get(engine)));
+                                "engines",
+                                ANYWHERE,
+                                domains.get(engine).value(),
+                                MODEL,
+                                weights.get(engine),
+                                starts.get(engine),
+                                cold.toMillis()));
     }
 
     private boolean perform(ControlAction action, ControlInput input) {
