Hear the rate limit that an endpoint names, and log what this entry sends it

Now the head of an answer is decoded (EndpointHeads), reported by the request (RateLimitHeard), and one part keeps and logs it: rate-limit-heard, and once a second rate-limit-use with requests and other calls. Nothing is decided by it yet.

--- a/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
@@ -32,6 +32,7 @@
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.placing.PlaceAsked;
 import org.yuccagw.core.placing.PlaceDecision;
+import org.yuccagw.core.ratelimit.RateLimitHeard;
 
 /** One request: carries out what its {@link ForwardMachine} asks, on the I/O thread of the caller's connection. */
 final class ServingRun implements ForwardEffects, CallerResponse.Flow {
@@ -210,6 +211,11 @@
         services.control().offer(attempt);
     }
 
+    @Override
+    public void report(RateLimitHeard heard) {
+        services.control().offer(heard);
+    }
+
     @Override
     public void explain(String decision, String detail) {
         services.decisions()
--- a/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
+++ b/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
@@ -23,6 +23,7 @@
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.peers.PeerStatus;
+import org.yuccagw.core.ratelimit.RateLimitsPart;
 
 /**
  * Brings every engine to the newest named weights while this entry holds the duty.
@@ -98,6 +99,7 @@
     private final NamedWeightsPart named;
     private final Runnable announce;
     private final ToIntFunction<EndpointId> load;
+    private final RateLimitsPart rateLimits;
     private final Map<EndpointId, ListedEndpoint> engines = new LinkedHashMap<>();
     private final Map<EndpointId, Loading> inProgress = new LinkedHashMap<>();
     private final Map<EndpointId, Heard> heard = new LinkedHashMap<>();
@@ -118,11 +120,17 @@
         }
     }
 
-    private WeightOrdersPart(DutyPart duty, NamedWeightsPart named, Runnable announce, ToIntFunction<EndpointId> load) {
+    private WeightOrdersPart(
+            DutyPart duty,
+            NamedWeightsPart named,
+            Runnable announce,
+            ToIntFunction<EndpointId> load,
+            RateLimitsPart rateLimits) {
         this.duty = duty;
         this.named = named;
         this.announce = announce;
         this.load = load;
+        this.rateLimits = rateLimits;
     }
 
     /**
@@ -131,10 +139,15 @@
      * @param named which weights are named
      * @param announce tells the other entries at once which engines load
      * @param load how many requests run on an engine; idle ones load first
+     * @param rateLimits which engines ask for fewer calls
      */
     public static WeightOrdersPart of(
-            DutyPart duty, NamedWeightsPart named, Runnable announce, ToIntFunction<EndpointId> load) {
-        return new WeightOrdersPart(duty, named, announce, load);
+            DutyPart duty,
+            NamedWeightsPart named,
+            Runnable announce,
+            ToIntFunction<EndpointId> load,
+            RateLimitsPart rateLimits) {
+        return new WeightOrdersPart(duty, named, announce, load, rateLimits);
     }
 
     @Override
@@ -236,6 +249,7 @@
             if (engine != null && context.nowNanos() - loading.nextNanos >= 0) {
                 loading.answerAwaited = true;
                 loading.nextNanos = context.nowNanos() + CALL_PATIENCE.toNanos();
+                rateLimits.sendsCall(engine.incarnation());
                 context.perform(new EngineCall.AskState(engine));
             }
         }
@@ -390,6 +404,7 @@
                 .with("version", loading.weights.version())
                 .with("fence", duty.fence())
                 .with("expected_orders", state.orders()));
+        rateLimits.sendsCall(engine.incarnation());
         context.perform(new EngineCall.OrderWeights(
                 engine, loading.weights, duty.fence(), state.orders(), duty.heldUntilNanos()));
     }
--- a/src/main/java/org/yuccagw/core/forward/AnswerStart.java
+++ b/src/main/java/org/yuccagw/core/forward/AnswerStart.java
@@ -1,6 +1,8 @@
 package org.yuccagw.core.forward;
 
+import java.util.Optional;
 import java.util.OptionalLong;
+import org.yuccagw.core.ratelimit.RateLimit;
 
 /**
  * What decides about an answer when its head arrives.
@@ -13,6 +15,7 @@
  * @param encoded whether the body is encoded, which no endpoint does by itself
  * @param framed whether its end can be told from a break
  * @param version weights that the answer is made with
+ * @param rateLimit what the endpoint takes from all entries together, if it says so
  */
 public record AnswerStart(
         int status,
@@ -22,7 +25,8 @@
         boolean fromOther,
         boolean encoded,
         boolean framed,
-        OptionalLong version) {
+        OptionalLong version,
+        Optional<RateLimit> rateLimit) {
     private static final int MISDIRECTED = 421;
     private static final int FIRST_FAULT = 500;
 
@@ -40,6 +44,11 @@
         return ofThisRequest && !encoded && framed && complete;
     }
 
+    /** Whether it says something of the endpoint that was asked, and not of another one at its address. */
+    boolean isOfExpectedEndpoint() {
+        return ofThisRequest && !fromOther;
+    }
+
     boolean isMisdirected() {
         return status == MISDIRECTED;
     }
--- a/src/main/java/org/yuccagw/core/forward/ForwardEffects.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardEffects.java
@@ -10,6 +10,7 @@
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.PlaceAsked;
 import org.yuccagw.core.placing.PlaceDecision;
+import org.yuccagw.core.ratelimit.RateLimitHeard;
 
 /** What {@link ForwardMachine} asks of its surroundings; all on one thread, none of it blocks. */
 public interface ForwardEffects {
@@ -60,6 +61,9 @@
     /** Tells how an attempt ended. */
     void report(AttemptEnded ended);
 
+    /** Tells what the head of an answer says of its endpoint's rate limit. */
+    void report(RateLimitHeard heard);
+
     /** One line about a decision on this request. */
     void explain(String decision, String detail);
 
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -16,6 +16,7 @@
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.placing.PlaceAsked.Kind;
 import org.yuccagw.core.placing.PlaceDecision;
+import org.yuccagw.core.ratelimit.RateLimitHeard;
 
 /**
  * One request: placed, sent, answered. Deterministic: events in by its methods, effects out, all on one thread.
@@ -140,6 +141,7 @@
         if (isStale(ofLeg)) {
             return;
         }
+        noteRateLimit(head);
         if (head.notRun() || head.isMisdirected()) {
             onNotRun(head);
             return;
@@ -434,6 +436,12 @@
 
     // ---- Small helpers.
 
+    private void noteRateLimit(AnswerStart head) {
+        if (head.isOfExpectedEndpoint() && head.rateLimit().isPresent()) {
+            effects.report(new RateLimitHeard(placed.endpoint().incarnation(), head.rateLimit()));
+        }
+    }
+
     private boolean mayRunAgain() {
         return route.repeatable() && runs < route.mostAttempts() && sends < MOST_SENDS;
     }
--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -37,6 +37,7 @@
 import org.yuccagw.core.port.PeerMessage;
 import org.yuccagw.core.prompt.PromptPart;
 import org.yuccagw.core.prompt.PromptShape;
+import org.yuccagw.core.ratelimit.RateLimitsPart;
 import org.yuccagw.core.stores.CachePlan;
 import org.yuccagw.core.stores.CacheSalt;
 import org.yuccagw.core.stores.EngineCachesPart;
@@ -69,11 +70,12 @@
     private static final long SHORTEST_RETRY_AFTER_MILLIS = 150;
     private static final Duration SUSPECT_RETRY_AFTER = Duration.ofSeconds(20);
 
-    private final RetryBounds bounds;
+    private final RetryBounds retries;
     private final ColdLimit cold;
     private final Regions regions;
     private final NamedWeightsPart weights;
     private final StoresPart stores;
+    private final RateLimitsPart rateLimits;
     private final PromptNeeds needs;
     private final Fleet fleet;
     private final Answers answers;
@@ -114,17 +116,18 @@
     }
 
     private PlacingPart(
-            RetryBounds bounds,
-            ColdBounds coldBounds,
+            PlacingBounds bounds,
             Regions regions,
             NamedWeightsPart weights,
             StoresPart stores,
             EngineCachesPart caches,
+            RateLimitsPart rateLimits,
             Fleet fleet,
             Answers answers) {
+        this.rateLimits = rateLimits;
         this.regions = regions;
-        this.bounds = bounds;
-        this.cold = new ColdLimit(coldBounds);
+        this.retries = bounds.retries();
+        this.cold = new ColdLimit(bounds.cold());
         this.stores = stores;
         this.needs = new PromptNeeds(stores, caches);
         this.weights = weights;
@@ -135,24 +138,25 @@
     /**
      * The placing of one entry.
      *
-     * @param coldBounds of what all entries send to cold endpoints
+     * @param bounds of what all entries send
      * @param regions in which homes of routes and workspaces are looked up
      * @param weights which weights are named
      * @param stores plans what is fetched from and saved to cache stores
      * @param caches what engines hold themselves
+     * @param rateLimits which endpoints ask for fewer requests
      * @param fleet the other entries that place requests
      * @param answers takes what is decided
      */
     public static PlacingPart of(
-            RetryBounds bounds,
-            ColdBounds coldBounds,
+            PlacingBounds bounds,
             Regions regions,
             NamedWeightsPart weights,
             StoresPart stores,
             EngineCachesPart caches,
+            RateLimitsPart rateLimits,
             Fleet fleet,
             Answers answers) {
-        return new PlacingPart(bounds, coldBounds, regions, weights, stores, caches, fleet, answers);
+        return new PlacingPart(bounds, regions, weights, stores, caches, rateLimits, fleet, answers);
     }
 
     /** The entries that place requests. */
@@ -388,6 +392,7 @@
         boolean alone = endpoint.work().unreadTokens() == 0;
         endpoint.add(work);
         endpoint.sent(context.nowNanos());
+        rateLimits.sendsRequest(endpoint.listed().incarnation());
         tellIfLong(endpoint, work);
         running.put(ticket, new Running(chosen, asked, work, alone, context.nowNanos()));
         OptionalLong version = asked.prompt().isPresent()
@@ -571,7 +576,7 @@
 
     private RetryAllowance allowanceOf(ServiceName service) {
         return allowances.computeIfAbsent(
-                service, name -> RetryAllowance.of(bounds.ratio(), bounds.slack(), bounds.window()));
+                service, name -> RetryAllowance.of(retries.ratio(), retries.slack(), retries.window()));
     }
 
     private long usableCount(ServiceName service) {
--- a/src/main/java/org/yuccagw/core/stores/EngineCachesPart.java
+++ b/src/main/java/org/yuccagw/core/stores/EngineCachesPart.java
@@ -1,6 +1,7 @@
 package org.yuccagw.core.stores;
 
 import com.google.common.collect.ImmutableList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -19,10 +20,12 @@
 import org.yuccagw.core.follow.FactGone;
 import org.yuccagw.core.follow.FactSeen;
 import org.yuccagw.core.id.EndpointId;
+import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.StoreId;
 import org.yuccagw.core.prompt.PromptPart;
 import org.yuccagw.core.prompt.PromptShape;
+import org.yuccagw.core.ratelimit.RateLimitsPart;
 
 /**
  * What engines hold in their own memory, as their cache events tell.
@@ -36,21 +39,25 @@
  */
 public final class EngineCachesPart implements ControlPart {
     private final HolderEvents events;
+    private final RateLimitsPart rateLimits;
+    private final Map<StoreId, EndpointIncarnation> engines = new HashMap<>();
     private final Map<EndpointId, ListedEndpoint> listed = new LinkedHashMap<>();
     private Optional<Deployment> deployment = Optional.empty();
     private ControlContext context;
 
-    private EngineCachesPart(Supplier<List<EntryId>> entries) {
-        this.events = HolderEvents.of(entries, this::goOn);
+    private EngineCachesPart(Supplier<List<EntryId>> entries, RateLimitsPart rateLimits) {
+        this.events = HolderEvents.of(entries, this::goOn, this::noteCall);
+        this.rateLimits = rateLimits;
     }
 
     /**
      * The knowledge of one entry.
      *
      * @param entries those that follow the same engines, this one among them
+     * @param rateLimits which engines ask for fewer calls
      */
-    public static EngineCachesPart of(Supplier<List<EntryId>> entries) {
-        return new EngineCachesPart(entries);
+    public static EngineCachesPart of(Supplier<List<EntryId>> entries, RateLimitsPart rateLimits) {
+        return new EngineCachesPart(entries, rateLimits);
     }
 
     @Override
@@ -85,14 +92,16 @@
     }
 
     private void adopt() {
-        ImmutableList.Builder<CacheStore> engines = ImmutableList.builder();
+        ImmutableList.Builder<CacheStore> holders = ImmutableList.builder();
+        engines.clear();
         for (ListedEndpoint endpoint : followed()) {
+            engines.put(holderId(endpoint), endpoint.incarnation());
             deployment
                     .flatMap(known -> known.service(endpoint.service()))
                     .flatMap(BackEndService::engine)
-                    .ifPresent(traits -> engines.add(holder(endpoint, traits)));
+                    .ifPresent(traits -> holders.add(holder(endpoint, traits)));
         }
-        events.adopt(engines.build());
+        events.adopt(holders.build());
     }
 
     /**
@@ -107,9 +116,17 @@
         return near.isEmpty() ? ImmutableList.copyOf(listed.values()) : near;
     }
 
+    private void noteCall(CacheStore holder) {
+        rateLimits.sendsCall(engines.get(holder.id()));
+    }
+
+    private static StoreId holderId(ListedEndpoint endpoint) {
+        return StoreId.of(endpoint.incarnation().toString());
+    }
+
     private static CacheStore holder(ListedEndpoint endpoint, EngineTraits traits) {
         return new CacheStore(
-                StoreId.of(endpoint.incarnation().toString()),
+                holderId(endpoint),
                 endpoint.address(),
                 endpoint.domain(),
                 traits.memoryTokens(),
@@ -121,7 +138,7 @@
 
     /** How many parts at the beginning of the prompt the engine holds; empty if it isn't known at present. */
     public Optional<Integer> heldParts(ListedEndpoint engine, PromptShape prompt, String salt) {
-        return events.of(StoreId.of(engine.incarnation().toString()))
+        return events.of(holderId(engine))
                 .filter(held -> held.isFresh(context.nowNanos()))
                 .map(held -> countHeld(held, prompt, salt));
     }
--- a/src/main/java/org/yuccagw/core/stores/HolderEvents.java
+++ b/src/main/java/org/yuccagw/core/stores/HolderEvents.java
@@ -40,14 +40,17 @@
 
     private final Supplier<List<EntryId>> entries;
     private final Consumer<HeldParts> afterGap;
+    private final Consumer<CacheStore> beforeCall;
     private final Map<StoreId, HeldParts> holders = new LinkedHashMap<>();
     private final Map<StoreId, Long> sentNanos = new LinkedHashMap<>();
     private List<HeldParts> leftToOthers = new ArrayList<>();
     private ControlContext context;
 
-    private HolderEvents(Supplier<List<EntryId>> entries, Consumer<HeldParts> afterGap) {
+    private HolderEvents(
+            Supplier<List<EntryId>> entries, Consumer<HeldParts> afterGap, Consumer<CacheStore> beforeCall) {
         this.entries = entries;
         this.afterGap = afterGap;
+        this.beforeCall = beforeCall;
     }
 
     /**
@@ -55,9 +58,11 @@
      *
      * @param entries those that follow the same holders; one that isn't among them knows nothing of these
      * @param afterGap called when events of a holder were lost
+     * @param beforeCall called with each holder that is asked for its events
      */
-    static HolderEvents of(Supplier<List<EntryId>> entries, Consumer<HeldParts> afterGap) {
-        return new HolderEvents(entries, afterGap);
+    static HolderEvents of(
+            Supplier<List<EntryId>> entries, Consumer<HeldParts> afterGap, Consumer<CacheStore> beforeCall) {
+        return new HolderEvents(entries, afterGap, beforeCall);
     }
 
     void start(ControlContext startContext) {
@@ -121,6 +126,7 @@
             return;
         }
         sentNanos.put(store.id(), context.nowNanos());
+        beforeCall.accept(store);
         context.perform(new StoreCall.AskChanges(store, held.next(), WAIT));
     }
 
--- a/src/main/java/org/yuccagw/daemon/GatewayParts.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayParts.java
@@ -26,11 +26,13 @@
 import org.yuccagw.core.peers.PeerStatus;
 import org.yuccagw.core.peers.PeersPart;
 import org.yuccagw.core.peers.RegistrationPart;
+import org.yuccagw.core.placing.PlacingBounds;
 import org.yuccagw.core.placing.PlacingDesk;
 import org.yuccagw.core.placing.PlacingPart;
 import org.yuccagw.core.placing.PlacingRelay;
 import org.yuccagw.core.placing.Work;
 import org.yuccagw.core.port.PeerMessage;
+import org.yuccagw.core.ratelimit.RateLimitsPart;
 import org.yuccagw.core.stores.EngineCachesPart;
 import org.yuccagw.core.stores.RetiredPartsPart;
 import org.yuccagw.core.stores.StoresPart;
@@ -65,15 +67,16 @@
         peers = PeersPart.of(this, settings.seeds());
         NamedWeightsPart weights = NamedWeightsPart.of(settings.bounds().oldWeightsAllowed());
         stores = StoresPart.of(peers::firstLeads);
-        EngineCachesPart caches = EngineCachesPart.of(peers::ownLeads);
+        RateLimitsPart rateLimits = RateLimitsPart.create();
+        EngineCachesPart caches = EngineCachesPart.of(peers::ownLeads, rateLimits);
         PlacingDesk desk = PlacingDesk.of(this::workOf);
         placing = PlacingPart.of(
-                settings.bounds().retries(),
-                settings.bounds().cold(),
+                new PlacingBounds(settings.bounds().retries(), settings.bounds().cold()),
                 settings.regions(),
                 weights,
                 stores,
                 caches,
+                rateLimits,
                 new Placing(),
                 desk);
         PlacingRelay relay = PlacingRelay.of(this::leadsToAsk, placing::usableEndpoint);
@@ -83,7 +86,7 @@
                 peers::allLeads,
                 follow::isReachable,
                 settings.bounds().orderSeparation());
-        orders = WeightOrdersPart.of(duty, weights, this::announceOrders, placing::requestsOn);
+        orders = WeightOrdersPart.of(duty, weights, this::announceOrders, placing::requestsOn, rateLimits);
         RetiredPartsPart retired = RetiredPartsPart.of(duty::mayAct, weights, orders::lowestRunning, stores);
         parts = List.of(
                 follow,
@@ -91,6 +94,7 @@
                 weights,
                 peers,
                 RegistrationPart.of(codec),
+                rateLimits,
                 stores,
                 caches,
                 relay,
--- a/src/main/java/org/yuccagw/platform/EndpointHeads.java
+++ b/src/main/java/org/yuccagw/platform/EndpointHeads.java
@@ -16,6 +16,7 @@
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.RequestId;
 import org.yuccagw.core.placing.PlaceDecision;
+import org.yuccagw.core.ratelimit.RateLimit;
 import org.yuccagw.core.stores.CachePlan;
 
 /** Heads of requests to endpoints and of their answers. */
@@ -93,7 +94,8 @@
                 endpoint != null && !endpoint.equals(expected.value()),
                 headers.contains(Headers.CONTENT_ENCODING),
                 framed,
-                number(headers.getFirst(PlatformNames.VERSION_RUN)));
+                number(headers.getFirst(PlatformNames.VERSION_RUN)),
+                rateLimit(headers.getFirst(PlatformNames.RATE_LIMIT)));
     }
 
     /** The endpoint's headers that go on to the caller. */
@@ -121,6 +123,15 @@
         }
     }
 
+    private static Optional<RateLimit> rateLimit(String text) {
+        try {
+            return text == null ? Optional.empty() : RateLimit.of(Double.parseDouble(text.trim()));
+        } catch (NumberFormatException ignored) {
+            // Nobody can keep a limit that is no number.
+            return Optional.empty();
+        }
+    }
+
     private static void put(HeaderMap headers, String name, String value) {
         headers.put(new HttpString(name), value);
     }
--- a/src/main/java/org/yuccagw/platform/PlatformNames.java
+++ b/src/main/java/org/yuccagw/platform/PlatformNames.java
@@ -35,6 +35,8 @@
     static final String NOT_RUN = "Yuccagw-Not-Executed";
     static final String ENDPOINT_ID = "Yuccagw-Instance-Id";
     static final String VERSION_RUN = "Yuccagw-Weight-Versions";
+    /** Requests a second from all entries together; a decimal number. */
+    static final String RATE_LIMIT = "Server-Limit";
 
     // ---- Calls.
     static final String READY_PATH = "/readyz";
--- a/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
+++ b/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
@@ -28,10 +28,13 @@
 import org.yuccagw.core.id.ServiceName;
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.placing.PlaceDecision;
+import org.yuccagw.core.ratelimit.RateLimit;
+import org.yuccagw.core.ratelimit.RateLimitHeard;
 
 public class ForwardMachineTest {
     private static final ServiceName SERVICE = ServiceName.of("service");
     private static final long FIRST_WEIGHTS = 1;
+    private static final EndpointIncarnation FIRST_START = EndpointIncarnation.of(EndpointId.of("e1"), 1);
 
     private RecordedForwardEffects effects;
     private long tickets;
@@ -67,6 +70,23 @@
         assertTrue(effects.lines.contains("send leg 2 to e2 left 500 after -1 fresh"), effects.lines.toString());
     }
 
+    @Test
+    public void theRateLimitThatAnAnswerNamesIsReportedOfTheEndpointThatSaidSo() {
+        ForwardMachine machine = begin(RouteKind.IDEMPOTENT, false, 2);
+        machine.onPlaced(placed("e1"));
+        machine.onHead(1, limited(ok(), RateLimit.of(1.4)));
+        assertEquals(effects.rateLimits, ImmutableList.of(new RateLimitHeard(FIRST_START, RateLimit.of(1.4))));
+    }
+
+    @Test
+    public void anAnswerOfAnotherEndpointSaysNothingOfTheLimitOfTheExpectedOne() {
+        ForwardMachine machine = begin(RouteKind.IDEMPOTENT, false, 2);
+        machine.onPlaced(placed("e1"));
+        machine.onHead(
+                1, new AnswerStart(421, true, false, true, true, false, true, OptionalLong.empty(), RateLimit.of(1.4)));
+        assertEquals(effects.rateLimits, ImmutableList.of());
+    }
+
     // Others decide by what an engine has still to read; they have to hear when an answer has begun, once.
     @Test
     public void theBeginOfAStreamsAnswerIsToldOnce() {
@@ -252,7 +272,8 @@
         machine.onBytes(1, bytes("id: 1\ndata: a\n\n"));
         machine.onFailure(1, End.BROKEN, "reset");
         machine.onPlaced(placed("e2"));
-        machine.onHead(2, new AnswerStart(200, true, true, false, false, false, true, OptionalLong.of(2)));
+        machine.onHead(
+                2, new AnswerStart(200, true, true, false, false, false, true, OptionalLong.of(2), Optional.empty()));
         machine.onBytes(2, bytes("id: 2\ndata: other\n\n"));
         assertFalse(effects.callerBody.toString().contains("other"));
     }
@@ -381,11 +402,32 @@
 
     private static AnswerStart answer(int status, boolean ofThisRequest, boolean sealed) {
         return new AnswerStart(
-                status, ofThisRequest, sealed, false, false, false, true, OptionalLong.of(FIRST_WEIGHTS));
+                status,
+                ofThisRequest,
+                sealed,
+                false,
+                false,
+                false,
+                true,
+                OptionalLong.of(FIRST_WEIGHTS),
+                Optional.empty());
+    }
+
+    private static AnswerStart limited(AnswerStart head, Optional<RateLimit> limit) {
+        return new AnswerStart(
+                head.status(),
+                head.ofThisRequest(),
+                head.sealed(),
+                head.notRun(),
+                head.fromOther(),
+                head.encoded(),
+                head.framed(),
+                head.version(),
+                limit);
     }
 
     private static AnswerStart notRun(int status) {
-        return new AnswerStart(status, true, false, true, false, false, true, OptionalLong.empty());
+        return new AnswerStart(status, true, false, true, false, false, true, OptionalLong.empty(), Optional.empty());
     }
 
     private static ByteBuffer bytes(String text) {
--- a/src/test/java/org/yuccagw/core/forward/RecordedForwardEffects.java
+++ b/src/test/java/org/yuccagw/core/forward/RecordedForwardEffects.java
@@ -14,10 +14,12 @@
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.PlaceAsked;
 import org.yuccagw.core.placing.PlaceDecision;
+import org.yuccagw.core.ratelimit.RateLimitHeard;
 
 /** Writes down what a machine asks for, in virtual time. */
 final class RecordedForwardEffects implements ForwardEffects {
     final List<Long> begunTickets = new ArrayList<>();
+    final List<RateLimitHeard> rateLimits = new ArrayList<>();
     final List<String> lines = new ArrayList<>();
     final StringBuilder callerBody = new StringBuilder();
     final List<AttemptEnded.End> attempts = new ArrayList<>();
@@ -100,6 +102,11 @@
         attempts.add(ended.end());
     }
 
+    @Override
+    public void report(RateLimitHeard heard) {
+        rateLimits.add(heard);
+    }
+
     @Override
     public void explain(String decision, String detail) {}
 
