--- /dev/null
+++ b/src/test/java/org/yuccagw/daemon/RateLimitTest.java
@@ -0,0 +1,204 @@
+package org.yuccagw.daemon;
+
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.yuccagw.bench.control.BenchNode;
+import org.yuccagw.core.control.ControlAction;
+import org.yuccagw.core.control.ControlInput;
+import org.yuccagw.core.id.EndpointIncarnation;
+import org.yuccagw.core.id.FailureDomain;
+import org.yuccagw.core.placing.AttemptBegun;
+import org.yuccagw.core.placing.AttemptEnded;
+import org.yuccagw.core.placing.AttemptEnded.End;
+import org.yuccagw.core.placing.PlaceDecision;
+import org.yuccagw.core.ratelimit.RateLimit;
+import org.yuccagw.core.ratelimit.RateLimitHeard;
+import org.yuccagw.core.stores.StoreAnswer;
+import org.yuccagw.core.stores.StoreCall;
+
+/**
+ * Engines that name a rate limit in their answers: what arrives there from all entries together stays within it, from
+ * half a second after it was first named on.
+ */
+public class RateLimitTest {
+    private static final FailureDomain HOME = VirtualFleet.NORTHERN;
+    private static final FailureDomain OTHER = VirtualFleet.SOUTHERN;
+    private static final Duration ANSWER = Duration.ofMillis(500);
+    private static final Duration FIRST_TOKEN = Duration.ofMillis(30);
+    private static final Duration APART = Duration.ofMillis(3);
+    private static final Duration EVENTS_AFTER = Duration.ofMillis(100);
+    private static final Duration HEARD_BY_THEN = Duration.ofMillis(500);
+    private static final int TOKENS = 800;
+    private static final int ENGINES = 12;
+    private static final int MESH = 8;
+    private static final int LARGE = 66;
+    private static final String LIMITED = "engine-0";
+
+    private static final Duration WINDOW = Duration.ofSeconds(4);
+    private static final double OVERAGE = 1.5;
+    private static final int SLACK = 5;
+
+    private VirtualFleet fleet;
+    private List<BenchNode> nodes;
+    private Map<String, RateLimit> limits;
+    private Map<String, List<Long>> requests;
+    private Map<String, List<Long>> eventCalls;
+    private int next;
+
+    private void start(int entries) {
+        fleet = new VirtualFleet();
+        nodes = new ArrayList<>();
+        limits = new HashMap<>();
+        requests = new HashMap<>();
+        eventCalls = new HashMap<>();
+        next = 0;
+        fleet.bench.onAction(this::tellEvents);
+        for (int index = 0; index < entries; index++) {
+            nodes.add(fleet.start("entry-" + index, domainOf(index)));
+        }
+        fleet.configure(1);
+        for (int index = 0; index < ENGINES; index++) {
+            fleet.addEngine("engine-" + index, domainOf(index), Duration.ZERO);
+        }
+        fleet.bench.runFor(Duration.ofSeconds(8));
+    }
+
+    private static FailureDomain domainOf(int index) {
+        return index % 2 == 0 ? HOME : OTHER;
+    }
+
+    /** Each engine has news of its cache whenever it is asked, a moment later. */
+    private boolean tellEvents(ControlAction action, ControlInput input) {
+        if (!(action instanceof StoreCall.AskChanges ask)) {
+            return false;
+        }
+        String engine = ask.store().id().value().replaceAll("@.*", "");
+        eventCalls.computeIfAbsent(engine, name -> new ArrayList<>()).add(now());
+        StoreAnswer.Change change = new StoreAnswer.Change(true, "s.1", "part", TOKENS, VirtualFleet.MODEL);
+        StoreAnswer answer = new StoreAnswer.Changes(
+                ask.store().id(), 1, ask.since() + 1, false, now() / 1_000_000, ImmutableList.of(change));
+        fleet.bench.time().after(EVENTS_AFTER, () -> input.offer(answer));
+        return true;
+    }
+
+    // ---- Load.
+
+    /** 333 prompts a second, of every entry in turn; each is answered after a while. */
+    private void play(Duration duration) {
+        long end = now() + duration.toNanos();
+        askNext(end);
+        fleet.bench.runFor(duration);
+    }
+
+    private void askNext(long endNanos) {
+        BenchNode node = nodes.get(next++ % nodes.size());
+        if (!node.isDead()) {
+            fleet.askPrompt(node, TOKENS, decision -> onDecision(node, decision));
+        }
+        if (now() < endNanos) {
+            fleet.bench.time().after(APART, () -> askNext(endNanos));
+        }
+    }
+
+    private void onDecision(BenchNode node, PlaceDecision decision) {
+        if (decision instanceof PlaceDecision.Placed placed) {
+            String engine = placed.endpoint().id().value();
+            requests.computeIfAbsent(engine, name -> new ArrayList<>()).add(now());
+            fleet.bench.time().after(FIRST_TOKEN, () -> onHead(node, placed));
+            fleet.bench.time().after(ANSWER, () -> node.offer(new AttemptEnded(placed.ticket(), End.ANSWERED)));
+        }
+    }
+
+    private void onHead(BenchNode node, PlaceDecision.Placed placed) {
+        EndpointIncarnation engine = placed.endpoint().incarnation();
+        Optional<RateLimit> limit =
+                Optional.ofNullable(limits.get(engine.endpoint().value()));
+        if (limit.isPresent()) {
+            node.offer(new RateLimitHeard(engine, limit));
+        }
+        node.offer(new AttemptBegun(placed.ticket()));
+    }
+
+    private void limit(String engine, double perSecond) {
+        limits.put(engine, RateLimit.of(perSecond).orElseThrow());
+    }
+
+    // ---- What arrived.
+
+    private long now() {
+        return fleet.bench.time().nowNanos();
+    }
+
+    private List<Long> requestsOn(String engine) {
+        return requests.getOrDefault(engine, List.of());
+    }
+
+    /** Requests and all other calls to the engine, in order. */
+    private List<Long> arrivalsOn(String engine) {
+        List<Long> all = new ArrayList<>(requestsOn(engine));
+        all.addAll(eventCalls.getOrDefault(engine, List.of()));
+        fleet.statesAsked.stream()
+                .filter(asked -> asked.engine().value().equals(engine))
+                .forEach(asked -> all.add(asked.atNanos()));
+        fleet.orders.stream()
+                .filter(order -> order.engine().value().equals(engine))
+                .forEach(order -> all.add(order.atNanos()));
+        all.sort(null);
+        return all;
+    }
+
+    private static int most(List<Long> arrivals, long fromNanos) {
+        List<Long> times = arrivals.stream().filter(at -> at >= fromNanos).toList();
+        int most = 0;
+        for (int first = 0; first < times.size(); first++) {
+            int last = first;
+            while (last < times.size() && times.get(last) - times.get(first) < WINDOW.toNanos()) {
+                last++;
+            }
+            most = Math.max(most, last - first);
+        }
+        return most;
+    }
+
+    private static void assertWithin(double perSecond, List<Long> arrivals, long namedNanos) {
+        double bound = perSecond * WINDOW.toSeconds() * OVERAGE + SLACK;
+        int most = most(arrivals, namedNanos + HEARD_BY_THEN.toNanos());
+        assertTrue(most <= bound, most + " in " + WINDOW.toSeconds() + " s, bound " + bound);
+    }
+
+    @DataProvider
+    public Object[][] sizesAndLimits() {
+        return new Object[][] {{MESH, 1.4}, {MESH, 12}, {LARGE, 1.4}, {LARGE, 12}};
+    }
+
+    // Every entry sends what the endpoint takes from all together, or knows of no limit at all.
+    @Test(dataProvider = "sizesAndLimits")
+    public void allEntriesTogetherKeepTheRateLimitThatAnEndpointNames(int entries, double perSecond) {
+        start(entries);
+        play(Duration.ofSeconds(1));
+        limit(LIMITED, perSecond);
+        long named = now();
+        play(Duration.ofSeconds(9));
+        assertWithin(perSecond, requestsOn(LIMITED), named);
+    }
+
+    // Calls for its cache events alone are more than it takes.
+    @Test(dataProvider = "sizesAndLimits")
+    public void callsForCacheEventsCountTowardsTheRateLimitOfAnEngine(int entries, double perSecond) {
+        start(entries);
+        play(Duration.ofSeconds(1));
+        limit(LIMITED, perSecond);
+        long named = now();
+        play(Duration.ofSeconds(9));
+        assertWithin(perSecond, arrivalsOn(LIMITED), named);
+    }
+}
--- a/src/test/java/org/yuccagw/daemon/VirtualFleet.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualFleet.java
@@ -67,6 +67,7 @@
 
     final ControlBench bench = ControlBench.of(5);
     final List<Order> orders = new ArrayList<>();
+    final List<StateAsked> statesAsked = new ArrayList<>();
     final Map<EndpointId, Long> weights = new LinkedHashMap<>();
     private final Map<EntryId, GatewayParts> started = new LinkedHashMap<>();
     private final Map<EndpointId, Long> accepted = new LinkedHashMap<>();
@@ -80,6 +81,9 @@
     /** An order that arrived at an engine. */
     record Order(EntryId from, EndpointId engine, long fence, long atNanos) {}
 
+    /** A question for the state of an engine. */
+    record StateAsked(EndpointId engine, long atNanos) {}
+
     VirtualFleet() {
         bench.onAction(this::perform);
     }
@@ -277,6 +281,7 @@
 
     private boolean perform(ControlAction action, ControlInput input) {
         if (action instanceof EngineCall.AskState ask) {
+            statesAsked.add(new StateAsked(ask.endpoint().id(), bench.time().nowNanos()));
             bench.time()
                     .after(
                             Duration.ofMillis(3),
