--- /dev/null
+++ b/src/main/java/org/yuccagw/core/placing/Candidates.java
@@ -0,0 +1,167 @@
+package org.yuccagw.core.placing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.stream.Stream;
+import org.yuccagw.core.control.ControlContext;
+import org.yuccagw.core.deployment.BackEndService;
+import org.yuccagw.core.deployment.ColdTraits;
+import org.yuccagw.core.deployment.Deployment;
+import org.yuccagw.core.deployment.Homes;
+import org.yuccagw.core.deployment.Regions;
+import org.yuccagw.core.duty.WeightOrdersPart;
+import org.yuccagw.core.follow.NamedWeightsPart;
+import org.yuccagw.core.id.EndpointId;
+import org.yuccagw.core.id.FailureDomain;
+import org.yuccagw.core.id.ServiceName;
+
+/** Which endpoints may take a request at present, whatever it would cost there. */
+final class Candidates {
+    /** No request may begin on older weights this long before the time at which that is forbidden. */
+    private static final Duration OLD_WEIGHTS_MARGIN = WeightOrdersPart.READY_BEFORE_THE_LIMIT;
+
+    private final EndpointTable endpoints;
+    private final ColdLimit cold;
+    private final Regions regions;
+    private final NamedWeightsPart weights;
+    private final PlacingPart.Fleet fleet;
+    private Optional<Deployment> deployment = Optional.empty();
+    private ControlContext context;
+    private long startedNanos;
+
+    /**
+     * The candidates as one entry knows them.
+     *
+     * @param cold bounds what is sent to cold endpoints
+     * @param fleet the other entries that place requests
+     */
+    Candidates(
+            EndpointTable endpoints,
+            ColdLimit cold,
+            Regions regions,
+            NamedWeightsPart weights,
+            PlacingPart.Fleet fleet) {
+        this.endpoints = endpoints;
+        this.cold = cold;
+        this.regions = regions;
+        this.weights = weights;
+        this.fleet = fleet;
+    }
+
+    void start(ControlContext startContext) {
+        context = startContext;
+        startedNanos = context.nowNanos();
+    }
+
+    void configure(Deployment applied) {
+        deployment = Optional.of(applied);
+    }
+
+    /** The endpoints of a service that may be used as far as is known. */
+    Stream<EndpointState> usable(ServiceName service) {
+        return endpoints.all().stream()
+                .filter(endpoint -> endpoint.listed().service().equals(service))
+                .filter(endpoint -> endpoint.isUsable(context.nowNanos()));
+    }
+
+    long usableCount(ServiceName service) {
+        return usable(service).count();
+    }
+
+    /**
+     * The endpoints that may take the request now. One that loads, is cold and has got all that it bears, has just
+     * turned a request away or couldn't be reached is none while others are there; if all are like that, those that
+     * couldn't be reached are tried.
+     */
+    List<EndpointState> of(PlaceAsked asked) {
+        long now = context.nowNanos();
+        Homes homes = asked.homes();
+        List<EndpointState> ready = new ArrayList<>();
+        List<EndpointState> unreached = new ArrayList<>();
+        boolean soon = false;
+        for (EndpointState endpoint : endpoints.all()) {
+            if (!mayTake(endpoint, asked, homes)) {
+                continue;
+            }
+            if (!bearsAnother(endpoint)) {
+                soon = true;
+            } else if (endpoint.isAvoided(now)) {
+                unreached.add(endpoint);
+            } else if (endpoint.isLoading(now) || endpoint.hasJustShed(now)) {
+                soon = true;
+            } else {
+                ready.add(endpoint);
+            }
+        }
+        return ready.isEmpty() && !soon ? unreached : ready;
+    }
+
+    /**
+     * Whether every endpoint that is there has failed this request already or lies outside of its homes, so that
+     * waiting can't help.
+     */
+    boolean isHopeless(PlaceAsked asked) {
+        Homes homes = asked.homes();
+        if (homes.isBinding()
+                && usable(asked.service())
+                        .noneMatch(each -> isIn(homes, each.listed().domain()))) {
+            return true;
+        }
+        if (asked.excluded().isEmpty()) {
+            return false;
+        }
+        List<EndpointId> usable =
+                usable(asked.service()).map(endpoint -> endpoint.listed().id()).toList();
+        return !usable.isEmpty() && asked.excluded().containsAll(usable);
+    }
+
+    /** What cold endpoints of a service bear. */
+    ColdTraits coldTraits(ServiceName service) {
+        return deployment
+                .flatMap(known -> known.service(service))
+                .map(BackEndService::cold)
+                .orElse(ColdTraits.NEVER_COLD);
+    }
+
+    /** Whether the endpoint isn't cold, or this entry may send one more request to it all the same. */
+    private boolean bearsAnother(EndpointState endpoint) {
+        long now = context.nowNanos();
+        if (!endpoint.isCold(now)) {
+            return true;
+        }
+        boolean knowsFleet = now - startedNanos >= ColdLimit.FLEET_UNKNOWN.toNanos();
+        int shares = knowsFleet ? fleet.coldShares(endpoint.listed().domain()) : 0;
+        return cold.allows(endpoint, coldTraits(endpoint.listed().service()), shares, now);
+    }
+
+    private boolean mayTake(EndpointState endpoint, PlaceAsked asked, Homes homes) {
+        return endpoint.listed().service().equals(asked.service())
+                && endpoint.isUsable(context.nowNanos())
+                && isIn(homes, endpoint.listed().domain())
+                && !asked.excluded().contains(endpoint.listed().id())
+                && versionFits(endpoint, asked);
+    }
+
+    private boolean versionFits(EndpointState endpoint, PlaceAsked asked) {
+        if (asked.prompt().isEmpty()) {
+            return true;
+        }
+        String model = asked.prompt().get().model();
+        OptionalLong runs = endpoint.versionOf(model);
+        if (runs.isEmpty()) {
+            return false;
+        }
+        if (asked.pinned().isPresent()) {
+            return runs.equals(asked.pinned());
+        }
+        Duration behind = weights.behindFor(model, runs.getAsLong(), context.nowNanos());
+        return behind.compareTo(weights.oldWeightsAllowed().minus(OLD_WEIGHTS_MARGIN)) < 0;
+    }
+
+    private boolean isIn(Homes homes, FailureDomain domain) {
+        return homes.allow(regions.of(domain));
+    }
+}
--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -2,13 +2,11 @@
 
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.stream.Stream;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.control.ControlPart;
@@ -20,7 +18,6 @@
 import org.yuccagw.core.deployment.EngineTraits;
 import org.yuccagw.core.deployment.Homes;
 import org.yuccagw.core.deployment.Regions;
-import org.yuccagw.core.duty.WeightOrdersPart;
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.fleet.ListedEndpoint;
@@ -58,9 +55,6 @@
 public final class PlacingPart implements ControlPart {
     private static final Duration LOOK_AT_WAITING = Duration.ofMillis(10);
 
-    /** No request may begin on older weights this long before the time at which that is forbidden. */
-    private static final Duration OLD_WEIGHTS_MARGIN = WeightOrdersPart.READY_BEFORE_THE_LIMIT;
-
     /** A prompt with more to read holds up others by 30 ms and more. */
     private static final int LONG_READ_TOKENS = 1_500;
 
@@ -71,7 +65,7 @@
     private static final Duration SUSPECT_RETRY_AFTER = Duration.ofSeconds(20);
 
     private final RetryBounds retries;
-    private final ColdLimit cold;
+    private final Candidates candidates;
     private final Regions regions;
     private final NamedWeightsPart weights;
     private final StoresPart stores;
@@ -90,7 +84,6 @@
     private EndpointChoice choice;
     private long nextTicket = 1;
     private boolean lookScheduled;
-    private long startedNanos;
 
     /** An attempt on its way. */
     private static final class Running {
@@ -127,12 +120,12 @@
         this.rateLimits = rateLimits;
         this.regions = regions;
         this.retries = bounds.retries();
-        this.cold = new ColdLimit(bounds.cold());
         this.stores = stores;
         this.needs = new PromptNeeds(stores, caches);
         this.weights = weights;
         this.fleet = fleet;
         this.answers = answers;
+        this.candidates = new Candidates(endpoints, new ColdLimit(bounds.cold()), regions, weights, fleet);
     }
 
     /**
@@ -191,8 +184,8 @@
     @Override
     public void start(ControlContext startContext) {
         context = startContext;
-        startedNanos = context.nowNanos();
         endpoints.start(startContext);
+        candidates.start(startContext);
         choice = new EndpointChoice(
                 new Scoring(context.self().domain()),
                 needs,
@@ -212,6 +205,7 @@
             onEnded(ended);
         } else if (event instanceof ConfiguredPart.Applied applied) {
             deployment = Optional.of(applied.deployment());
+            candidates.configure(applied.deployment());
         } else if (event instanceof PeerReceived received && received.message() instanceof BreakSeen seen) {
             suspects.add(seen.fingerprint(), seen.endpoint(), context.nowNanos());
         }
@@ -274,7 +268,7 @@
         if (tryPlace(request)) {
             return;
         }
-        if (isHopeless(request.asked())) {
+        if (candidates.isHopeless(request.asked())) {
             refuse(request.asked(), ErrorKind.NO_ENDPOINT.raise(request.asked().service()), "all tried");
             return;
         }
@@ -288,25 +282,6 @@
         }
     }
 
-    /**
-     * Whether every endpoint that is there has failed this request already or lies outside of its homes, so that
-     * waiting can't help.
-     */
-    private boolean isHopeless(PlaceAsked asked) {
-        Homes homes = asked.homes();
-        if (homes.isBinding()
-                && usable(asked.service())
-                        .noneMatch(each -> isIn(homes, each.listed().domain()))) {
-            return true;
-        }
-        if (asked.excluded().isEmpty()) {
-            return false;
-        }
-        List<EndpointId> usable =
-                usable(asked.service()).map(endpoint -> endpoint.listed().id()).toList();
-        return !usable.isEmpty() && asked.excluded().containsAll(usable);
-    }
-
     /**
      * Until engines have read what waits here before the request, if every entry that places has as much waiting: 7 in
      * a mesh of 7, 5 where 95 or 300 entries leave it to the leads of five failure domains.
@@ -315,7 +290,7 @@
         if (request.asked().prompt().isEmpty()) {
             return 0;
         }
-        long usable = Math.max(1, usableCount(request.asked().service()));
+        long usable = Math.max(1, candidates.usableCount(request.asked().service()));
         long tokens = waiting.tokensBefore(request.rank(), context.nowNanos()) * fleet.placing();
         return (long) speed.millisFor((double) tokens / usable);
     }
@@ -339,7 +314,7 @@
 
     private void refuseExpired(Waiting request) {
         PlaceAsked asked = request.asked();
-        if (usableCount(asked.service()) == 0 || asked.prompt().isEmpty()) {
+        if (candidates.usableCount(asked.service()) == 0 || asked.prompt().isEmpty()) {
             refuse(asked, ErrorKind.NO_ENDPOINT.raise(asked.service()), "none usable");
         } else {
             refuseOverloaded(asked, request.waitedMillis(context.nowNanos()));
@@ -354,12 +329,12 @@
     /** Places or refuses the request; false if no endpoint can take it now. */
     private boolean tryPlace(Waiting request) {
         PlaceAsked asked = request.asked();
-        List<EndpointState> candidates = candidates(asked);
-        if (candidates.isEmpty()) {
+        List<EndpointState> able = candidates.of(asked);
+        if (able.isEmpty()) {
             return false;
         }
         long leftMillis = asked.leftMillis() - request.waitedMillis(context.nowNanos());
-        Optional<EndpointChoice.Chosen> chosen = choose(request, candidates);
+        Optional<EndpointChoice.Chosen> chosen = choose(request, able);
         if (chosen.isEmpty()) {
             return false;
         }
@@ -467,11 +442,8 @@
         int held = needs.heldParts(asked, endpoint);
         Homes homes = asked.homes();
         FailureDomain domain = endpoint.listed().domain();
-        return stores.plan(asked.prompt().get(), salt.get(), domain, held, kept -> !old && isIn(homes, kept));
-    }
-
-    private boolean isIn(Homes homes, FailureDomain domain) {
-        return homes.allow(regions.of(domain));
+        return stores.plan(
+                asked.prompt().get(), salt.get(), domain, held, kept -> !old && homes.allow(regions.of(kept)));
     }
 
     private void refuse(PlaceAsked asked, YuccagwException error, String reason) {
@@ -482,7 +454,7 @@
                 .with("route", asked.route().name())
                 .with("reason", reason)
                 .with("repeat", asked.isRepeat())
-                .with("usable", usableCount(asked.service()))
+                .with("usable", candidates.usableCount(asked.service()))
                 .with("waiting", waiting.size())
                 .with("left_ms", asked.leftMillis()));
         answers.decided(asked, new PlaceDecision.Refused(timed));
@@ -504,74 +476,8 @@
         return named.isPresent() ? named : endpoints.newestRun(model);
     }
 
-    /**
-     * The endpoints that may take the request now. One that loads, is cold and has got all that it bears, has just
-     * turned a request away or couldn't be reached is none while others are there; if all are like that, those that
-     * couldn't be reached are tried.
-     */
-    private List<EndpointState> candidates(PlaceAsked asked) {
-        long now = context.nowNanos();
-        Homes homes = asked.homes();
-        List<EndpointState> ready = new ArrayList<>();
-        List<EndpointState> unreached = new ArrayList<>();
-        boolean soon = false;
-        for (EndpointState endpoint : endpoints.all()) {
-            if (!mayTake(endpoint, asked, homes)) {
-                continue;
-            }
-            if (!bearsAnother(endpoint)) {
-                soon = true;
-            } else if (endpoint.isAvoided(now)) {
-                unreached.add(endpoint);
-            } else if (endpoint.isLoading(now) || endpoint.hasJustShed(now)) {
-                soon = true;
-            } else {
-                ready.add(endpoint);
-            }
-        }
-        return ready.isEmpty() && !soon ? unreached : ready;
-    }
-
-    /** Whether the endpoint isn't cold, or this entry may send one more request to it all the same. */
-    private boolean bearsAnother(EndpointState endpoint) {
-        long now = context.nowNanos();
-        if (!endpoint.isCold(now)) {
-            return true;
-        }
-        boolean knowsFleet = now - startedNanos >= ColdLimit.FLEET_UNKNOWN.toNanos();
-        int shares = knowsFleet ? fleet.coldShares(endpoint.listed().domain()) : 0;
-        return cold.allows(endpoint, coldTraits(endpoint.listed().service()), shares, now);
-    }
-
     private ColdTraits coldTraits(ServiceName service) {
-        return deployment
-                .flatMap(known -> known.service(service))
-                .map(BackEndService::cold)
-                .orElse(ColdTraits.NEVER_COLD);
-    }
-
-    private boolean mayTake(EndpointState endpoint, PlaceAsked asked, Homes homes) {
-        return endpoint.listed().service().equals(asked.service())
-                && endpoint.isUsable(context.nowNanos())
-                && isIn(homes, endpoint.listed().domain())
-                && !asked.excluded().contains(endpoint.listed().id())
-                && versionFits(endpoint, asked);
-    }
-
-    private boolean versionFits(EndpointState endpoint, PlaceAsked asked) {
-        if (asked.prompt().isEmpty()) {
-            return true;
-        }
-        String model = asked.prompt().get().model();
-        OptionalLong runs = endpoint.versionOf(model);
-        if (runs.isEmpty()) {
-            return false;
-        }
-        if (asked.pinned().isPresent()) {
-            return runs.equals(asked.pinned());
-        }
-        Duration behind = weights.behindFor(model, runs.getAsLong(), context.nowNanos());
-        return behind.compareTo(weights.oldWeightsAllowed().minus(OLD_WEIGHTS_MARGIN)) < 0;
+        return candidates.coldTraits(service);
     }
 
     private RetryAllowance allowanceOf(ServiceName service) {
@@ -579,16 +485,6 @@
                 service, name -> RetryAllowance.of(retries.ratio(), retries.slack(), retries.window()));
     }
 
-    private long usableCount(ServiceName service) {
-        return usable(service).count();
-    }
-
-    private Stream<EndpointState> usable(ServiceName service) {
-        return endpoints.all().stream()
-                .filter(endpoint -> endpoint.listed().service().equals(service))
-                .filter(endpoint -> endpoint.isUsable(context.nowNanos()));
-    }
-
     // ---- What comes of attempts.
 
     private void onBegun(AttemptBegun begun) {
