--- a/src/main/java/org/yuccagw/adapters/peer/PlacementCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/PlacementCodec.java
@@ -107,7 +107,8 @@
                 .setUrgency(placed.urgency())
                 .setFirstByteMillis(placed.firstByteMillis())
                 .setTokens(placed.tokens())
-                .setUnreadTokens(placed.unreadTokens());
+                .setUnreadTokens(placed.unreadTokens())
+                .setRateLimited(placed.rateLimited());
         placed.cache().ifPresent(plan -> wire.setCache(encode(plan)));
         return wire.build();
     }
@@ -183,7 +184,8 @@
                 wire.getUrgency(),
                 wire.getFirstByteMillis(),
                 wire.getTokens(),
-                wire.getUnreadTokens());
+                wire.getUnreadTokens(),
+                wire.getRateLimited());
     }
 
     private static CachePlan decode(CachePlanMessage wire) {
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -437,7 +437,9 @@
     // ---- Small helpers.
 
     private void noteRateLimit(AnswerStart head) {
-        if (head.isOfExpectedEndpoint() && head.rateLimit().isPresent()) {
+        boolean names = head.rateLimit().isPresent();
+        boolean endsOne = placed.rateLimited() && head.isGenuine();
+        if (head.isOfExpectedEndpoint() && (names || endsOne)) {
             effects.report(new RateLimitHeard(placed.endpoint().incarnation(), head.rateLimit()));
         }
     }
--- a/src/main/java/org/yuccagw/core/peers/PeersPart.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersPart.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -80,6 +81,9 @@
     private static final int MISSED_IN_MESH = 4;
     private static final int UNHEARD_EVERY = 3;
 
+    /** By then an entry that goes on unheard has lost its connections or is stopped. */
+    private static final Duration SILENT_STILL = Duration.ofSeconds(3);
+
     /** How long an entry that sent a heartbeat or a digest counts as follower or lead without a further one. */
     private static final Duration FOLLOWED = DOMAIN_INTERVAL.multipliedBy(MISSED);
 
@@ -200,6 +204,26 @@
         return 1 + peers.size();
     }
 
+    /**
+     * The entries that take requests, this one included if it does. One that has fallen silent counts for
+     * {@link #SILENT_STILL} as one that may go on; if most have, all count, since this one is cut off rather than they.
+     */
+    public List<EntryContact> servingOrSilent() {
+        long now = context.nowNanos();
+        boolean cutOff = aliveCount() * 2 <= knownCount();
+        List<EntryContact> entries = new ArrayList<>();
+        if (reason().isEmpty()) {
+            entries.add(ownContact());
+        }
+        for (Peer peer : peers.all()) {
+            boolean lately = peer.isAlive() || peer.silentNanos(now) < SILENT_STILL.toNanos();
+            if (peer.isReady() && (lately || cutOff)) {
+                entries.add(peer.contact());
+            }
+        }
+        return entries;
+    }
+
     /** Whether over half of the known entries of the own failure domain are alive, this one included. */
     public boolean hearsMostOfOwnDomain() {
         int known = 1;
@@ -264,6 +288,15 @@
         sendTo(allLeads(), message);
     }
 
+    /** Sends to the leads of the own failure domain; in a mesh to all that are alive. */
+    public void tellOwnLeads(PeerMessage message) {
+        if (meshed) {
+            tellAlive(message);
+            return;
+        }
+        sendTo(ownLeads(), message);
+    }
+
     /** Sends what changed on an endpoint to those that place requests there. */
     public void tellOfEndpoint(FailureDomain domain, PeerMessage message) {
         if (meshed) {
--- a/src/main/java/org/yuccagw/core/placing/Candidates.java
+++ b/src/main/java/org/yuccagw/core/placing/Candidates.java
@@ -17,6 +17,7 @@
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.ServiceName;
+import org.yuccagw.core.ratelimit.RateLimitsPart;
 
 /** Which endpoints may take a request at present, whatever it would cost there. */
 final class Candidates {
@@ -27,6 +28,7 @@
     private final ColdLimit cold;
     private final Regions regions;
     private final NamedWeightsPart weights;
+    private final RateLimitsPart rateLimits;
     private final PlacingPart.Fleet fleet;
     private Optional<Deployment> deployment = Optional.empty();
     private ControlContext context;
@@ -43,11 +45,13 @@
             ColdLimit cold,
             Regions regions,
             NamedWeightsPart weights,
+            RateLimitsPart rateLimits,
             PlacingPart.Fleet fleet) {
         this.endpoints = endpoints;
         this.cold = cold;
         this.regions = regions;
         this.weights = weights;
+        this.rateLimits = rateLimits;
         this.fleet = fleet;
     }
 
@@ -72,9 +76,9 @@
     }
 
     /**
-     * The endpoints that may take the request now. One that loads, is cold and has got all that it bears, has just
-     * turned a request away or couldn't be reached is none while others are there; if all are like that, those that
-     * couldn't be reached are tried.
+     * The endpoints that may take the request now. One that loads, is cold or names a rate limit and has got all that
+     * it takes, has just turned a request away or couldn't be reached is none while others are there; if all are like
+     * that, those that couldn't be reached are tried.
      */
     List<EndpointState> of(PlaceAsked asked) {
         long now = context.nowNanos();
@@ -86,7 +90,7 @@
             if (!mayTake(endpoint, asked, homes)) {
                 continue;
             }
-            if (!bearsAnother(endpoint)) {
+            if (!bearsAnother(endpoint) || !rateLimits.allows(endpoint.listed())) {
                 soon = true;
             } else if (endpoint.isAvoided(now)) {
                 unreached.add(endpoint);
--- a/src/main/java/org/yuccagw/core/placing/PlaceDecision.java
+++ b/src/main/java/org/yuccagw/core/placing/PlaceDecision.java
@@ -16,6 +16,7 @@
      * @param cache what the endpoint fetches from stores and saves there
      * @param urgency 0 is the most urgent
      * @param firstByteMillis predicted time to the first byte, in milliseconds
+     * @param rateLimited whether the endpoint was known to have a rate limit, so that an answer without it ends it
      */
     record Placed(
             long ticket,
@@ -24,7 +25,8 @@
             Optional<String> salt,
             Optional<CachePlan> cache,
             int urgency,
-            long firstByteMillis)
+            long firstByteMillis,
+            boolean rateLimited)
             implements PlaceDecision {}
 
     /** Refuse it; the error says when to come back. */
--- a/src/main/java/org/yuccagw/core/placing/PlacementMessage.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementMessage.java
@@ -56,7 +56,8 @@
             int urgency,
             long firstByteMillis,
             long tokens,
-            long unreadTokens)
+            long unreadTokens,
+            boolean rateLimited)
             implements PlacementMessage {}
 
     /** It is refused. */
--- a/src/main/java/org/yuccagw/core/placing/PlacingDesk.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingDesk.java
@@ -170,7 +170,8 @@
                         placed.urgency(),
                         placed.firstByteMillis(),
                         work.tokens(),
-                        work.unreadTokens()));
+                        work.unreadTokens(),
+                        placed.rateLimited()));
     }
 
     // ---- Ends.
--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -125,7 +125,7 @@
         this.weights = weights;
         this.fleet = fleet;
         this.answers = answers;
-        this.candidates = new Candidates(endpoints, new ColdLimit(bounds.cold()), regions, weights, fleet);
+        this.candidates = new Candidates(endpoints, new ColdLimit(bounds.cold()), regions, weights, rateLimits, fleet);
     }
 
     /**
@@ -405,8 +405,14 @@
                 .with("read_tokens", chosen.need().map(PromptNeed::readTokens).orElse(0))
                 .with("salt", salt.orElse("")));
         PlaceDecision.Placed placed = new PlaceDecision.Placed(
-                ticket, endpoint.listed(), version, salt, cache, request.rank().urgency(), (long)
-                        chosen.firstByteMillis());
+                ticket,
+                endpoint.listed(),
+                version,
+                salt,
+                cache,
+                request.rank().urgency(),
+                (long) chosen.firstByteMillis(),
+                rateLimits.isLimited(endpoint.listed().incarnation()));
         answers.decided(asked, placed);
     }
 
--- a/src/main/java/org/yuccagw/core/placing/PlacingRelay.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingRelay.java
@@ -274,7 +274,8 @@
                 placed.salt(),
                 placed.cache(),
                 placed.urgency(),
-                placed.firstByteMillis());
+                placed.firstByteMillis(),
+                placed.rateLimited());
         context.reply(() -> question.get().asked.reply().accept(decision));
     }
 
--- a/src/main/java/org/yuccagw/core/ratelimit/RateLimitsPart.java
+++ b/src/main/java/org/yuccagw/core/ratelimit/RateLimitsPart.java
@@ -3,52 +3,161 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.control.ControlPart;
 import org.yuccagw.core.control.Decision;
+import org.yuccagw.core.control.PeerReceived;
+import org.yuccagw.core.fleet.ListedEndpoint;
+import org.yuccagw.core.follow.Fact;
+import org.yuccagw.core.follow.FactGone;
+import org.yuccagw.core.follow.FactSeen;
+import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EndpointIncarnation;
+import org.yuccagw.core.id.EntryId;
+import org.yuccagw.core.id.FailureDomain;
 
-/** Which endpoints ask for fewer requests, as their answers to this entry tell, and what this entry sends them. */
+/**
+ * Which endpoints ask for fewer requests, and whether this entry may send one more there.
+ *
+ * <p>An endpoint names its limit in its answers, so an entry hears of it by its own requests or from the entry whose
+ * answer it was. The cases:
+ *
+ * <ol>
+ *   <li>A limit that is new or has changed is told to all that place requests at once. A lead passes on what its
+ *       followers tell, and tells them of the endpoints of its failure domain, since they decide alone when it dies.
+ *   <li>Whoever still hears it tells it again every {@link #INTERVAL}, for those that have just started and for lost
+ *       messages.
+ *   <li>An answer without it ends it, if the request was sent after the limit was known and nobody has heard it for
+ *       {@link #STILL_NAMED}; answers overtake each other. That is told, too.
+ *   <li>News older than the end is passed over.
+ *   <li>What was known ends with the incarnation of the endpoint.
+ * </ol>
+ *
+ * <p>Invariant: this entry sends its part of a known limit at most, as {@link Senders} divides it. Some part is always
+ * somebody's, so that there are answers that can tell of the end.
+ */
 public final class RateLimitsPart implements ControlPart {
-    private static final Duration LOG_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration INTERVAL = Duration.ofSeconds(2);
 
+    /** An endpoint that is called once a second or less often is still heard. */
+    private static final Duration HEARD_LATELY = Duration.ofSeconds(4);
+
+    private static final Duration STILL_NAMED = Duration.ofSeconds(1);
+
+    /** By then the other entries have been heard or found in the key-value service. */
+    private static final Duration FLEET_UNKNOWN = Duration.ofSeconds(2);
+
+    /** By then no message of before is on its way. */
+    private static final Duration ENDS_KEPT = Duration.ofSeconds(10);
+
+    /** Followers need it only when they decide alone, and lose messages seldom. */
+    private static final Duration FOLLOWERS_INTERVAL = Duration.ofSeconds(20);
+
+    /** Nobody tells of it any more, so nobody has called the endpoint or the news of its end was lost. */
+    private static final Duration UNHEARD_KEPT = Duration.ofSeconds(60);
+
+    /** A registration may lapse while the key-value service is away. */
+    private static final Duration UNLISTED_KEPT = Duration.ofSeconds(10);
+
+    private final Fleet fleet;
     private final Map<EndpointIncarnation, Limited> limited = new HashMap<>();
+    private final Map<EndpointIncarnation, Long> endedNanos = new HashMap<>();
+    private final Map<EndpointId, FailureDomain> domains = new HashMap<>();
     private ControlContext context;
-    private boolean logScheduled;
+    private boolean tickScheduled;
+    private long startedNanos;
 
-    private RateLimitsPart() {}
+    private RateLimitsPart(Fleet fleet) {
+        this.fleet = fleet;
+    }
 
-    /** The limits that one entry knows of. */
-    public static RateLimitsPart create() {
-        return new RateLimitsPart();
+    /**
+     * The limits that one entry knows of.
+     *
+     * @param fleet the other entries
+     */
+    public static RateLimitsPart of(Fleet fleet) {
+        return new RateLimitsPart(fleet);
+    }
+
+    /** The other entries. */
+    public interface Fleet {
+        /** Who places requests on the endpoint. */
+        Senders sendersTo(ListedEndpoint endpoint);
+
+        /** Sends to all that place requests or pass news on to these. */
+        void tell(RateLimitNews news);
+
+        /** Sends to the entries of the own failure domain that rely on this one, if it is a lead. */
+        void tellFollowers(RateLimitNews news);
+
+        /** Whether news of that entry have to be passed on, since it tells this one only. */
+        boolean speaksFor(EntryId from);
     }
 
     /** An endpoint with a limit. */
     private static final class Limited {
         private final RecentCalls requests = new RecentCalls();
         private final RecentCalls calls = new RecentCalls();
+        private final Pace pace;
         private RateLimit limit;
         private long namedNanos;
+        private long toldFollowersNanos;
+        private Optional<Long> heardHereNanos = Optional.empty();
+        private Optional<Long> unlistedNanos = Optional.empty();
+
+        private Limited(RateLimit limit, long nowNanos, long namedNanos) {
+            this.limit = limit;
+            this.namedNanos = namedNanos;
+            this.pace = new Pace(nowNanos);
+        }
     }
 
     @Override
     public void start(ControlContext startContext) {
         context = startContext;
+        startedNanos = context.nowNanos();
     }
 
     @Override
     public void handle(ControlEvent event, ControlContext ignored) {
         if (event instanceof RateLimitHeard heard) {
-            heard.limit().ifPresent(limit -> name(heard.endpoint(), limit));
+            hear(heard);
+        } else if (event instanceof PeerReceived received && received.message() instanceof RateLimitNews news) {
+            learn(received.from(), news);
+        } else if (event instanceof FactSeen seen && seen.fact() instanceof Fact.EndpointListed listed) {
+            list(listed.endpoint());
+        } else if (event instanceof FactGone gone && gone.subject() instanceof Fact.Subject.EndpointSubject subject) {
+            unlist(subject.endpoint());
         }
     }
 
+    // ---- What others ask.
+
+    /** Whether the endpoint names a limit, as far as this entry knows. */
+    public boolean isLimited(EndpointIncarnation endpoint) {
+        return limited.containsKey(endpoint);
+    }
+
+    /** Requests a second that this entry may send there; empty if the endpoint has no limit. */
+    public Optional<Double> part(ListedEndpoint endpoint) {
+        return Optional.ofNullable(limited.get(endpoint.incarnation())).map(known -> partOf(endpoint, known));
+    }
+
+    /** Whether this entry may send one more request there now. */
+    public boolean allows(ListedEndpoint endpoint) {
+        Limited known = limited.get(endpoint.incarnation());
+        return known == null || known.pace.allows(partOf(endpoint, known), context.nowNanos());
+    }
+
     /** Notes that a request is sent there now. */
     public void sendsRequest(EndpointIncarnation endpoint) {
         Limited known = limited.get(endpoint);
         if (known != null) {
             known.requests.add(context.nowNanos());
+            known.pace.take();
         }
     }
 
@@ -60,30 +169,188 @@
         }
     }
 
-    private void name(EndpointIncarnation endpoint, RateLimit limit) {
-        Limited known = limited.computeIfAbsent(endpoint, name -> new Limited());
-        known.namedNanos = context.nowNanos();
-        if (!limit.equals(known.limit)) {
+    private double partOf(ListedEndpoint endpoint, Limited known) {
+        if (context.nowNanos() - startedNanos < FLEET_UNKNOWN.toNanos()) {
+            return 0;
+        }
+        return fleet.sendersTo(endpoint).partOf(context.self().entry(), endpoint, known.limit);
+    }
+
+    // ---- What endpoints and other entries tell.
+
+    private void hear(RateLimitHeard heard) {
+        long now = context.nowNanos();
+        if (heard.limit().isEmpty()) {
+            hearOfNone(heard.endpoint());
+            return;
+        }
+        boolean news =
+                name(heard.endpoint(), heard.limit().get(), now, context.self().entry());
+        Limited known = limited.get(heard.endpoint());
+        known.heardHereNanos = Optional.of(now);
+        if (news) {
+            fleet.tell(newsOf(heard.endpoint(), known));
+        }
+    }
+
+    private void hearOfNone(EndpointIncarnation endpoint) {
+        boolean knownToOthersOnly = !limited.containsKey(endpoint);
+        if (knownToOthersOnly
+                || endAsOf(endpoint, context.nowNanos(), context.self().entry())) {
+            fleet.tell(new RateLimitNews(endpoint, Optional.empty(), 0));
+        }
+    }
+
+    private void learn(EntryId from, RateLimitNews news) {
+        long asOf = context.nowNanos() - news.ageMillis() * 1_000_000;
+        boolean changed = news.limit().isPresent()
+                ? isAfterEnd(news.endpoint(), asOf)
+                        && name(news.endpoint(), news.limit().get(), asOf, from)
+                : endAsOf(news.endpoint(), asOf, from);
+        if (!fleet.speaksFor(from)) {
+            return;
+        }
+        if (limited.containsKey(news.endpoint())) {
+            limited.get(news.endpoint()).heardHereNanos = Optional.of(context.nowNanos());
+        }
+        if (changed) {
+            fleet.tell(news);
+        }
+    }
+
+    private boolean isAfterEnd(EndpointIncarnation endpoint, long asOfNanos) {
+        Long ended = endedNanos.get(endpoint);
+        return ended == null || asOfNanos - ended > 0;
+    }
+
+    /** Takes over a limit; whether that is news. */
+    private boolean name(EndpointIncarnation endpoint, RateLimit limit, long asOfNanos, EntryId from) {
+        Limited known = limited.get(endpoint);
+        if (known == null) {
+            Limited first = new Limited(limit, context.nowNanos(), asOfNanos);
+            limited.put(endpoint, first);
+            tellFollowers(endpoint, first);
+            tickLater();
+        } else if (asOfNanos - known.namedNanos < 0) {
+            return false;
+        } else {
+            known.namedNanos = asOfNanos;
+            if (limit.equals(known.limit)) {
+                return false;
+            }
             known.limit = limit;
-            context.perform(Decision.of("rate-limit-heard")
-                    .with("endpoint", endpoint)
-                    .with("per_second", limit)
-                    .with("from", context.self().entry()));
         }
-        logLater();
+        context.perform(Decision.of("rate-limit-heard")
+                .with("endpoint", endpoint)
+                .with("per_second", limit)
+                .with("from", from)
+                .with("age_ms", (context.nowNanos() - asOfNanos) / 1_000_000));
+        return true;
+    }
+
+    private boolean endAsOf(EndpointIncarnation endpoint, long asOfNanos, EntryId from) {
+        Limited known = limited.get(endpoint);
+        boolean ends = known != null && asOfNanos - known.namedNanos >= STILL_NAMED.toNanos();
+        if (ends) {
+            end(endpoint, from);
+        }
+        return ends;
     }
 
-    private void logLater() {
-        if (!logScheduled && !limited.isEmpty()) {
-            logScheduled = true;
-            context.after(LOG_INTERVAL, this::logUse);
+    private void end(EndpointIncarnation endpoint, EntryId from) {
+        Limited known = limited.remove(endpoint);
+        endedNanos.put(endpoint, context.nowNanos());
+        if (isNear(endpoint)) {
+            fleet.tellFollowers(new RateLimitNews(endpoint, Optional.empty(), 0));
         }
+        tickLater();
+        context.perform(Decision.of("rate-limit-ended")
+                .with("endpoint", endpoint)
+                .with("per_second", known.limit)
+                .with("from", from)
+                .with("named_ms_ago", (context.nowNanos() - known.namedNanos) / 1_000_000));
+    }
+
+    // ---- Registrations.
+
+    private void list(ListedEndpoint endpoint) {
+        EndpointIncarnation incarnation = endpoint.incarnation();
+        domains.put(endpoint.id(), endpoint.domain());
+        limited.keySet()
+                .removeIf(known -> known.endpoint().equals(incarnation.endpoint()) && known.isBefore(incarnation));
+        Limited known = limited.get(incarnation);
+        if (known != null) {
+            known.unlistedNanos = Optional.empty();
+        }
+    }
+
+    private void unlist(EndpointId endpoint) {
+        domains.remove(endpoint);
+        limited.forEach((incarnation, known) -> {
+            if (incarnation.endpoint().equals(endpoint)) {
+                known.unlistedNanos = Optional.of(context.nowNanos());
+            }
+        });
+    }
+
+    // ---- Each interval.
+
+    private void tickLater() {
+        if (!tickScheduled) {
+            tickScheduled = true;
+            context.after(INTERVAL, this::tick);
+        }
+    }
+
+    private void tick() {
+        tickScheduled = false;
+        forget();
+        limited.forEach((endpoint, known) -> {
+            tellAgain(endpoint, known);
+            tellFollowersAgain(endpoint, known);
+            logUse(endpoint, known);
+        });
+        if (!limited.isEmpty() || !endedNanos.isEmpty()) {
+            tickLater();
+        }
+    }
+
+    private void forget() {
+        long now = context.nowNanos();
+        endedNanos.values().removeIf(ended -> now - ended > ENDS_KEPT.toNanos());
+        limited.values()
+                .removeIf(known -> known.unlistedNanos
+                                .filter(unlisted -> now - unlisted > UNLISTED_KEPT.toNanos())
+                                .isPresent()
+                        || now - known.namedNanos > UNHEARD_KEPT.toNanos());
+    }
+
+    private void tellAgain(EndpointIncarnation endpoint, Limited known) {
+        known.heardHereNanos
+                .filter(heard -> context.nowNanos() - heard < HEARD_LATELY.toNanos())
+                .ifPresent(heard -> fleet.tell(newsOf(endpoint, known)));
+    }
+
+    private void tellFollowersAgain(EndpointIncarnation endpoint, Limited known) {
+        if (context.nowNanos() - known.toldFollowersNanos >= FOLLOWERS_INTERVAL.toNanos()) {
+            tellFollowers(endpoint, known);
+        }
+    }
+
+    private void tellFollowers(EndpointIncarnation endpoint, Limited known) {
+        known.toldFollowersNanos = context.nowNanos();
+        if (isNear(endpoint)) {
+            fleet.tellFollowers(newsOf(endpoint, known));
+        }
+    }
+
+    private boolean isNear(EndpointIncarnation endpoint) {
+        return context.self().domain().equals(domains.get(endpoint.endpoint()));
     }
 
-    private void logUse() {
-        logScheduled = false;
-        limited.forEach(this::logUse);
-        logLater();
+    private RateLimitNews newsOf(EndpointIncarnation endpoint, Limited known) {
+        long ageMillis = (context.nowNanos() - known.namedNanos) / 1_000_000;
+        return new RateLimitNews(endpoint, Optional.of(known.limit), ageMillis);
     }
 
     private void logUse(EndpointIncarnation endpoint, Limited known) {
--- a/src/main/java/org/yuccagw/daemon/GatewayParts.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayParts.java
@@ -7,6 +7,7 @@
 import org.yuccagw.adapters.peer.FollowCodec;
 import org.yuccagw.adapters.peer.PeerCodec;
 import org.yuccagw.adapters.peer.PlacementCodec;
+import org.yuccagw.adapters.peer.RateLimitCodec;
 import org.yuccagw.adapters.peer.StatusCodec;
 import org.yuccagw.adapters.settings.GatewaySettings;
 import org.yuccagw.core.control.ControlCore;
@@ -14,6 +15,7 @@
 import org.yuccagw.core.control.EntryIdentity;
 import org.yuccagw.core.duty.DutyPart;
 import org.yuccagw.core.duty.WeightOrdersPart;
+import org.yuccagw.core.fleet.ListedEndpoint;
 import org.yuccagw.core.follow.ConfiguredPart;
 import org.yuccagw.core.follow.FactCodec;
 import org.yuccagw.core.follow.FollowMessage;
@@ -32,7 +34,9 @@
 import org.yuccagw.core.placing.PlacingRelay;
 import org.yuccagw.core.placing.Work;
 import org.yuccagw.core.port.PeerMessage;
+import org.yuccagw.core.ratelimit.RateLimitNews;
 import org.yuccagw.core.ratelimit.RateLimitsPart;
+import org.yuccagw.core.ratelimit.Senders;
 import org.yuccagw.core.stores.EngineCachesPart;
 import org.yuccagw.core.stores.RetiredPartsPart;
 import org.yuccagw.core.stores.StoresPart;
@@ -67,7 +71,7 @@
         peers = PeersPart.of(this, settings.seeds());
         NamedWeightsPart weights = NamedWeightsPart.of(settings.bounds().oldWeightsAllowed());
         stores = StoresPart.of(peers::firstLeads);
-        RateLimitsPart rateLimits = RateLimitsPart.create();
+        RateLimitsPart rateLimits = RateLimitsPart.of(new Limiting());
         EngineCachesPart caches = EngineCachesPart.of(peers::ownLeads, rateLimits);
         PlacingDesk desk = PlacingDesk.of(this::workOf);
         placing = PlacingPart.of(
@@ -135,7 +139,8 @@
     }
 
     static PeerCodec codec() {
-        return PeerCodec.of(List.of(StatusCodec.create(), FollowCodec.create(), PlacementCodec.create()));
+        return PeerCodec.of(
+                List.of(StatusCodec.create(), FollowCodec.create(), PlacementCodec.create(), RateLimitCodec.create()));
     }
 
     private Work workOf(long ticket) {
@@ -202,8 +207,7 @@
             if (peers.isMeshed()) {
                 return peers.knownCount();
             }
-            boolean leads = peers.ownLeads().contains(self) && peers.hearsMostOfOwnDomain();
-            return leads && domain.equals(ownDomain) ? PeersPart.LEADS_OF_DOMAIN : 0;
+            return leads(domain) ? PeersPart.LEADS_OF_DOMAIN : 0;
         }
 
         @Override
@@ -217,6 +221,44 @@
         }
     }
 
+    /** Whether this entry is a lead of the failure domain, and not cut off from it. */
+    private boolean leads(FailureDomain domain) {
+        return domain.equals(ownDomain) && peers.ownLeads().contains(self) && peers.hearsMostOfOwnDomain();
+    }
+
+    /** Who sends to endpoints with a rate limit, and who hears of it. */
+    private final class Limiting implements RateLimitsPart.Fleet {
+        @Override
+        public Senders sendersTo(ListedEndpoint endpoint) {
+            if (peers.isMeshed()) {
+                return Senders.ofMesh(peers.servingOrSilent());
+            }
+            return leads(endpoint.domain()) ? Senders.ofLeads(peers.ownLeads()) : Senders.nobody();
+        }
+
+        @Override
+        public void tell(RateLimitNews news) {
+            if (peers.allLeads().contains(self)) {
+                peers.tellAll(news);
+            } else {
+                peers.tellOwnLeads(news);
+            }
+        }
+
+        @Override
+        public void tellFollowers(RateLimitNews news) {
+            if (peers.ownLeads().contains(self)) {
+                peers.tellFollowers(news);
+            }
+        }
+
+        @Override
+        public boolean speaksFor(EntryId from) {
+            List<EntryId> leads = peers.allLeads();
+            return !peers.isMeshed() && leads.contains(self) && !leads.contains(from);
+        }
+    }
+
     private void announceOrders() {
         placing.ownLoading(orders.loading());
         peers.beatNow();
--- a/src/main/java/org/yuccagw/wire/PeerProtocol.java
+++ b/src/main/java/org/yuccagw/wire/PeerProtocol.java
@@ -273,6 +273,21 @@
      */
     org.yuccagw.wire.PeerProtocol.PlacementMessageOrBuilder getPlacementOrBuilder();
 
+    /**
+     * <code>.yuccagw.RateLimitMessage rate_limit = 25;</code>
+     * @return Whether the rateLimit field is set.
+     */
+    boolean hasRateLimit();
+    /**
+     * <code>.yuccagw.RateLimitMessage rate_limit = 25;</code>
+     * @return The rateLimit.
+     */
+    org.yuccagw.wire.PeerProtocol.RateLimitMessage getRateLimit();
+    /**
+     * <code>.yuccagw.RateLimitMessage rate_limit = 25;</code>
+     */
+    org.yuccagw.wire.PeerProtocol.RateLimitMessageOrBuilder getRateLimitOrBuilder();
+
     org.yuccagw.wire.PeerProtocol.Envelope.BodyCase getBodyCase();
   }
   /**
@@ -339,6 +354,7 @@
       DIGEST(22),
       ROSTER_ASK(23),
       PLACEMENT(24),
+      RATE_LIMIT(25),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -371,6 +387,7 @@
           case 22: return DIGEST;
           case 23: return ROSTER_ASK;
           case 24: return PLACEMENT;
+          case 25: return RATE_LIMIT;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -901,6 +918,37 @@
       return org.yuccagw.wire.PeerProtocol.PlacementMessage.getDefaultInstance();
     }
 
+    public static final int RATE_LIMIT_FIELD_NUMBER = 25;
+    /**
+     * <code>.yuccagw.RateLimitMessage rate_limit = 25;</code>
+     * @return Whether the rateLimit field is set.
+     */
+    @java.lang.Override
+    public boolean hasRateLimit() {
+      return bodyCase_ == 25;
+    }
+    /**
+     * <code>.yuccagw.RateLimitMessage rate_limit = 25;</code>
+     * @return The rateLimit.
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.RateLimitMessage getRateLimit() {
+      if (bodyCase_ == 25) {
+         return (org.yuccagw.wire.PeerProtocol.RateLimitMessage) body_;
+      }
+      return org.yuccagw.wire.PeerProtocol.RateLimitMessage.getDefaultInstance();
+    }
+    /**
+     * <code>.yuccagw.RateLimitMessage rate_limit = 25;</code>
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.RateLimitMessageOrBuilder getRateLimitOrBuilder() {
+      if (bodyCase_ == 25) {
+         return (org.yuccagw.wire.PeerProtocol.RateLimitMessage) body_;
+      }
+      return org.yuccagw.wire.PeerProtocol.RateLimitMessage.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -966,6 +1014,9 @@
       if (bodyCase_ == 24) {
         output.writeMessage(24, (org.yuccagw.wire.PeerProtocol.PlacementMessage) body_);
       }
+      if (bodyCase_ == 25) {
+        output.writeMessage(25, (org.yuccagw.wire.PeerProtocol.RateLimitMessage) body_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -1037,6 +1088,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(24, (org.yuccagw.wire.PeerProtocol.PlacementMessage) body_);
       }
+      if (bodyCase_ == 25) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(25, (org.yuccagw.wire.PeerProtocol.RateLimitMessage) body_);
+      }
       return size;
     }
     @java.lang.Override
@@ -1127,6 +1182,10 @@
           if (!getPlacement()
               .equals(other.getPlacement())) return false;
           break;
+        case 25:
+          if (!getRateLimit()
+              .equals(other.getRateLimit())) return false;
+          break;
         case 0:
         default:
       }
@@ -1207,6 +1266,10 @@
           hash = (37 * hash) + PLACEMENT_FIELD_NUMBER;
           hash = (53 * hash) + getPlacement().hashCode();
           break;
+        case 25:
+          hash = (37 * hash) + RATE_LIMIT_FIELD_NUMBER;
+          hash = (53 * hash) + getRateLimit().hashCode();
+          break;
         case 0:
         default:
       }
@@ -1388,6 +1451,9 @@
         if (placementBuilder_ != null) {
           placementBuilder_.clear();
         }
+        if (rateLimitBuilder_ != null) {
+          rateLimitBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -1495,6 +1561,10 @@
             placementBuilder_ != null) {
           result.body_ = placementBuilder_.build();
         }
+        if (bodyCase_ == 25 &&
+            rateLimitBuilder_ != null) {
+          result.body_ = rateLimitBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -1578,6 +1648,10 @@
             mergePlacement(other.getPlacement());
             break;
           }
+          case RATE_LIMIT: {
+            mergeRateLimit(other.getRateLimit());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -1721,6 +1795,13 @@
                 bodyCase_ = 24;
                 break;
               } // case 194
+              case 202: {
+                input.readMessage(
+                    internalGetRateLimitFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 25;
+                break;
+              } // case 202
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -3957,6 +4038,146 @@
         return placementBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.RateLimitMessage, org.yuccagw.wire.PeerProtocol.RateLimitMessage.Builder, org.yuccagw.wire.PeerProtocol.RateLimitMessageOrBuilder> rateLimitBuilder_;
+      /**
+       * <code>.yuccagw.RateLimitMessage rate_limit = 25;</code>
+       * @return Whether the rateLimit field is set.
+       */
+      @java.lang.Override
+      public boolean hasRateLimit() {
+        return bodyCase_ == 25;
+      }
+      /**
+       * <code>.yuccagw.RateLimitMessage rate_limit = 25;</code>
+       * @return The rateLimit.
+       */
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.RateLimitMessage getRateLimit() {
+        if (rateLimitBuilder_ == null) {
+          if (bodyCase_ == 25) {
+            return (org.yuccagw.wire.PeerProtocol.RateLimitMessage) body_;
+          }
+          return org.yuccagw.wire.PeerProtocol.RateLimitMessage.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 25) {
+            return rateLimitBuilder_.getMessage();
+          }
+          return org.yuccagw.wire.PeerProtocol.RateLimitMessage.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.yuccagw.RateLimitMessage rate_limit = 25;</code>
+       */
+      public Builder setRateLimit(org.yuccagw.wire.PeerProtocol.RateLimitMessage value) {
+        if (rateLimitBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          body_ = value;
+          onChanged();
+        } else {
+          rateLimitBuilder_.setMessage(value);
+        }
+        bodyCase_ = 25;
+        return this;
+      }
+      /**
+       * <code>.yuccagw.RateLimitMessage rate_limit = 25;</code>
+       */
+      public Builder setRateLimit(
+          org.yuccagw.wire.PeerProtocol.RateLimitMessage.Builder builderForValue) {
+        if (rateLimitBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          rateLimitBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 25;
+        return this;
+      }
+      /**
+       * <code>.yuccagw.RateLimitMessage rate_limit = 25;</code>
+       */
+      public Builder mergeRateLimit(org.yuccagw.wire.PeerProtocol.RateLimitMessage value) {
+        if (rateLimitBuilder_ == null) {
+          if (bodyCase_ == 25 &&
+              body_ != org.yuccagw.wire.PeerProtocol.RateLimitMessage.getDefaultInstance()) {
+            body_ = org.yuccagw.wire.PeerProtocol.RateLimitMessage.newBuilder((org.yuccagw.wire.PeerProtocol.RateLimitMessage) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 25) {
+            rateLimitBuilder_.mergeFrom(value);
+          } else {
+            rateLimitBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 25;
+        return this;
+      }
+      /**
+       * <code>.yuccagw.RateLimitMessage rate_limit = 25;</code>
+       */
+      public Builder clearRateLimit() {
+        if (rateLimitBuilder_ == null) {
+          if (bodyCase_ == 25) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 25) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          rateLimitBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.yuccagw.RateLimitMessage rate_limit = 25;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.RateLimitMessage.Builder getRateLimitBuilder() {
+        return internalGetRateLimitFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.yuccagw.RateLimitMessage rate_limit = 25;</code>
+       */
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.RateLimitMessageOrBuilder getRateLimitOrBuilder() {
+        if ((bodyCase_ == 25) && (rateLimitBuilder_ != null)) {
+          return rateLimitBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 25) {
+            return (org.yuccagw.wire.PeerProtocol.RateLimitMessage) body_;
+          }
+          return org.yuccagw.wire.PeerProtocol.RateLimitMessage.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.yuccagw.RateLimitMessage rate_limit = 25;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.RateLimitMessage, org.yuccagw.wire.PeerProtocol.RateLimitMessage.Builder, org.yuccagw.wire.PeerProtocol.RateLimitMessageOrBuilder> 
+          internalGetRateLimitFieldBuilder() {
+        if (rateLimitBuilder_ == null) {
+          if (!(bodyCase_ == 25)) {
+            body_ = org.yuccagw.wire.PeerProtocol.RateLimitMessage.getDefaultInstance();
+          }
+          rateLimitBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.yuccagw.wire.PeerProtocol.RateLimitMessage, org.yuccagw.wire.PeerProtocol.RateLimitMessage.Builder, org.yuccagw.wire.PeerProtocol.RateLimitMessageOrBuilder>(
+                  (org.yuccagw.wire.PeerProtocol.RateLimitMessage) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 25;
+        onChanged();
+        return rateLimitBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:yuccagw.Envelope)
     }
 
@@ -28731,17 +28952,804 @@
                 done = true;
                 break;
               case 10: {
-                fingerprint_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000001;
-                break;
-              } // case 10
-              case 26: {
+                fingerprint_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 26: {
+                input.readMessage(
+                    internalGetEndpointFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object fingerprint_ = "";
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @return The fingerprint.
+       */
+      public java.lang.String getFingerprint() {
+        java.lang.Object ref = fingerprint_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          fingerprint_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @return The bytes for fingerprint.
+       */
+      public com.google.protobuf.ByteString
+          getFingerprintBytes() {
+        java.lang.Object ref = fingerprint_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          fingerprint_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @param value The fingerprint to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFingerprint(
+          java.lang.String value) {
+        java.util.Objects.requireNonNull(value);
+        fingerprint_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFingerprint() {
+        fingerprint_ = getDefaultInstance().getFingerprint();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string fingerprint = 1;</code>
+       * @param value The bytes for fingerprint to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFingerprintBytes(
+          com.google.protobuf.ByteString value) {
+        java.util.Objects.requireNonNull(value);
+        checkByteStringIsUtf8(value);
+        fingerprint_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private org.yuccagw.wire.PeerProtocol.EndpointStart endpoint_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.EndpointStart, org.yuccagw.wire.PeerProtocol.EndpointStart.Builder, org.yuccagw.wire.PeerProtocol.EndpointStartOrBuilder> endpointBuilder_;
+      /**
+       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       * @return Whether the endpoint field is set.
+       */
+      public boolean hasEndpoint() {
+        return ((bitField0_ & 0x00000002) != 0);
+      }
+      /**
+       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       * @return The endpoint.
+       */
+      public org.yuccagw.wire.PeerProtocol.EndpointStart getEndpoint() {
+        if (endpointBuilder_ == null) {
+          return endpoint_ == null ? org.yuccagw.wire.PeerProtocol.EndpointStart.getDefaultInstance() : endpoint_;
+        } else {
+          return endpointBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       */
+      public Builder setEndpoint(org.yuccagw.wire.PeerProtocol.EndpointStart value) {
+        if (endpointBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          endpoint_ = value;
+        } else {
+          endpointBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       */
+      public Builder setEndpoint(
+          org.yuccagw.wire.PeerProtocol.EndpointStart.Builder builderForValue) {
+        if (endpointBuilder_ == null) {
+          endpoint_ = builderForValue.build();
+        } else {
+          endpointBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       */
+      public Builder mergeEndpoint(org.yuccagw.wire.PeerProtocol.EndpointStart value) {
+        if (endpointBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0) &&
+            endpoint_ != null &&
+            endpoint_ != org.yuccagw.wire.PeerProtocol.EndpointStart.getDefaultInstance()) {
+            getEndpointBuilder().mergeFrom(value);
+          } else {
+            endpoint_ = value;
+          }
+        } else {
+          endpointBuilder_.mergeFrom(value);
+        }
+        if (endpoint_ != null) {
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       */
+      public Builder clearEndpoint() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        endpoint_ = null;
+        if (endpointBuilder_ != null) {
+          endpointBuilder_.dispose();
+          endpointBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.EndpointStart.Builder getEndpointBuilder() {
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return internalGetEndpointFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       */
+      public org.yuccagw.wire.PeerProtocol.EndpointStartOrBuilder getEndpointOrBuilder() {
+        if (endpointBuilder_ != null) {
+          return endpointBuilder_.getMessageOrBuilder();
+        } else {
+          return endpoint_ == null ?
+              org.yuccagw.wire.PeerProtocol.EndpointStart.getDefaultInstance() : endpoint_;
+        }
+      }
+      /**
+       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.EndpointStart, org.yuccagw.wire.PeerProtocol.EndpointStart.Builder, org.yuccagw.wire.PeerProtocol.EndpointStartOrBuilder> 
+          internalGetEndpointFieldBuilder() {
+        if (endpointBuilder_ == null) {
+          endpointBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.yuccagw.wire.PeerProtocol.EndpointStart, org.yuccagw.wire.PeerProtocol.EndpointStart.Builder, org.yuccagw.wire.PeerProtocol.EndpointStartOrBuilder>(
+                  getEndpoint(),
+                  getParentForChildren(),
+                  isClean());
+          endpoint_ = null;
+        }
+        return endpointBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:yuccagw.BreakMessage)
+    }
+
+    // @@protoc_insertion_point(class_scope:yuccagw.BreakMessage)
+    private static final org.yuccagw.wire.PeerProtocol.BreakMessage DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.yuccagw.wire.PeerProtocol.BreakMessage();
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.BreakMessage getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<BreakMessage>
+        PARSER = new com.google.protobuf.AbstractParser<BreakMessage>() {
+      @java.lang.Override
+      public BreakMessage parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<BreakMessage> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<BreakMessage> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.BreakMessage getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface RateLimitMessageOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:yuccagw.RateLimitMessage)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>.yuccagw.EndpointStart endpoint = 1;</code>
+     * @return Whether the endpoint field is set.
+     */
+    boolean hasEndpoint();
+    /**
+     * <code>.yuccagw.EndpointStart endpoint = 1;</code>
+     * @return The endpoint.
+     */
+    org.yuccagw.wire.PeerProtocol.EndpointStart getEndpoint();
+    /**
+     * <code>.yuccagw.EndpointStart endpoint = 1;</code>
+     */
+    org.yuccagw.wire.PeerProtocol.EndpointStartOrBuilder getEndpointOrBuilder();
+
+    /**
+     * <code>bool limited = 2;</code>
+     * @return The limited.
+     */
+    boolean getLimited();
+
+    /**
+     * <pre>
+     * 0 for none
+     * </pre>
+     *
+     * <code>double per_second = 3;</code>
+     * @return The perSecond.
+     */
+    double getPerSecond();
+
+    /**
+     * <pre>
+     * since the answer that told it
+     * </pre>
+     *
+     * <code>int64 age_millis = 4;</code>
+     * @return The ageMillis.
+     */
+    long getAgeMillis();
+  }
+  /**
+   * Protobuf type {@code yuccagw.RateLimitMessage}
+   */
+  public static final class RateLimitMessage extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:yuccagw.RateLimitMessage)
+      RateLimitMessageOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "RateLimitMessage");
+    }
+    // Use RateLimitMessage.newBuilder() to construct.
+    private RateLimitMessage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private RateLimitMessage() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_RateLimitMessage_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_RateLimitMessage_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_RateLimitMessage_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.yuccagw.wire.PeerProtocol.RateLimitMessage.class, org.yuccagw.wire.PeerProtocol.RateLimitMessage.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int ENDPOINT_FIELD_NUMBER = 1;
+    private org.yuccagw.wire.PeerProtocol.EndpointStart endpoint_;
+    /**
+     * <code>.yuccagw.EndpointStart endpoint = 1;</code>
+     * @return Whether the endpoint field is set.
+     */
+    @java.lang.Override
+    public boolean hasEndpoint() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.yuccagw.EndpointStart endpoint = 1;</code>
+     * @return The endpoint.
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.EndpointStart getEndpoint() {
+      return endpoint_ == null ? org.yuccagw.wire.PeerProtocol.EndpointStart.getDefaultInstance() : endpoint_;
+    }
+    /**
+     * <code>.yuccagw.EndpointStart endpoint = 1;</code>
+     */
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.EndpointStartOrBuilder getEndpointOrBuilder() {
+      return endpoint_ == null ? org.yuccagw.wire.PeerProtocol.EndpointStart.getDefaultInstance() : endpoint_;
+    }
+
+    public static final int LIMITED_FIELD_NUMBER = 2;
+    private boolean limited_ = false;
+    /**
+     * <code>bool limited = 2;</code>
+     * @return The limited.
+     */
+    @java.lang.Override
+    public boolean getLimited() {
+      return limited_;
+    }
+
+    public static final int PER_SECOND_FIELD_NUMBER = 3;
+    private double perSecond_ = 0D;
+    /**
+     * <pre>
+     * 0 for none
+     * </pre>
+     *
+     * <code>double per_second = 3;</code>
+     * @return The perSecond.
+     */
+    @java.lang.Override
+    public double getPerSecond() {
+      return perSecond_;
+    }
+
+    public static final int AGE_MILLIS_FIELD_NUMBER = 4;
+    private long ageMillis_ = 0L;
+    /**
+     * <pre>
+     * since the answer that told it
+     * </pre>
+     *
+     * <code>int64 age_millis = 4;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public long getAgeMillis() {
+      return ageMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(1, getEndpoint());
+      }
+      if (limited_ != false) {
+        output.writeBool(2, limited_);
+      }
+      if (java.lang.Double.doubleToRawLongBits(perSecond_) != 0) {
+        output.writeDouble(3, perSecond_);
+      }
+      if (ageMillis_ != 0L) {
+        output.writeInt64(4, ageMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(1, getEndpoint());
+      }
+      if (limited_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(2, limited_);
+      }
+      if (java.lang.Double.doubleToRawLongBits(perSecond_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeDoubleSize(3, perSecond_);
+      }
+      if (ageMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(4, ageMillis_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.yuccagw.wire.PeerProtocol.RateLimitMessage)) {
+        return super.equals(obj);
+      }
+      org.yuccagw.wire.PeerProtocol.RateLimitMessage other = (org.yuccagw.wire.PeerProtocol.RateLimitMessage) obj;
+
+      if (hasEndpoint() != other.hasEndpoint()) return false;
+      if (hasEndpoint()) {
+        if (!getEndpoint()
+            .equals(other.getEndpoint())) return false;
+      }
+      if (getLimited()
+          != other.getLimited()) return false;
+      if (java.lang.Double.doubleToLongBits(getPerSecond())
+          != java.lang.Double.doubleToLongBits(
+              other.getPerSecond())) return false;
+      if (getAgeMillis()
+          != other.getAgeMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (hasEndpoint()) {
+        hash = (37 * hash) + ENDPOINT_FIELD_NUMBER;
+        hash = (53 * hash) + getEndpoint().hashCode();
+      }
+      hash = (37 * hash) + LIMITED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getLimited());
+      hash = (37 * hash) + PER_SECOND_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          java.lang.Double.doubleToLongBits(getPerSecond()));
+      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAgeMillis());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.RateLimitMessage parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.RateLimitMessage parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.RateLimitMessage parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.RateLimitMessage parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.RateLimitMessage parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.RateLimitMessage parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.RateLimitMessage parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.RateLimitMessage parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.RateLimitMessage parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.RateLimitMessage parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.RateLimitMessage parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.RateLimitMessage parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.yuccagw.wire.PeerProtocol.RateLimitMessage prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code yuccagw.RateLimitMessage}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:yuccagw.RateLimitMessage)
+        org.yuccagw.wire.PeerProtocol.RateLimitMessageOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_RateLimitMessage_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_RateLimitMessage_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.yuccagw.wire.PeerProtocol.RateLimitMessage.class, org.yuccagw.wire.PeerProtocol.RateLimitMessage.Builder.class);
+      }
+
+      // Construct using org.yuccagw.wire.PeerProtocol.RateLimitMessage.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetEndpointFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        endpoint_ = null;
+        if (endpointBuilder_ != null) {
+          endpointBuilder_.dispose();
+          endpointBuilder_ = null;
+        }
+        limited_ = false;
+        perSecond_ = 0D;
+        ageMillis_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_RateLimitMessage_descriptor;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.RateLimitMessage getDefaultInstanceForType() {
+        return org.yuccagw.wire.PeerProtocol.RateLimitMessage.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.RateLimitMessage build() {
+        org.yuccagw.wire.PeerProtocol.RateLimitMessage result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.RateLimitMessage buildPartial() {
+        org.yuccagw.wire.PeerProtocol.RateLimitMessage result = new org.yuccagw.wire.PeerProtocol.RateLimitMessage(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.yuccagw.wire.PeerProtocol.RateLimitMessage result) {
+        int from_bitField0_ = bitField0_;
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.endpoint_ = endpointBuilder_ == null
+              ? endpoint_
+              : endpointBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.limited_ = limited_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.perSecond_ = perSecond_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.ageMillis_ = ageMillis_;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.yuccagw.wire.PeerProtocol.RateLimitMessage) {
+          return mergeFrom((org.yuccagw.wire.PeerProtocol.RateLimitMessage)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.yuccagw.wire.PeerProtocol.RateLimitMessage other) {
+        if (other == org.yuccagw.wire.PeerProtocol.RateLimitMessage.getDefaultInstance()) return this;
+        if (other.hasEndpoint()) {
+          mergeEndpoint(other.getEndpoint());
+        }
+        if (other.getLimited() != false) {
+          setLimited(other.getLimited());
+        }
+        if (java.lang.Double.doubleToRawLongBits(other.getPerSecond()) != 0) {
+          setPerSecond(other.getPerSecond());
+        }
+        if (other.getAgeMillis() != 0L) {
+          setAgeMillis(other.getAgeMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
                 input.readMessage(
                     internalGetEndpointFieldBuilder().getBuilder(),
                     extensionRegistry);
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                limited_ = input.readBool();
                 bitField0_ |= 0x00000002;
                 break;
-              } // case 26
+              } // case 16
+              case 25: {
+                perSecond_ = input.readDouble();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 25
+              case 32: {
+                ageMillis_ = input.readInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -28759,90 +29767,18 @@
       }
       private int bitField0_;
 
-      private java.lang.Object fingerprint_ = "";
-      /**
-       * <code>string fingerprint = 1;</code>
-       * @return The fingerprint.
-       */
-      public java.lang.String getFingerprint() {
-        java.lang.Object ref = fingerprint_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          fingerprint_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
-      }
-      /**
-       * <code>string fingerprint = 1;</code>
-       * @return The bytes for fingerprint.
-       */
-      public com.google.protobuf.ByteString
-          getFingerprintBytes() {
-        java.lang.Object ref = fingerprint_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          fingerprint_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
-      }
-      /**
-       * <code>string fingerprint = 1;</code>
-       * @param value The fingerprint to set.
-       * @return This builder for chaining.
-       */
-      public Builder setFingerprint(
-          java.lang.String value) {
-        java.util.Objects.requireNonNull(value);
-        fingerprint_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string fingerprint = 1;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearFingerprint() {
-        fingerprint_ = getDefaultInstance().getFingerprint();
-        bitField0_ = (bitField0_ & ~0x00000001);
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>string fingerprint = 1;</code>
-       * @param value The bytes for fingerprint to set.
-       * @return This builder for chaining.
-       */
-      public Builder setFingerprintBytes(
-          com.google.protobuf.ByteString value) {
-        java.util.Objects.requireNonNull(value);
-        checkByteStringIsUtf8(value);
-        fingerprint_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-
       private org.yuccagw.wire.PeerProtocol.EndpointStart endpoint_;
       private com.google.protobuf.SingleFieldBuilder<
           org.yuccagw.wire.PeerProtocol.EndpointStart, org.yuccagw.wire.PeerProtocol.EndpointStart.Builder, org.yuccagw.wire.PeerProtocol.EndpointStartOrBuilder> endpointBuilder_;
       /**
-       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       * <code>.yuccagw.EndpointStart endpoint = 1;</code>
        * @return Whether the endpoint field is set.
        */
       public boolean hasEndpoint() {
-        return ((bitField0_ & 0x00000002) != 0);
+        return ((bitField0_ & 0x00000001) != 0);
       }
       /**
-       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       * <code>.yuccagw.EndpointStart endpoint = 1;</code>
        * @return The endpoint.
        */
       public org.yuccagw.wire.PeerProtocol.EndpointStart getEndpoint() {
@@ -28853,7 +29789,7 @@
         }
       }
       /**
-       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       * <code>.yuccagw.EndpointStart endpoint = 1;</code>
        */
       public Builder setEndpoint(org.yuccagw.wire.PeerProtocol.EndpointStart value) {
         if (endpointBuilder_ == null) {
@@ -28862,12 +29798,12 @@
         } else {
           endpointBuilder_.setMessage(value);
         }
-        bitField0_ |= 0x00000002;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       * <code>.yuccagw.EndpointStart endpoint = 1;</code>
        */
       public Builder setEndpoint(
           org.yuccagw.wire.PeerProtocol.EndpointStart.Builder builderForValue) {
@@ -28876,16 +29812,16 @@
         } else {
           endpointBuilder_.setMessage(builderForValue.build());
         }
-        bitField0_ |= 0x00000002;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
       /**
-       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       * <code>.yuccagw.EndpointStart endpoint = 1;</code>
        */
       public Builder mergeEndpoint(org.yuccagw.wire.PeerProtocol.EndpointStart value) {
         if (endpointBuilder_ == null) {
-          if (((bitField0_ & 0x00000002) != 0) &&
+          if (((bitField0_ & 0x00000001) != 0) &&
             endpoint_ != null &&
             endpoint_ != org.yuccagw.wire.PeerProtocol.EndpointStart.getDefaultInstance()) {
             getEndpointBuilder().mergeFrom(value);
@@ -28896,16 +29832,16 @@
           endpointBuilder_.mergeFrom(value);
         }
         if (endpoint_ != null) {
-          bitField0_ |= 0x00000002;
+          bitField0_ |= 0x00000001;
           onChanged();
         }
         return this;
       }
       /**
-       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       * <code>.yuccagw.EndpointStart endpoint = 1;</code>
        */
       public Builder clearEndpoint() {
-        bitField0_ = (bitField0_ & ~0x00000002);
+        bitField0_ = (bitField0_ & ~0x00000001);
         endpoint_ = null;
         if (endpointBuilder_ != null) {
           endpointBuilder_.dispose();
@@ -28915,15 +29851,15 @@
         return this;
       }
       /**
-       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       * <code>.yuccagw.EndpointStart endpoint = 1;</code>
        */
       public org.yuccagw.wire.PeerProtocol.EndpointStart.Builder getEndpointBuilder() {
-        bitField0_ |= 0x00000002;
+        bitField0_ |= 0x00000001;
         onChanged();
         return internalGetEndpointFieldBuilder().getBuilder();
       }
       /**
-       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       * <code>.yuccagw.EndpointStart endpoint = 1;</code>
        */
       public org.yuccagw.wire.PeerProtocol.EndpointStartOrBuilder getEndpointOrBuilder() {
         if (endpointBuilder_ != null) {
@@ -28934,7 +29870,7 @@
         }
       }
       /**
-       * <code>.yuccagw.EndpointStart endpoint = 3;</code>
+       * <code>.yuccagw.EndpointStart endpoint = 1;</code>
        */
       private com.google.protobuf.SingleFieldBuilder<
           org.yuccagw.wire.PeerProtocol.EndpointStart, org.yuccagw.wire.PeerProtocol.EndpointStart.Builder, org.yuccagw.wire.PeerProtocol.EndpointStartOrBuilder> 
@@ -28950,23 +29886,143 @@
         return endpointBuilder_;
       }
 
-      // @@protoc_insertion_point(builder_scope:yuccagw.BreakMessage)
+      private boolean limited_ ;
+      /**
+       * <code>bool limited = 2;</code>
+       * @return The limited.
+       */
+      @java.lang.Override
+      public boolean getLimited() {
+        return limited_;
+      }
+      /**
+       * <code>bool limited = 2;</code>
+       * @param value The limited to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLimited(boolean value) {
+
+        limited_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool limited = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLimited() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        limited_ = false;
+        onChanged();
+        return this;
+      }
+
+      private double perSecond_ ;
+      /**
+       * <pre>
+       * 0 for none
+       * </pre>
+       *
+       * <code>double per_second = 3;</code>
+       * @return The perSecond.
+       */
+      @java.lang.Override
+      public double getPerSecond() {
+        return perSecond_;
+      }
+      /**
+       * <pre>
+       * 0 for none
+       * </pre>
+       *
+       * <code>double per_second = 3;</code>
+       * @param value The perSecond to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPerSecond(double value) {
+
+        perSecond_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * 0 for none
+       * </pre>
+       *
+       * <code>double per_second = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPerSecond() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        perSecond_ = 0D;
+        onChanged();
+        return this;
+      }
+
+      private long ageMillis_ ;
+      /**
+       * <pre>
+       * since the answer that told it
+       * </pre>
+       *
+       * <code>int64 age_millis = 4;</code>
+       * @return The ageMillis.
+       */
+      @java.lang.Override
+      public long getAgeMillis() {
+        return ageMillis_;
+      }
+      /**
+       * <pre>
+       * since the answer that told it
+       * </pre>
+       *
+       * <code>int64 age_millis = 4;</code>
+       * @param value The ageMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAgeMillis(long value) {
+
+        ageMillis_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * since the answer that told it
+       * </pre>
+       *
+       * <code>int64 age_millis = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        ageMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:yuccagw.RateLimitMessage)
     }
 
-    // @@protoc_insertion_point(class_scope:yuccagw.BreakMessage)
-    private static final org.yuccagw.wire.PeerProtocol.BreakMessage DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:yuccagw.RateLimitMessage)
+    private static final org.yuccagw.wire.PeerProtocol.RateLimitMessage DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.yuccagw.wire.PeerProtocol.BreakMessage();
+      DEFAULT_INSTANCE = new org.yuccagw.wire.PeerProtocol.RateLimitMessage();
     }
 
-    public static org.yuccagw.wire.PeerProtocol.BreakMessage getDefaultInstance() {
+    public static org.yuccagw.wire.PeerProtocol.RateLimitMessage getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<BreakMessage>
-        PARSER = new com.google.protobuf.AbstractParser<BreakMessage>() {
+    private static final com.google.protobuf.Parser<RateLimitMessage>
+        PARSER = new com.google.protobuf.AbstractParser<RateLimitMessage>() {
       @java.lang.Override
-      public BreakMessage parsePartialFrom(
+      public RateLimitMessage parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -28985,17 +30041,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<BreakMessage> parser() {
+    public static com.google.protobuf.Parser<RateLimitMessage> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<BreakMessage> getParserForType() {
+    public com.google.protobuf.Parser<RateLimitMessage> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.yuccagw.wire.PeerProtocol.BreakMessage getDefaultInstanceForType() {
+    public org.yuccagw.wire.PeerProtocol.RateLimitMessage getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -37748,6 +38804,16 @@
      * @return The unreadTokens.
      */
     long getUnreadTokens();
+
+    /**
+     * <pre>
+     * whether the endpoint was known to ask for fewer requests
+     * </pre>
+     *
+     * <code>bool rate_limited = 11;</code>
+     * @return The rateLimited.
+     */
+    boolean getRateLimited();
   }
   /**
    * Protobuf type {@code yuccagw.PlacedMessage}
@@ -37961,6 +39027,21 @@
       return unreadTokens_;
     }
 
+    public static final int RATE_LIMITED_FIELD_NUMBER = 11;
+    private boolean rateLimited_ = false;
+    /**
+     * <pre>
+     * whether the endpoint was known to ask for fewer requests
+     * </pre>
+     *
+     * <code>bool rate_limited = 11;</code>
+     * @return The rateLimited.
+     */
+    @java.lang.Override
+    public boolean getRateLimited() {
+      return rateLimited_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -38005,6 +39086,9 @@
       if (unreadTokens_ != 0L) {
         output.writeInt64(10, unreadTokens_);
       }
+      if (rateLimited_ != false) {
+        output.writeBool(11, rateLimited_);
+      }
       getUnknownFields().writeTo(output);
     }
     private int computeSerializedSize_0() {
@@ -38048,6 +39132,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeInt64Size(10, unreadTokens_);
       }
+      if (rateLimited_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(11, rateLimited_);
+      }
       return size;
     }
     @java.lang.Override
@@ -38098,6 +39186,8 @@
           != other.getTokens()) return false;
       if (getUnreadTokens()
           != other.getUnreadTokens()) return false;
+      if (getRateLimited()
+          != other.getRateLimited()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -38139,6 +39229,9 @@
       hash = (37 * hash) + UNREAD_TOKENS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getUnreadTokens());
+      hash = (37 * hash) + RATE_LIMITED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getRateLimited());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -38295,6 +39388,7 @@
         firstByteMillis_ = 0L;
         tokens_ = 0L;
         unreadTokens_ = 0L;
+        rateLimited_ = false;
         return this;
       }
 
@@ -38365,6 +39459,9 @@
         if (((from_bitField0_ & 0x00000200) != 0)) {
           result.unreadTokens_ = unreadTokens_;
         }
+        if (((from_bitField0_ & 0x00000400) != 0)) {
+          result.rateLimited_ = rateLimited_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -38412,6 +39509,9 @@
         if (other.getUnreadTokens() != 0L) {
           setUnreadTokens(other.getUnreadTokens());
         }
+        if (other.getRateLimited() != false) {
+          setRateLimited(other.getRateLimited());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -38490,6 +39590,11 @@
                 bitField0_ |= 0x00000200;
                 break;
               } // case 80
+              case 88: {
+                rateLimited_ = input.readBool();
+                bitField0_ |= 0x00000400;
+                break;
+              } // case 88
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -39041,6 +40146,50 @@
         return this;
       }
 
+      private boolean rateLimited_ ;
+      /**
+       * <pre>
+       * whether the endpoint was known to ask for fewer requests
+       * </pre>
+       *
+       * <code>bool rate_limited = 11;</code>
+       * @return The rateLimited.
+       */
+      @java.lang.Override
+      public boolean getRateLimited() {
+        return rateLimited_;
+      }
+      /**
+       * <pre>
+       * whether the endpoint was known to ask for fewer requests
+       * </pre>
+       *
+       * <code>bool rate_limited = 11;</code>
+       * @param value The rateLimited to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRateLimited(boolean value) {
+
+        rateLimited_ = value;
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * whether the endpoint was known to ask for fewer requests
+       * </pre>
+       *
+       * <code>bool rate_limited = 11;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRateLimited() {
+        bitField0_ = (bitField0_ & ~0x00000400);
+        rateLimited_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:yuccagw.PlacedMessage)
     }
 
@@ -42441,6 +43590,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_yuccagw_BreakMessage_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_yuccagw_RateLimitMessage_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_yuccagw_RateLimitMessage_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_yuccagw_RosterMember_descriptor;
   private static final 
@@ -42515,7 +43669,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\007yuccagw\"\316\005\n\010Envelope\022\014\n\004fr" +
+      "\n\npeer.proto\022\007yuccagw\"\377\005\n\010Envelope\022\014\n\004fr" +
       "om\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022(\n\006gossip\030" +
       "\n \001(\0132\026.yuccagw.GossipMessageH\000\022.\n\tcatal" +
       "ogue\030\013 \001(\0132\031.yuccagw.CatalogueMessageH\000\022" +
@@ -42533,124 +43687,129 @@
       "igest\030\026 \001(\0132\026.yuccagw.DigestMessageH\000\022/\n" +
       "\nroster_ask\030\027 \001(\0132\031.yuccagw.RosterAskMes" +
       "sageH\000\022.\n\tplacement\030\030 \001(\0132\031.yuccagw.Plac" +
-      "ementMessageH\000B\006\n\004body\"\316\001\n\006Member\022\r\n\005ent" +
-      "ry\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\r\n\005state\030\003" +
-      " \001(\005\022\016\n\006domain\030\004 \001(\t\022\026\n\016caller_address\030\005" +
-      " \001(\t\022\024\n\014peer_address\030\006 \001(\t\022\025\n\radmin_addr" +
-      "ess\030\007 \001(\t\022\014\n\004load\030\010 \001(\005\022\032\n\022catalogue_rev" +
-      "ision\030\t \001(\003\022\022\n\nrefutation\030\n \001(\003\"a\n\rGossi" +
-      "pMessage\022\014\n\004kind\030\001 \001(\005\022\020\n\010sequence\030\002 \001(\003" +
-      "\022\016\n\006target\030\003 \001(\t\022 \n\007members\030\004 \003(\0132\017.yucc" +
-      "agw.Member\"[\n\020CatalogueMessage\022\014\n\004kind\030\001" +
-      " \001(\005\022\020\n\010revision\030\002 \001(\003\022\025\n\rbase_revision\030" +
-      "\003 \001(\003\022\020\n\010document\030\004 \001(\014\"J\n\020EndpointSight" +
-      "ing\022\020\n\010endpoint\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
-      "(\003\022\017\n\007leaving\030\003 \001(\010\"?\n\017EndpointMessage\022," +
-      "\n\tsightings\030\001 \003(\0132\031.yuccagw.EndpointSigh" +
-      "ting\">\n\014ShardMessage\022\r\n\005shard\030\001 \001(\005\022\r\n\005e" +
-      "poch\030\002 \001(\003\022\020\n\010released\030\003 \001(\010\"\361\001\n\013ClaimRe" +
-      "cord\022\021\n\tworkspace\030\001 \001(\t\022\013\n\003key\030\002 \001(\t\022\021\n\t" +
-      "body_hash\030\003 \001(\t\022\017\n\007request\030\004 \001(\t\022\r\n\005entr" +
-      "y\030\005 \001(\t\022\031\n\021entry_incarnation\030\006 \001(\003\022\r\n\005st" +
-      "ate\030\007 \001(\005\022\023\n\013wall_millis\030\010 \001(\003\022\025\n\ranswer" +
-      "_status\030\t \001(\005\022\023\n\013answer_type\030\n \001(\t\022\023\n\013an" +
-      "swer_body\030\013 \001(\014\022\017\n\007attempt\030\014 \001(\003\"5\n\014Clai" +
-      "mRecords\022%\n\007records\030\001 \003(\0132\024.yuccagw.Clai" +
-      "mRecord\"j\n\tClaimHead\022\r\n\005epoch\030\001 \001(\003\022%\n\007r" +
-      "ecords\030\002 \003(\0132\024.yuccagw.ClaimRecord\022\'\n\010se" +
-      "gments\030\003 \003(\0132\025.yuccagw.ClaimSegment\"8\n\014C" +
-      "laimSegment\022\014\n\004name\030\001 \001(\t\022\032\n\022newest_wall" +
-      "_millis\030\002 \001(\003\"\341\001\n\014ClaimMessage\022\014\n\004kind\030\001" +
-      " \001(\005\022\020\n\010sequence\030\002 \001(\003\022\r\n\005shard\030\003 \001(\005\022$\n" +
-      "\006record\030\004 \001(\0132\024.yuccagw.ClaimRecord\022\020\n\010d" +
-      "ecision\030\005 \001(\005\022\022\n\nerror_kind\030\006 \001(\t\022\025\n\rerr" +
-      "or_message\030\007 \001(\t\022\017\n\007outcome\030\010 \001(\005\022\025\n\rrun" +
-      "ning_entry\030\t \001(\t\022\027\n\017running_request\030\n \001(" +
-      "\t\"\270\001\n\014ShareMessage\022\014\n\004kind\030\001 \001(\005\022\r\n\005shar" +
-      "d\030\002 \001(\005\022\r\n\005epoch\030\003 \001(\003\022\r\n\005limit\030\004 \001(\t\022\022\n" +
-      "\nconcurrent\030\005 \001(\005\022\020\n\010fraction\030\006 \001(\001\022\024\n\014v" +
-      "alid_millis\030\010 \001(\003\022\020\n\010sequence\030\t \001(\003\022\016\n\006d" +
-      "emand\030\n \001(\001\022\017\n\007running\030\013 \001(\005\"W\n\005Death\022\023\n" +
-      "\013fingerprint\030\001 \001(\t\022\020\n\010endpoint\030\002 \001(\t\022\023\n\013" +
-      "incarnation\030\003 \001(\003\022\022\n\nage_millis\030\004 \001(\003\"\211\001" +
-      "\n\021QuarantineMessage\022\014\n\004kind\030\001 \001(\005\022\036\n\006dea" +
-      "ths\030\002 \003(\0132\016.yuccagw.Death\022\020\n\010sequence\030\003 " +
-      "\001(\003\022\016\n\006permit\030\004 \001(\003\022\017\n\007granted\030\005 \001(\010\022\023\n\013" +
-      "fingerprint\030\006 \001(\t\"\227\001\n\016CachePlacement\022\020\n\010" +
-      "key_high\030\001 \001(\006\022\017\n\007key_low\030\002 \001(\006\022\r\n\005store" +
-      "\030\003 \001(\t\022\022\n\ngeneration\030\004 \001(\003\022\016\n\006length\030\005 \001" +
-      "(\003\022\020\n\010checksum\030\006 \001(\003\022\014\n\004tier\030\007 \001(\005\022\017\n\007re" +
-      "moved\030\010 \001(\010\"\231\001\n\014CacheMessage\022+\n\nplacemen" +
-      "ts\030\001 \003(\0132\027.yuccagw.CachePlacement\022\021\n\twor" +
-      "kspace\030\002 \001(\t\022\022\n\nclass_name\030\003 \001(\t\022\017\n\007serv" +
-      "ice\030\004 \001(\t\022\017\n\007version\030\005 \001(\t\022\023\n\013start_dept" +
-      "h\030\006 \001(\005\"o\n\007Contact\022\r\n\005entry\030\001 \001(\t\022\023\n\013inc" +
-      "arnation\030\002 \001(\003\022\016\n\006domain\030\003 \001(\t\022\017\n\007caller" +
-      "s\030\004 \001(\t\022\r\n\005peers\030\005 \001(\t\022\020\n\010capacity\030\006 \001(\005" +
-      "\"9\n\rEndpointStart\022\020\n\010endpoint\030\001 \001(\t\022\026\n\016s" +
-      "tarted_millis\030\002 \001(\003\"x\n\023EndpointLoadMessa" +
-      "ge\022(\n\010endpoint\030\004 \001(\0132\026.yuccagw.EndpointS" +
-      "tart\022\020\n\010requests\030\002 \001(\005\022\016\n\006tokens\030\003 \001(\003\022\025" +
-      "\n\runread_tokens\030\005 \001(\003\"[\n\017EndpointWeights" +
-      "\022(\n\010endpoint\030\004 \001(\0132\026.yuccagw.EndpointSta" +
-      "rt\022\r\n\005model\030\002 \001(\t\022\017\n\007version\030\003 \001(\003\"\376\001\n\rS" +
-      "tatusMessage\022!\n\007contact\030\001 \001(\0132\020.yuccagw." +
-      "Contact\022\r\n\005ready\030\002 \001(\010\022\017\n\007leaving\030\003 \001(\010\022" +
-      "\020\n\010revision\030\004 \001(\003\022\027\n\017interval_millis\030\005 \001" +
-      "(\003\022+\n\005loads\030\006 \003(\0132\034.yuccagw.EndpointLoad" +
-      "Message\022\'\n\007loading\030\n \003(\0132\026.yuccagw.Endpo" +
-      "intStart\022)\n\007weights\030\t \003(\0132\030.yuccagw.Endp" +
-      "ointWeights\"H\n\007KeyItem\022\013\n\003key\030\001 \001(\t\022\r\n\005v" +
-      "alue\030\002 \001(\014\022\020\n\010revision\030\003 \001(\003\022\017\n\007removed\030" +
-      "\004 \001(\010\"\253\001\n\rFollowMessage\022\014\n\004kind\030\001 \001(\005\022\020\n" +
-      "\010revision\030\002 \001(\003\022\r\n\005whole\030\003 \001(\010\022\034\n\024confir" +
-      "med_age_millis\030\004 \001(\003\022\037\n\005items\030\005 \003(\0132\020.yu" +
-      "ccagw.KeyItem\022\024\n\014after_outage\030\006 \001(\010\022\026\n\016a" +
-      "fter_revision\030\007 \001(\003\"M\n\014BreakMessage\022\023\n\013f" +
-      "ingerprint\030\001 \001(\t\022(\n\010endpoint\030\003 \001(\0132\026.yuc" +
-      "cagw.EndpointStart\"O\n\014RosterMember\022!\n\007co" +
-      "ntact\030\001 \001(\0132\020.yuccagw.Contact\022\r\n\005ready\030\002" +
-      " \001(\010\022\r\n\005heard\030\003 \001(\010\"\201\001\n\rRosterMessage\022\016\n" +
-      "\006domain\030\001 \001(\t\022\016\n\006digest\030\002 \001(\006\022\024\n\014with_me" +
-      "mbers\030\003 \001(\010\022&\n\007members\030\004 \003(\0132\025.yuccagw.R" +
-      "osterMember\022\022\n\nage_millis\030\005 \001(\003\"\221\001\n\rDige" +
-      "stMessage\022&\n\006status\030\001 \001(\0132\026.yuccagw.Stat" +
-      "usMessage\022\034\n\024confirmed_age_millis\030\002 \001(\003\022" +
-      "\021\n\tconfirmed\030\003 \001(\010\022\'\n\007rosters\030\004 \003(\0132\026.yu" +
-      "ccagw.RosterMessage\"\"\n\020RosterAskMessage\022" +
-      "\016\n\006domain\030\001 \001(\t\"/\n\021PromptPartMessage\022\n\n\002" +
-      "id\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\005\"w\n\rPromptMessag" +
-      "e\022\r\n\005model\030\001 \001(\t\022\025\n\rprompt_tokens\030\002 \001(\005\022" +
-      "\025\n\ranswer_tokens\030\003 \001(\005\022)\n\005parts\030\004 \003(\0132\032." +
-      "yuccagw.PromptPartMessage\"\333\001\n\023PlacementA" +
-      "skMessage\022\017\n\007request\030\001 \001(\t\022\r\n\005route\030\002 \001(" +
-      "\t\022\017\n\007service\030\003 \001(\t\022\021\n\tworkspace\030\004 \001(\t\022&\n" +
-      "\006prompt\030\005 \001(\0132\026.yuccagw.PromptMessage\022\023\n" +
-      "\013fingerprint\030\006 \001(\t\022\020\n\010excluded\030\007 \003(\t\022\014\n\004" +
-      "kind\030\010 \001(\t\022\016\n\006pinned\030\t \001(\003\022\023\n\013left_milli" +
-      "s\030\n \001(\003\"3\n\022CacheSourceMessage\022\r\n\005store\030\001" +
-      " \001(\t\022\016\n\006tokens\030\002 \001(\005\"e\n\020CachePlanMessage" +
-      "\022,\n\007fetches\030\001 \003(\0132\033.yuccagw.CacheSourceM" +
-      "essage\022\r\n\005saves\030\002 \003(\t\022\024\n\014until_millis\030\003 " +
-      "\001(\003\"\376\001\n\rPlacedMessage\022(\n\010endpoint\030\001 \001(\0132" +
-      "\026.yuccagw.EndpointStart\022\017\n\007version\030\002 \001(\003" +
-      "\022\024\n\014with_version\030\003 \001(\010\022\014\n\004salt\030\004 \001(\t\022\021\n\t" +
-      "with_salt\030\005 \001(\010\022(\n\005cache\030\006 \001(\0132\031.yuccagw" +
-      ".CachePlanMessage\022\017\n\007urgency\030\007 \001(\005\022\031\n\021fi" +
-      "rst_byte_millis\030\010 \001(\003\022\016\n\006tokens\030\t \001(\003\022\025\n" +
-      "\runread_tokens\030\n \001(\003\"T\n\027PlacementRefused" +
-      "Message\022\014\n\004kind\030\001 \001(\t\022\017\n\007message\030\002 \001(\t\022\032" +
-      "\n\022retry_after_millis\030\003 \001(\003\"5\n\025PlacementE" +
-      "ndedMessage\022\013\n\003end\030\001 \001(\t\022\017\n\007version\030\002 \001(" +
-      "\003\"\240\002\n\020PlacementMessage\022\016\n\006number\030\001 \001(\003\022+" +
-      "\n\003ask\030\002 \001(\0132\034.yuccagw.PlacementAskMessag" +
-      "eH\000\022\021\n\007waiting\030\003 \001(\010H\000\022(\n\006placed\030\004 \001(\0132\026" +
-      ".yuccagw.PlacedMessageH\000\0223\n\007refused\030\005 \001(" +
-      "\0132 .yuccagw.PlacementRefusedMessageH\000\022\017\n" +
-      "\005begun\030\006 \001(\010H\000\022/\n\005ended\030\007 \001(\0132\036.yuccagw." +
-      "PlacementEndedMessageH\000\022\023\n\tundecided\030\010 \001" +
-      "(\010H\000B\006\n\004stepB \n\020org.yuccagw.wireB\014PeerPr" +
-      "otocolb\006proto3"
+      "ementMessageH\000\022/\n\nrate_limit\030\031 \001(\0132\031.yuc" +
+      "cagw.RateLimitMessageH\000B\006\n\004body\"\316\001\n\006Memb" +
+      "er\022\r\n\005entry\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\r" +
+      "\n\005state\030\003 \001(\005\022\016\n\006domain\030\004 \001(\t\022\026\n\016caller_" +
+      "address\030\005 \001(\t\022\024\n\014peer_address\030\006 \001(\t\022\025\n\ra" +
+      "dmin_address\030\007 \001(\t\022\014\n\004load\030\010 \001(\005\022\032\n\022cata" +
+      "logue_revision\030\t \001(\003\022\022\n\nrefutation\030\n \001(\003" +
+      "\"a\n\rGossipMessage\022\014\n\004kind\030\001 \001(\005\022\020\n\010seque" +
+      "nce\030\002 \001(\003\022\016\n\006target\030\003 \001(\t\022 \n\007members\030\004 \003" +
+      "(\0132\017.yuccagw.Member\"[\n\020CatalogueMessage\022" +
+      "\014\n\004kind\030\001 \001(\005\022\020\n\010revision\030\002 \001(\003\022\025\n\rbase_" +
+      "revision\030\003 \001(\003\022\020\n\010document\030\004 \001(\014\"J\n\020Endp" +
+      "ointSighting\022\020\n\010endpoint\030\001 \001(\t\022\023\n\013incarn" +
+      "ation\030\002 \001(\003\022\017\n\007leaving\030\003 \001(\010\"?\n\017Endpoint" +
+      "Message\022,\n\tsightings\030\001 \003(\0132\031.yuccagw.End" +
+      "pointSighting\">\n\014ShardMessage\022\r\n\005shard\030\001" +
+      " \001(\005\022\r\n\005epoch\030\002 \001(\003\022\020\n\010released\030\003 \001(\010\"\361\001" +
+      "\n\013ClaimRecord\022\021\n\tworkspace\030\001 \001(\t\022\013\n\003key\030" +
+      "\002 \001(\t\022\021\n\tbody_hash\030\003 \001(\t\022\017\n\007request\030\004 \001(" +
+      "\t\022\r\n\005entry\030\005 \001(\t\022\031\n\021entry_incarnation\030\006 " +
+      "\001(\003\022\r\n\005state\030\007 \001(\005\022\023\n\013wall_millis\030\010 \001(\003\022" +
+      "\025\n\ranswer_status\030\t \001(\005\022\023\n\013answer_type\030\n " +
+      "\001(\t\022\023\n\013answer_body\030\013 \001(\014\022\017\n\007attempt\030\014 \001(" +
+      "\003\"5\n\014ClaimRecords\022%\n\007records\030\001 \003(\0132\024.yuc" +
+      "cagw.ClaimRecord\"j\n\tClaimHead\022\r\n\005epoch\030\001" +
+      " \001(\003\022%\n\007records\030\002 \003(\0132\024.yuccagw.ClaimRec" +
+      "ord\022\'\n\010segments\030\003 \003(\0132\025.yuccagw.ClaimSeg" +
+      "ment\"8\n\014ClaimSegment\022\014\n\004name\030\001 \001(\t\022\032\n\022ne" +
+      "west_wall_millis\030\002 \001(\003\"\341\001\n\014ClaimMessage\022" +
+      "\014\n\004kind\030\001 \001(\005\022\020\n\010sequence\030\002 \001(\003\022\r\n\005shard" +
+      "\030\003 \001(\005\022$\n\006record\030\004 \001(\0132\024.yuccagw.ClaimRe" +
+      "cord\022\020\n\010decision\030\005 \001(\005\022\022\n\nerror_kind\030\006 \001" +
+      "(\t\022\025\n\rerror_message\030\007 \001(\t\022\017\n\007outcome\030\010 \001" +
+      "(\005\022\025\n\rrunning_entry\030\t \001(\t\022\027\n\017running_req" +
+      "uest\030\n \001(\t\"\270\001\n\014ShareMessage\022\014\n\004kind\030\001 \001(" +
+      "\005\022\r\n\005shard\030\002 \001(\005\022\r\n\005epoch\030\003 \001(\003\022\r\n\005limit" +
+      "\030\004 \001(\t\022\022\n\nconcurrent\030\005 \001(\005\022\020\n\010fraction\030\006" +
+      " \001(\001\022\024\n\014valid_millis\030\010 \001(\003\022\020\n\010sequence\030\t" +
+      " \001(\003\022\016\n\006demand\030\n \001(\001\022\017\n\007running\030\013 \001(\005\"W\n" +
+      "\005Death\022\023\n\013fingerprint\030\001 \001(\t\022\020\n\010endpoint\030" +
+      "\002 \001(\t\022\023\n\013incarnation\030\003 \001(\003\022\022\n\nage_millis" +
+      "\030\004 \001(\003\"\211\001\n\021QuarantineMessage\022\014\n\004kind\030\001 \001" +
+      "(\005\022\036\n\006deaths\030\002 \003(\0132\016.yuccagw.Death\022\020\n\010se" +
+      "quence\030\003 \001(\003\022\016\n\006permit\030\004 \001(\003\022\017\n\007granted\030" +
+      "\005 \001(\010\022\023\n\013fingerprint\030\006 \001(\t\"\227\001\n\016CachePlac" +
+      "ement\022\020\n\010key_high\030\001 \001(\006\022\017\n\007key_low\030\002 \001(\006" +
+      "\022\r\n\005store\030\003 \001(\t\022\022\n\ngeneration\030\004 \001(\003\022\016\n\006l" +
+      "ength\030\005 \001(\003\022\020\n\010checksum\030\006 \001(\003\022\014\n\004tier\030\007 " +
+      "\001(\005\022\017\n\007removed\030\010 \001(\010\"\231\001\n\014CacheMessage\022+\n" +
+      "\nplacements\030\001 \003(\0132\027.yuccagw.CachePlaceme" +
+      "nt\022\021\n\tworkspace\030\002 \001(\t\022\022\n\nclass_name\030\003 \001(" +
+      "\t\022\017\n\007service\030\004 \001(\t\022\017\n\007version\030\005 \001(\t\022\023\n\013s" +
+      "tart_depth\030\006 \001(\005\"o\n\007Contact\022\r\n\005entry\030\001 \001" +
+      "(\t\022\023\n\013incarnation\030\002 \001(\003\022\016\n\006domain\030\003 \001(\t\022" +
+      "\017\n\007callers\030\004 \001(\t\022\r\n\005peers\030\005 \001(\t\022\020\n\010capac" +
+      "ity\030\006 \001(\005\"9\n\rEndpointStart\022\020\n\010endpoint\030\001" +
+      " \001(\t\022\026\n\016started_millis\030\002 \001(\003\"x\n\023Endpoint" +
+      "LoadMessage\022(\n\010endpoint\030\004 \001(\0132\026.yuccagw." +
+      "EndpointStart\022\020\n\010requests\030\002 \001(\005\022\016\n\006token" +
+      "s\030\003 \001(\003\022\025\n\runread_tokens\030\005 \001(\003\"[\n\017Endpoi" +
+      "ntWeights\022(\n\010endpoint\030\004 \001(\0132\026.yuccagw.En" +
+      "dpointStart\022\r\n\005model\030\002 \001(\t\022\017\n\007version\030\003 " +
+      "\001(\003\"\376\001\n\rStatusMessage\022!\n\007contact\030\001 \001(\0132\020" +
+      ".yuccagw.Contact\022\r\n\005ready\030\002 \001(\010\022\017\n\007leavi" +
+      "ng\030\003 \001(\010\022\020\n\010revision\030\004 \001(\003\022\027\n\017interval_m" +
+      "illis\030\005 \001(\003\022+\n\005loads\030\006 \003(\0132\034.yuccagw.End" +
+      "pointLoadMessage\022\'\n\007loading\030\n \003(\0132\026.yucc" +
+      "agw.EndpointStart\022)\n\007weights\030\t \003(\0132\030.yuc" +
+      "cagw.EndpointWeights\"H\n\007KeyItem\022\013\n\003key\030\001" +
+      " \001(\t\022\r\n\005value\030\002 \001(\014\022\020\n\010revision\030\003 \001(\003\022\017\n" +
+      "\007removed\030\004 \001(\010\"\253\001\n\rFollowMessage\022\014\n\004kind" +
+      "\030\001 \001(\005\022\020\n\010revision\030\002 \001(\003\022\r\n\005whole\030\003 \001(\010\022" +
+      "\034\n\024confirmed_age_millis\030\004 \001(\003\022\037\n\005items\030\005" +
+      " \003(\0132\020.yuccagw.KeyItem\022\024\n\014after_outage\030\006" +
+      " \001(\010\022\026\n\016after_revision\030\007 \001(\003\"M\n\014BreakMes" +
+      "sage\022\023\n\013fingerprint\030\001 \001(\t\022(\n\010endpoint\030\003 " +
+      "\001(\0132\026.yuccagw.EndpointStart\"u\n\020RateLimit" +
+      "Message\022(\n\010endpoint\030\001 \001(\0132\026.yuccagw.Endp" +
+      "ointStart\022\017\n\007limited\030\002 \001(\010\022\022\n\nper_second" +
+      "\030\003 \001(\001\022\022\n\nage_millis\030\004 \001(\003\"O\n\014RosterMemb" +
+      "er\022!\n\007contact\030\001 \001(\0132\020.yuccagw.Contact\022\r\n" +
+      "\005ready\030\002 \001(\010\022\r\n\005heard\030\003 \001(\010\"\201\001\n\rRosterMe" +
+      "ssage\022\016\n\006domain\030\001 \001(\t\022\016\n\006digest\030\002 \001(\006\022\024\n" +
+      "\014with_members\030\003 \001(\010\022&\n\007members\030\004 \003(\0132\025.y" +
+      "uccagw.RosterMember\022\022\n\nage_millis\030\005 \001(\003\"" +
+      "\221\001\n\rDigestMessage\022&\n\006status\030\001 \001(\0132\026.yucc" +
+      "agw.StatusMessage\022\034\n\024confirmed_age_milli" +
+      "s\030\002 \001(\003\022\021\n\tconfirmed\030\003 \001(\010\022\'\n\007rosters\030\004 " +
+      "\003(\0132\026.yuccagw.RosterMessage\"\"\n\020RosterAsk" +
+      "Message\022\016\n\006domain\030\001 \001(\t\"/\n\021PromptPartMes" +
+      "sage\022\n\n\002id\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\005\"w\n\rProm" +
+      "ptMessage\022\r\n\005model\030\001 \001(\t\022\025\n\rprompt_token" +
+      "s\030\002 \001(\005\022\025\n\ranswer_tokens\030\003 \001(\005\022)\n\005parts\030" +
+      "\004 \003(\0132\032.yuccagw.PromptPartMessage\"\333\001\n\023Pl" +
+      "acementAskMessage\022\017\n\007request\030\001 \001(\t\022\r\n\005ro" +
+      "ute\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\021\n\tworkspace\030" +
+      "\004 \001(\t\022&\n\006prompt\030\005 \001(\0132\026.yuccagw.PromptMe" +
+      "ssage\022\023\n\013fingerprint\030\006 \001(\t\022\020\n\010excluded\030\007" +
+      " \003(\t\022\014\n\004kind\030\010 \001(\t\022\016\n\006pinned\030\t \001(\003\022\023\n\013le" +
+      "ft_millis\030\n \001(\003\"3\n\022CacheSourceMessage\022\r\n" +
+      "\005store\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\005\"e\n\020CachePla" +
+      "nMessage\022,\n\007fetches\030\001 \003(\0132\033.yuccagw.Cach" +
+      "eSourceMessage\022\r\n\005saves\030\002 \003(\t\022\024\n\014until_m" +
+      "illis\030\003 \001(\003\"\224\002\n\rPlacedMessage\022(\n\010endpoin" +
+      "t\030\001 \001(\0132\026.yuccagw.EndpointStart\022\017\n\007versi" +
+      "on\030\002 \001(\003\022\024\n\014with_version\030\003 \001(\010\022\014\n\004salt\030\004" +
+      " \001(\t\022\021\n\twith_salt\030\005 \001(\010\022(\n\005cache\030\006 \001(\0132\031" +
+      ".yuccagw.CachePlanMessage\022\017\n\007urgency\030\007 \001" +
+      "(\005\022\031\n\021first_byte_millis\030\010 \001(\003\022\016\n\006tokens\030" +
+      "\t \001(\003\022\025\n\runread_tokens\030\n \001(\003\022\024\n\014rate_lim" +
+      "ited\030\013 \001(\010\"T\n\027PlacementRefusedMessage\022\014\n" +
+      "\004kind\030\001 \001(\t\022\017\n\007message\030\002 \001(\t\022\032\n\022retry_af" +
+      "ter_millis\030\003 \001(\003\"5\n\025PlacementEndedMessag" +
+      "e\022\013\n\003end\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\"\240\002\n\020Plac" +
+      "ementMessage\022\016\n\006number\030\001 \001(\003\022+\n\003ask\030\002 \001(" +
+      "\0132\034.yuccagw.PlacementAskMessageH\000\022\021\n\007wai" +
+      "ting\030\003 \001(\010H\000\022(\n\006placed\030\004 \001(\0132\026.yuccagw.P" +
+      "lacedMessageH\000\0223\n\007refused\030\005 \001(\0132 .yuccag" +
+      "w.PlacementRefusedMessageH\000\022\017\n\005begun\030\006 \001" +
+      "(\010H\000\022/\n\005ended\030\007 \001(\0132\036.yuccagw.PlacementE" +
+      "ndedMessageH\000\022\023\n\tundecided\030\010 \001(\010H\000B\006\n\004st" +
+      "epB \n\020org.yuccagw.wireB\014PeerProtocolb\006pr" +
+      "oto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -42661,7 +43820,7 @@
     internal_static_yuccagw_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_Envelope_descriptor,
-        new java.lang.String[] { "From", "Incarnation", "Gossip", "Catalogue", "Endpoint", "Shard", "Claim", "Share", "Quarantine", "Cache", "Status", "Follow", "BreakSeen", "LoadNews", "Digest", "RosterAsk", "Placement", "Body", });
+        new java.lang.String[] { "From", "Incarnation", "Gossip", "Catalogue", "Endpoint", "Shard", "Claim", "Share", "Quarantine", "Cache", "Status", "Follow", "BreakSeen", "LoadNews", "Digest", "RosterAsk", "Placement", "RateLimit", "Body", });
     internal_static_yuccagw_Member_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_yuccagw_Member_fieldAccessorTable = new
@@ -42806,80 +43965,86 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_BreakMessage_descriptor,
         new java.lang.String[] { "Fingerprint", "Endpoint", });
-    internal_static_yuccagw_RosterMember_descriptor =
+    internal_static_yuccagw_RateLimitMessage_descriptor =
       getDescriptor().getMessageType(25);
+    internal_static_yuccagw_RateLimitMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_yuccagw_RateLimitMessage_descriptor,
+        new java.lang.String[] { "Endpoint", "Limited", "PerSecond", "AgeMillis", });
+    internal_static_yuccagw_RosterMember_descriptor =
+      getDescriptor().getMessageType(26);
     internal_static_yuccagw_RosterMember_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_RosterMember_descriptor,
         new java.lang.String[] { "Contact", "Ready", "Heard", });
     internal_static_yuccagw_RosterMessage_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(27);
     internal_static_yuccagw_RosterMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_RosterMessage_descriptor,
         new java.lang.String[] { "Domain", "Digest", "WithMembers", "Members", "AgeMillis", });
     internal_static_yuccagw_DigestMessage_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(28);
     internal_static_yuccagw_DigestMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_DigestMessage_descriptor,
         new java.lang.String[] { "Status", "ConfirmedAgeMillis", "Confirmed", "Rosters", });
     internal_static_yuccagw_RosterAskMessage_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(29);
     internal_static_yuccagw_RosterAskMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_RosterAskMessage_descriptor,
         new java.lang.String[] { "Domain", });
     internal_static_yuccagw_PromptPartMessage_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(30);
     internal_static_yuccagw_PromptPartMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_PromptPartMessage_descriptor,
         new java.lang.String[] { "Id", "Tokens", });
     internal_static_yuccagw_PromptMessage_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(31);
     internal_static_yuccagw_PromptMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_PromptMessage_descriptor,
         new java.lang.String[] { "Model", "PromptTokens", "AnswerTokens", "Parts", });
     internal_static_yuccagw_PlacementAskMessage_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(32);
     internal_static_yuccagw_PlacementAskMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_PlacementAskMessage_descriptor,
         new java.lang.String[] { "Request", "Route", "Service", "Workspace", "Prompt", "Fingerprint", "Excluded", "Kind", "Pinned", "LeftMillis", });
     internal_static_yuccagw_CacheSourceMessage_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(33);
     internal_static_yuccagw_CacheSourceMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_CacheSourceMessage_descriptor,
         new java.lang.String[] { "Store", "Tokens", });
     internal_static_yuccagw_CachePlanMessage_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(34);
     internal_static_yuccagw_CachePlanMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_CachePlanMessage_descriptor,
         new java.lang.String[] { "Fetches", "Saves", "UntilMillis", });
     internal_static_yuccagw_PlacedMessage_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(35);
     internal_static_yuccagw_PlacedMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_PlacedMessage_descriptor,
-        new java.lang.String[] { "Endpoint", "Version", "WithVersion", "Salt", "WithSalt", "Cache", "Urgency", "FirstByteMillis", "Tokens", "UnreadTokens", });
+        new java.lang.String[] { "Endpoint", "Version", "WithVersion", "Salt", "WithSalt", "Cache", "Urgency", "FirstByteMillis", "Tokens", "UnreadTokens", "RateLimited", });
     internal_static_yuccagw_PlacementRefusedMessage_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(36);
     internal_static_yuccagw_PlacementRefusedMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_PlacementRefusedMessage_descriptor,
         new java.lang.String[] { "Kind", "Message", "RetryAfterMillis", });
     internal_static_yuccagw_PlacementEndedMessage_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(37);
     internal_static_yuccagw_PlacementEndedMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_PlacementEndedMessage_descriptor,
         new java.lang.String[] { "End", "Version", });
     internal_static_yuccagw_PlacementMessage_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(38);
     internal_static_yuccagw_PlacementMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_PlacementMessage_descriptor,
--- a/src/test/java/org/yuccagw/adapters/peer/PlacementCodecTest.java
+++ b/src/test/java/org/yuccagw/adapters/peer/PlacementCodecTest.java
@@ -71,7 +71,7 @@
     }
 
     private static PlacementMessage placed(OptionalLong version, Optional<String> salt, Optional<CachePlan> cache) {
-        return new PlacementMessage.Placed(2, ENGINE, version, salt, cache, 4, 180, 9_017, 1_500);
+        return new PlacementMessage.Placed(2, ENGINE, version, salt, cache, 4, 180, 9_017, 1_500, false);
     }
 
     @Test(dataProvider = "messages")
--- a/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
+++ b/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
@@ -78,6 +78,19 @@
         assertEquals(effects.rateLimits, ImmutableList.of(new RateLimitHeard(FIRST_START, RateLimit.of(1.4))));
     }
 
+    @Test
+    public void anAnswerWithoutARateLimitIsReportedWhereOneWasKnown() {
+        ForwardMachine machine = begin(RouteKind.IDEMPOTENT, false, 2);
+        machine.onPlaced(placed("e1"));
+        machine.onHead(1, ok());
+        machine.onEnd(1);
+        assertEquals(effects.rateLimits, ImmutableList.of());
+        ForwardMachine second = begin(RouteKind.IDEMPOTENT, false, 2);
+        second.onPlaced(placed("e1", true));
+        second.onHead(1, ok());
+        assertEquals(effects.rateLimits, ImmutableList.of(new RateLimitHeard(FIRST_START, Optional.empty())));
+    }
+
     @Test
     public void anAnswerOfAnotherEndpointSaysNothingOfTheLimitOfTheExpectedOne() {
         ForwardMachine machine = begin(RouteKind.IDEMPOTENT, false, 2);
@@ -383,6 +396,10 @@
     }
 
     private PlaceDecision placed(String endpoint) {
+        return placed(endpoint, false);
+    }
+
+    private PlaceDecision placed(String endpoint, boolean rateLimited) {
         ListedEndpoint listed = new ListedEndpoint(
                 EndpointIncarnation.of(EndpointId.of(endpoint), 1),
                 SERVICE,
@@ -393,7 +410,7 @@
                 0,
                 ImmutableMap.of());
         return new PlaceDecision.Placed(
-                ++tickets, listed, OptionalLong.empty(), Optional.empty(), Optional.empty(), 1, 40);
+                ++tickets, listed, OptionalLong.empty(), Optional.empty(), Optional.empty(), 1, 40, rateLimited);
     }
 
     private static AnswerStart ok() {
--- a/src/test/java/org/yuccagw/core/placing/PromptNeedsTest.java
+++ b/src/test/java/org/yuccagw/core/placing/PromptNeedsTest.java
@@ -38,7 +38,7 @@
 import org.yuccagw.core.id.StoreId;
 import org.yuccagw.core.prompt.PromptPart;
 import org.yuccagw.core.prompt.PromptShape;
-import org.yuccagw.core.ratelimit.RateLimitsPart;
+import org.yuccagw.core.ratelimit.NoOthers;
 import org.yuccagw.core.stores.EngineCachesPart;
 import org.yuccagw.core.stores.StoreAnswer;
 import org.yuccagw.core.stores.StoreCall;
@@ -60,7 +60,7 @@
         ControlBench bench = ControlBench.of(3);
         bench.onAction((action, input) -> answer(bench, action, input));
         StoresPart stores = StoresPart.of(() -> List.of(EntryId.of("entry-1")));
-        EngineCachesPart caches = EngineCachesPart.of(() -> List.of(EntryId.of("entry-1")), RateLimitsPart.create());
+        EngineCachesPart caches = EngineCachesPart.of(() -> List.of(EntryId.of("entry-1")), NoOthers.noLimits());
         BenchNode node = bench.start("entry-1", NEAR, List.of(stores, caches));
         node.offer(new ConfiguredPart.Applied(deployment()));
         bench.runFor(Duration.ofSeconds(1));
--- a/src/test/java/org/yuccagw/core/stores/EngineCachesPartTest.java
+++ b/src/test/java/org/yuccagw/core/stores/EngineCachesPartTest.java
@@ -36,7 +36,7 @@
 import org.yuccagw.core.id.ServiceName;
 import org.yuccagw.core.prompt.PromptPart;
 import org.yuccagw.core.prompt.PromptShape;
-import org.yuccagw.core.ratelimit.RateLimitsPart;
+import org.yuccagw.core.ratelimit.NoOthers;
 
 public class EngineCachesPartTest {
     private static final String SALT = "s.1";
@@ -61,7 +61,7 @@
         asked = new HashSet<>();
         gap = false;
         bench.onAction(this::perform);
-        caches = EngineCachesPart.of(() -> List.of(EntryId.of("entry-1")), RateLimitsPart.create());
+        caches = EngineCachesPart.of(() -> List.of(EntryId.of("entry-1")), NoOthers.noLimits());
         node = bench.start("entry-1", FailureDomain.of("near"), List.of(caches));
         node.offer(new ConfiguredPart.Applied(deployment()));
         node.offer(seen(engine("near", 1)));
--- a/src/test/java/org/yuccagw/daemon/CallerGoneTest.java
+++ b/src/test/java/org/yuccagw/daemon/CallerGoneTest.java
@@ -110,7 +110,14 @@
             asked.incrementAndGet();
             place.reply()
                     .accept(new PlaceDecision.Placed(
-                            asked.get(), listed, OptionalLong.empty(), Optional.empty(), Optional.empty(), 4, 10));
+                            asked.get(),
+                            listed,
+                            OptionalLong.empty(),
+                            Optional.empty(),
+                            Optional.empty(),
+                            4,
+                            10,
+                            false));
         }
     }
 
--- a/src/test/java/org/yuccagw/daemon/RateLimitTest.java
+++ b/src/test/java/org/yuccagw/daemon/RateLimitTest.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +16,7 @@
 import org.yuccagw.core.control.ControlAction;
 import org.yuccagw.core.control.ControlInput;
 import org.yuccagw.core.id.EndpointIncarnation;
+import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.placing.AttemptBegun;
 import org.yuccagw.core.placing.AttemptEnded;
@@ -52,6 +54,7 @@
     private Map<String, RateLimit> limits;
     private Map<String, List<Long>> requests;
     private Map<String, List<Long>> eventCalls;
+    private Map<EntryId, Integer> senders;
     private int next;
 
     private void start(int entries) {
@@ -60,6 +63,7 @@
         limits = new HashMap<>();
         requests = new HashMap<>();
         eventCalls = new HashMap<>();
+        senders = new HashMap<>();
         next = 0;
         fleet.bench.onAction(this::tellEvents);
         for (int index = 0; index < entries; index++) {
@@ -113,6 +117,9 @@
         if (decision instanceof PlaceDecision.Placed placed) {
             String engine = placed.endpoint().id().value();
             requests.computeIfAbsent(engine, name -> new ArrayList<>()).add(now());
+            if (engine.equals(LIMITED)) {
+                senders.merge(node.entry(), 1, Integer::sum);
+            }
             fleet.bench.time().after(FIRST_TOKEN, () -> onHead(node, placed));
             fleet.bench.time().after(ANSWER, () -> node.offer(new AttemptEnded(placed.ticket(), End.ANSWERED)));
         }
@@ -122,7 +129,7 @@
         EndpointIncarnation engine = placed.endpoint().incarnation();
         Optional<RateLimit> limit =
                 Optional.ofNullable(limits.get(engine.endpoint().value()));
-        if (limit.isPresent()) {
+        if (limit.isPresent() || placed.rateLimited()) {
             node.offer(new RateLimitHeard(engine, limit));
         }
         node.offer(new AttemptBegun(placed.ticket()));
@@ -175,11 +182,34 @@
         assertTrue(most <= bound, most + " in " + WINDOW.toSeconds() + " s, bound " + bound);
     }
 
+    private static long count(List<Long> times, long fromNanos, long untilNanos) {
+        return times.stream().filter(at -> at >= fromNanos && at < untilNanos).count();
+    }
+
+    private BenchNode node(EntryId entry) {
+        return nodes.stream()
+                .filter(each -> each.entry().equals(entry))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** The entry that sends most to the limited engine. */
+    private BenchNode busiest() {
+        return nodes.stream()
+                .max(Comparator.comparingInt(each -> senders.getOrDefault(each.entry(), 0)))
+                .orElseThrow();
+    }
+
     @DataProvider
     public Object[][] sizesAndLimits() {
         return new Object[][] {{MESH, 1.4}, {MESH, 12}, {LARGE, 1.4}, {LARGE, 12}};
     }
 
+    @DataProvider
+    public Object[][] sizes() {
+        return new Object[][] {{MESH}, {LARGE}};
+    }
+
     // Every entry sends what the endpoint takes from all together, or knows of no limit at all.
     @Test(dataProvider = "sizesAndLimits")
     public void allEntriesTogetherKeepTheRateLimitThatAnEndpointNames(int entries, double perSecond) {
@@ -191,6 +221,156 @@
         assertWithin(perSecond, requestsOn(LIMITED), named);
     }
 
+    // An engine that nobody sends to helps nobody, and can't say that its need is over.
+    @Test(dataProvider = "sizesAndLimits")
+    public void anEndpointWithARateLimitGetsMostOfWhatItTakes(int entries, double perSecond) {
+        start(entries);
+        play(Duration.ofSeconds(1));
+        limit(LIMITED, perSecond);
+        play(Duration.ofSeconds(2));
+        long from = now();
+        play(Duration.ofSeconds(10));
+        long got = count(requestsOn(LIMITED), from, now());
+        assertTrue(got >= 0.6 * perSecond * 10, "got " + got + " in 10 s");
+    }
+
+    // The need is over; the entries that didn't hear it themselves must not spare the engine for ever.
+    @Test(dataProvider = "sizes")
+    public void anEndpointWhoseRateLimitHasEndedIsUsedByAllAgain(int entries) {
+        start(entries);
+        play(Duration.ofSeconds(1));
+        limit(LIMITED, 1.4);
+        play(Duration.ofSeconds(5));
+        limits.clear();
+        play(Duration.ofSeconds(4));
+        long from = now();
+        play(Duration.ofSeconds(2));
+        long got = count(requestsOn(LIMITED), from, now());
+        long usual = count(requestsOn("engine-2"), from, now());
+        assertTrue(got > usual / 2, got + " where another engine gets " + usual);
+    }
+
+    // Whoever had the part dies; another one takes it over, but not both at once.
+    @Test(dataProvider = "sizes")
+    public void thePartOfAnEntryThatDiesGoesToAnotherOne(int entries) {
+        start(entries);
+        play(Duration.ofSeconds(1));
+        limit(LIMITED, 1.4);
+        long named = now();
+        play(Duration.ofSeconds(4));
+        senders.clear();
+        play(Duration.ofSeconds(2));
+        busiest().kill();
+        play(Duration.ofSeconds(5));
+        long from = now();
+        play(Duration.ofSeconds(5));
+        assertWithin(1.4, requestsOn(LIMITED), named);
+        long got = count(requestsOn(LIMITED), from, now());
+        assertTrue(got >= 3, "got " + got + " in 5 s");
+    }
+
+    // It stands still, another one takes over, and it wakes and believes for a moment that the part is still its own.
+    @Test(dataProvider = "sizes")
+    public void anEntryThatWakesAfterItsPartWentToAnotherOneSendsNoMoreThanItsPart(int entries) {
+        start(entries);
+        play(Duration.ofSeconds(1));
+        limit(LIMITED, 1.4);
+        long named = now();
+        play(Duration.ofSeconds(3));
+        senders.clear();
+        play(Duration.ofSeconds(2));
+        busiest().pause(Duration.ofSeconds(5));
+        play(Duration.ofSeconds(9));
+        assertWithin(1.4, requestsOn(LIMITED), named);
+    }
+
+    // Each of them soon believes that it is the last one, and that everything is its part.
+    @Test(dataProvider = "sizes")
+    public void entriesThatAreCutOffFromTheOthersSpareAnEndpointWithARateLimit(int entries) {
+        start(entries);
+        play(Duration.ofSeconds(1));
+        limit(LIMITED, 1.4);
+        long named = now();
+        play(Duration.ofSeconds(2));
+        for (int index = 0; index < entries / 3; index++) {
+            fleet.bench.cutFromAll(nodes.get(index));
+        }
+        play(Duration.ofSeconds(10));
+        assertWithin(1.4, requestsOn(LIMITED), named);
+    }
+
+    // It knows neither the others nor the limit.
+    @Test(dataProvider = "sizes")
+    public void anEntryThatHasJustStartedLearnsOfRateLimits(int entries) {
+        start(entries);
+        play(Duration.ofSeconds(1));
+        limit(LIMITED, 1.4);
+        long named = now();
+        play(Duration.ofSeconds(3));
+        nodes.get(0).kill();
+        nodes.set(0, fleet.start("entry-0", HOME));
+        fleet.bench.runFor(Duration.ofMillis(500));
+        play(Duration.ofSeconds(8));
+        assertWithin(1.4, requestsOn(LIMITED), named);
+    }
+
+    // Both leads of the domain die, and each entry decides for itself until it has turned to the next ones.
+    @Test
+    public void entriesWithoutALeadSpareAnEndpointWithARateLimit() {
+        start(LARGE);
+        play(Duration.ofSeconds(1));
+        limit(LIMITED, 1.4);
+        long named = now();
+        play(Duration.ofSeconds(3));
+        fleet.leadsKnownTo(nodes.get(0)).forEach(lead -> node(lead).kill());
+        play(Duration.ofSeconds(6));
+        assertWithin(1.4, requestsOn(LIMITED), named);
+    }
+
+    // The engine ends and starts again under its id. The limit was that of its earlier start.
+    @Test
+    public void aRateLimitEndsWithTheStartOfTheEndpointThatNamedIt() {
+        start(MESH);
+        play(Duration.ofSeconds(1));
+        limit(LIMITED, 1.4);
+        play(Duration.ofSeconds(3));
+        limits.clear();
+        fleet.restartEngine(LIMITED, 1);
+        fleet.bench.runFor(Duration.ofMillis(300));
+        long from = now();
+        play(Duration.ofSeconds(1));
+        long got = count(requestsOn(LIMITED), from, now());
+        assertTrue(got > 10, "got " + got);
+    }
+
+    // From one answer to the next it says something else.
+    @Test(dataProvider = "sizes")
+    public void aRateLimitThatSinksIsKeptFromThenOn(int entries) {
+        start(entries);
+        play(Duration.ofSeconds(1));
+        limit(LIMITED, 12);
+        play(Duration.ofSeconds(4));
+        limit(LIMITED, 1.4);
+        long named = now();
+        play(Duration.ofSeconds(6));
+        assertWithin(1.4, requestsOn(LIMITED), named);
+    }
+
+    // A quarter of the pool is in need at once, and the rest is there to carry the load.
+    @Test(dataProvider = "sizes")
+    public void aQuarterOfThePoolMayNameRateLimitsAtOnce(int entries) {
+        start(entries);
+        play(Duration.ofSeconds(1));
+        for (int index = 0; index < ENGINES / 4; index++) {
+            limit("engine-" + index, 1.4 + index);
+        }
+        long named = now();
+        play(Duration.ofSeconds(8));
+        for (int index = 0; index < ENGINES / 4; index++) {
+            assertWithin(1.4 + index, requestsOn("engine-" + index), named);
+        }
+    }
+
     // Calls for its cache events alone are more than it takes.
     @Test(dataProvider = "sizesAndLimits")
     public void callsForCacheEventsCountTowardsTheRateLimitOfAnEngine(int entries, double perSecond) {
