Count all calls to an endpoint with a rate limit, not only requests

What callers saw: an engine in need that got more than it takes although requests were held back. Cause: up to three entries of its failure domain follow the cache events of each engine, one waiting call after the other, and the holder of the duty asks an engine that loads for its state every 120 ms.

An engine with a limit isn't followed until the limit ends, and counts as holding nothing meanwhile; that costs a belief about one engine that gets next to nothing. Calls for its state come at half of the limit at most, or every two seconds, and are paid for out of the caller's part if it has one.

--- a/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
+++ b/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.duty;
 
+import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -333,7 +334,7 @@
             return;
         }
         loading.answerAwaited = false;
-        loading.nextNanos = context.nowNanos() + STATE_AGAIN.toNanos();
+        loading.nextNanos = context.nowNanos() + notBefore(engine, STATE_AGAIN).toNanos();
         if (told.state().isEmpty()) {
             context.perform(Decision.of("engine-state-unknown").with("endpoint", engine.incarnation()));
             return;
@@ -419,13 +420,18 @@
         context.perform(Decision.of("order-answered")
                 .with("endpoint", ordered.endpoint())
                 .with("outcome", ordered.outcome()));
-        Duration wait = waitAfter(ordered.outcome());
+        Duration wait = notBefore(engine, waitAfter(ordered.outcome()));
         loading.nextNanos = context.nowNanos() + wait.toNanos();
         if (ordered.outcome() == EngineAnswer.Outcome.HOLDS_ALREADY) {
             finish(engine, loading);
         }
     }
 
+    /** The next call to an engine with a rate limit waits for longer. */
+    private Duration notBefore(ListedEndpoint engine, Duration wait) {
+        return Comparators.max(wait, rateLimits.betweenCalls(engine.incarnation()));
+    }
+
     private static Duration waitAfter(EngineAnswer.Outcome outcome) {
         return switch (outcome) {
             case FENCED -> AFTER_FENCED;
--- a/src/main/java/org/yuccagw/core/ratelimit/RateLimitsPart.java
+++ b/src/main/java/org/yuccagw/core/ratelimit/RateLimitsPart.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.ratelimit;
 
+import com.google.common.collect.Comparators;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -46,6 +47,12 @@
 
     private static final Duration STILL_NAMED = Duration.ofSeconds(1);
 
+    /** What endpoints bear beyond their limit for a moment is twice as much. */
+    private static final double SHARE_OF_CALLS = 0.5;
+
+    /** New weights can't wait for longer. */
+    private static final Duration LONGEST_BETWEEN_CALLS = Duration.ofSeconds(2);
+
     /** By then the other entries have been heard or found in the key-value service. */
     private static final Duration FLEET_UNKNOWN = Duration.ofSeconds(2);
 
@@ -161,11 +168,22 @@
         }
     }
 
+    /** How far apart calls that are no requests have to be, if the endpoint has a limit. */
+    public Duration betweenCalls(EndpointIncarnation endpoint) {
+        Limited known = limited.get(endpoint);
+        if (known == null) {
+            return Duration.ZERO;
+        }
+        Duration share = Duration.ofMillis((long) (1_000 / (known.limit.perSecond() * SHARE_OF_CALLS)));
+        return Comparators.min(share, LONGEST_BETWEEN_CALLS);
+    }
+
     /** Notes a call that is no caller's request, such as one for cache events or for the state of an engine. */
     public void sendsCall(EndpointIncarnation endpoint) {
         Limited known = limited.get(endpoint);
         if (known != null) {
             known.calls.add(context.nowNanos());
+            known.pace.take();
         }
     }
 
--- a/src/main/java/org/yuccagw/core/stores/EngineCachesPart.java
+++ b/src/main/java/org/yuccagw/core/stores/EngineCachesPart.java
@@ -46,7 +46,7 @@
     private ControlContext context;
 
     private EngineCachesPart(Supplier<List<EntryId>> entries, RateLimitsPart rateLimits) {
-        this.events = HolderEvents.of(entries, this::goOn, this::noteCall);
+        this.events = HolderEvents.of(entries, this::goOn, new EngineCalls());
         this.rateLimits = rateLimits;
     }
 
@@ -116,8 +116,17 @@
         return near.isEmpty() ? ImmutableList.copyOf(listed.values()) : near;
     }
 
-    private void noteCall(CacheStore holder) {
-        rateLimits.sendsCall(engines.get(holder.id()));
+    /** An engine with a rate limit takes so few calls that all are needed for requests. */
+    private final class EngineCalls implements HolderEvents.Calls {
+        @Override
+        public boolean may(CacheStore holder) {
+            return !rateLimits.isLimited(engines.get(holder.id()));
+        }
+
+        @Override
+        public void made(CacheStore holder) {
+            rateLimits.sendsCall(engines.get(holder.id()));
+        }
     }
 
     private static StoreId holderId(ListedEndpoint endpoint) {
--- a/src/main/java/org/yuccagw/core/stores/HolderEvents.java
+++ b/src/main/java/org/yuccagw/core/stores/HolderEvents.java
@@ -24,6 +24,8 @@
  * Follows the events of some holders of cache parts, which are stores or engines: one waiting call after the other for
  * each of them.
  *
+ * <p>A holder that takes no calls at present counts as one whose events nobody follows.
+ *
  * <p>Events may be lost. What happens then is given by who follows: a store is asked for its list; an engine isn't,
  * since a list stalls its work, and counts as holding nothing until it tells of something again.
  */
@@ -40,17 +42,16 @@
 
     private final Supplier<List<EntryId>> entries;
     private final Consumer<HeldParts> afterGap;
-    private final Consumer<CacheStore> beforeCall;
+    private final Calls calls;
     private final Map<StoreId, HeldParts> holders = new LinkedHashMap<>();
     private final Map<StoreId, Long> sentNanos = new LinkedHashMap<>();
     private List<HeldParts> leftToOthers = new ArrayList<>();
     private ControlContext context;
 
-    private HolderEvents(
-            Supplier<List<EntryId>> entries, Consumer<HeldParts> afterGap, Consumer<CacheStore> beforeCall) {
+    private HolderEvents(Supplier<List<EntryId>> entries, Consumer<HeldParts> afterGap, Calls calls) {
         this.entries = entries;
         this.afterGap = afterGap;
-        this.beforeCall = beforeCall;
+        this.calls = calls;
     }
 
     /**
@@ -58,11 +59,10 @@
      *
      * @param entries those that follow the same holders; one that isn't among them knows nothing of these
      * @param afterGap called when events of a holder were lost
-     * @param beforeCall called with each holder that is asked for its events
+     * @param calls which holders take calls
      */
-    static HolderEvents of(
-            Supplier<List<EntryId>> entries, Consumer<HeldParts> afterGap, Consumer<CacheStore> beforeCall) {
-        return new HolderEvents(entries, afterGap, beforeCall);
+    static HolderEvents of(Supplier<List<EntryId>> entries, Consumer<HeldParts> afterGap, Calls calls) {
+        return new HolderEvents(entries, afterGap, calls);
     }
 
     void start(ControlContext startContext) {
@@ -70,6 +70,26 @@
         context.after(LOOK_AT_TURN, this::lookAtTurns);
     }
 
+    /** Calls to holders, as far as these bear them. */
+    interface Calls {
+        /** Holders that take every call. */
+        Calls UNLIMITED = new Calls() {
+            @Override
+            public boolean may(CacheStore holder) {
+                return true;
+            }
+
+            @Override
+            public void made(CacheStore holder) {}
+        };
+
+        /** Whether the holder may be called now. */
+        boolean may(CacheStore holder);
+
+        /** It is called now. */
+        void made(CacheStore holder);
+    }
+
     /** One timer for all that others follow: of many entries few follow anything, and each timer wakes a thread. */
     private void lookAtTurns() {
         context.after(LOOK_AT_TURN, this::lookAtTurns);
@@ -120,13 +140,13 @@
         if (holders.get(store.id()) != held) {
             return;
         }
-        if (!isFollower(store)) {
+        if (!isFollower(store) || !calls.may(store)) {
             held.doubt();
             leftToOthers.add(held);
             return;
         }
         sentNanos.put(store.id(), context.nowNanos());
-        beforeCall.accept(store);
+        calls.made(store);
         context.perform(new StoreCall.AskChanges(store, held.next(), WAIT));
     }
 
--- a/src/main/java/org/yuccagw/core/stores/StoresPart.java
+++ b/src/main/java/org/yuccagw/core/stores/StoresPart.java
@@ -72,7 +72,7 @@
 
     private StoresPart(Supplier<List<EntryId>> entries) {
         this.entries = entries;
-        this.events = HolderEvents.of(entries, this::askForList, store -> {});
+        this.events = HolderEvents.of(entries, this::askForList, HolderEvents.Calls.UNLIMITED);
     }
 
     /**
--- a/src/test/java/org/yuccagw/daemon/RateLimitTest.java
+++ b/src/test/java/org/yuccagw/daemon/RateLimitTest.java
@@ -381,4 +381,32 @@
         play(Duration.ofSeconds(9));
         assertWithin(perSecond, arrivalsOn(LIMITED), named);
     }
+
+    // The holder of the duty asks an engine that loads for its state many times a second.
+    @Test(dataProvider = "sizes")
+    public void newWeightsReachAnEngineWithARateLimitInTimeAndWithinIt(int entries) {
+        start(entries);
+        play(Duration.ofSeconds(1));
+        limit(LIMITED, 1.4);
+        long named = now();
+        play(Duration.ofSeconds(4));
+        fleet.nameWeights(2);
+        play(VirtualFleet.OLD_WEIGHTS_ALLOWED);
+        assertTrue(fleet.allRun(2), "weights: " + fleet.weights);
+        assertWithin(1.4, arrivalsOn(LIMITED), named);
+    }
+
+    // Its events were not followed for a while; what it holds has to be known again.
+    @Test
+    public void cacheEventsAreFollowedAgainAfterTheRateLimitHasEnded() {
+        start(MESH);
+        play(Duration.ofSeconds(1));
+        limit(LIMITED, 1.4);
+        play(Duration.ofSeconds(5));
+        limits.clear();
+        play(Duration.ofSeconds(4));
+        long from = now();
+        fleet.bench.runFor(Duration.ofSeconds(2));
+        assertTrue(count(eventCalls.get(LIMITED), from, now()) > 4, "calls for events");
+    }
 }
