Refuse at once what can't be served within rate limits, and ask an entry that may send

What callers saw: with limits on all endpoints of a service, requests waited in line for their whole patience and were refused then; and with few requests an entry that has no part of any limit refused what another one could have served.

Placing now knows the rate that is left to it when every endpoint for a request has a limit, and refuses what its turn would come too late for, with that wait as Retry-After. An entry without any part has the request placed by one that has some, over the way by which leads place, another owner for each request.

--- a/src/main/java/org/yuccagw/core/placing/Candidates.java
+++ b/src/main/java/org/yuccagw/core/placing/Candidates.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.stream.Stream;
 import org.yuccagw.core.control.ControlContext;
@@ -13,8 +15,10 @@
 import org.yuccagw.core.deployment.Homes;
 import org.yuccagw.core.deployment.Regions;
 import org.yuccagw.core.duty.WeightOrdersPart;
+import org.yuccagw.core.fleet.ListedEndpoint;
 import org.yuccagw.core.follow.NamedWeightsPart;
 import org.yuccagw.core.id.EndpointId;
+import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.ServiceName;
 import org.yuccagw.core.ratelimit.RateLimitsPart;
@@ -122,6 +126,46 @@
         return !usable.isEmpty() && asked.excluded().containsAll(usable);
     }
 
+    /**
+     * Requests a second that this entry may still send, if all endpoints that may take the request have rate limits;
+     * empty otherwise.
+     */
+    OptionalDouble rateWithinLimits(PlaceAsked asked) {
+        List<ListedEndpoint> able = ableIfAllLimited(asked);
+        return able.isEmpty()
+                ? OptionalDouble.empty()
+                : OptionalDouble.of(able.stream().mapToDouble(rateLimits::part).sum());
+    }
+
+    /**
+     * The entries that may serve the request where all endpoints for it have rate limits and this entry has no part in
+     * any of them, in another order for each request; empty if this one may serve it.
+     */
+    List<EntryId> othersWithinLimits(PlaceAsked asked) {
+        List<ListedEndpoint> able = ableIfAllLimited(asked);
+        if (able.stream().anyMatch(endpoint -> rateLimits.part(endpoint) > 0)) {
+            return List.of();
+        }
+        List<EntryId> owners = new ArrayList<>(able.stream()
+                .flatMap(endpoint -> rateLimits.owners(endpoint).stream())
+                .distinct()
+                .toList());
+        Collections.rotate(owners, asked.request().hashCode());
+        return owners;
+    }
+
+    private List<ListedEndpoint> ableIfAllLimited(PlaceAsked asked) {
+        if (rateLimits.isEmpty()) {
+            return List.of();
+        }
+        List<ListedEndpoint> able = endpoints.all().stream()
+                .filter(endpoint -> mayTake(endpoint, asked, asked.homes()))
+                .map(EndpointState::listed)
+                .toList();
+        boolean allLimited = able.stream().allMatch(endpoint -> rateLimits.isLimited(endpoint.incarnation()));
+        return allLimited ? able : List.of();
+    }
+
     /** What cold endpoints of a service bear. */
     ColdTraits coldTraits(ServiceName service) {
         return deployment
--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
@@ -26,6 +27,7 @@
 import org.yuccagw.core.follow.NamedWeightsPart;
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EndpointIncarnation;
+import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.ServiceName;
 import org.yuccagw.core.peers.PeerStatus;
@@ -62,6 +64,9 @@
     private static final int MOST_ENTRIES_TOLD = 12;
 
     private static final long SHORTEST_RETRY_AFTER_MILLIS = 150;
+    /** Longer than any request waits. Which entry a caller meets the next time is chance. */
+    private static final Duration WAIT_WITHOUT_PART = Duration.ofSeconds(3);
+
     private static final Duration SUSPECT_RETRY_AFTER = Duration.ofSeconds(20);
 
     private final RetryBounds retries;
@@ -237,6 +242,11 @@
                 .map(EndpointState::listed);
     }
 
+    /** Entries that may serve the request where this one may send nothing; empty if this one may. */
+    public List<EntryId> othersWithinLimits(PlaceAsked asked) {
+        return candidates.othersWithinLimits(asked);
+    }
+
     /** Engines that load on orders of this entry. */
     public void ownLoading(List<EndpointIncarnation> loading) {
         endpoints.replaceLoading(context.self().entry(), loading);
@@ -272,7 +282,7 @@
             refuse(request.asked(), ErrorKind.NO_ENDPOINT.raise(request.asked().service()), "all tried");
             return;
         }
-        long expectedMillis = expectedWaitMillis(request);
+        long expectedMillis = Math.max(expectedWaitMillis(request), waitWithinLimitsMillis(request));
         if (expectedMillis > (request.untilNanos() - request.sinceNanos()) / 1_000_000) {
             refuseOverloaded(request.asked(), expectedMillis);
         } else {
@@ -295,6 +305,22 @@
         return (long) speed.millisFor((double) tokens / usable);
     }
 
+    /**
+     * Until the request's turn comes where all endpoints for it have rate limits. Guards against a line of requests
+     * that wait for their whole time for what is known not to come.
+     */
+    private long waitWithinLimitsMillis(Waiting request) {
+        OptionalDouble rate = candidates.rateWithinLimits(request.asked());
+        if (rate.isEmpty()) {
+            return 0;
+        }
+        if (rate.getAsDouble() == 0) {
+            return WAIT_WITHOUT_PART.toMillis();
+        }
+        int before = waiting.countBefore(request.rank(), request.asked().service());
+        return (long) ((before + 1) * 1_000 / rate.getAsDouble());
+    }
+
     private void scheduleLook() {
         if (!lookScheduled) {
             lookScheduled = true;
--- a/src/main/java/org/yuccagw/core/placing/PlacingRelay.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingRelay.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Function;
-import java.util.function.Supplier;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.control.ControlPart;
@@ -32,7 +31,8 @@
  * <p>The cases:
  *
  * <ol>
- *   <li>In a mesh, and at the first lead itself, everything is decided here.
+ *   <li>In a mesh, and at the first lead itself, everything is decided here; but where only other entries of the mesh
+ *       may send to the endpoints, since all of these have rate limits, one of them is asked like a lead.
  *   <li>A lead that says nothing within {@link #PATIENCE} isn't asked for {@link #DISTRUST}; the request is decided
  *       here by what the last heartbeats told. Whatever the lead answers later is given back.
  *   <li>A lead that lets a request wait says so, and has until {@link #SHARE_OF_LEFT} of the request's time has passed.
@@ -59,7 +59,7 @@
     /** Leads don't share what one entry couldn't reach; so it names the endpoint as excluded for so long. */
     private static final Duration UNREACHED_AVOIDED = Duration.ofMillis(800);
 
-    private final Supplier<List<EntryId>> leads;
+    private final Function<PlaceAsked, List<EntryId>> placers;
     private final Function<EndpointIncarnation, Optional<ListedEndpoint>> usable;
     private final Map<Long, Asked> pending = new HashMap<>();
     private final Map<Long, Elsewhere> elsewhere = new HashMap<>();
@@ -97,20 +97,22 @@
     }
 
     private PlacingRelay(
-            Supplier<List<EntryId>> leads, Function<EndpointIncarnation, Optional<ListedEndpoint>> usable) {
-        this.leads = leads;
+            Function<PlaceAsked, List<EntryId>> placers,
+            Function<EndpointIncarnation, Optional<ListedEndpoint>> usable) {
+        this.placers = placers;
         this.usable = usable;
     }
 
     /**
      * The relay of one entry.
      *
-     * @param leads who places for this entry, the first one first; empty if it decides itself
+     * @param placers who places a request of this entry, the first one first; empty if it decides itself
      * @param usable the endpoint, if this entry knows nothing against it
      */
     public static PlacingRelay of(
-            Supplier<List<EntryId>> leads, Function<EndpointIncarnation, Optional<ListedEndpoint>> usable) {
-        return new PlacingRelay(leads, usable);
+            Function<PlaceAsked, List<EntryId>> placers,
+            Function<EndpointIncarnation, Optional<ListedEndpoint>> usable) {
+        return new PlacingRelay(placers, usable);
     }
 
     @Override
@@ -136,7 +138,7 @@
     // ---- Asking.
 
     private void onAsked(PlaceAsked asked) {
-        Optional<EntryId> lead = trustedLead();
+        Optional<EntryId> lead = trustedLead(asked);
         if (lead.isEmpty()) {
             context.raise(new PlaceHere(asked));
             return;
@@ -149,8 +151,8 @@
     }
 
     /** The first lead that may be asked; empty if this entry comes before it or there is none. */
-    private Optional<EntryId> trustedLead() {
-        for (EntryId lead : leads.get()) {
+    private Optional<EntryId> trustedLead(PlaceAsked asked) {
+        for (EntryId lead : placers.apply(asked)) {
             if (lead.equals(context.self().entry())) {
                 return Optional.empty();
             }
--- a/src/main/java/org/yuccagw/core/placing/WaitingRequests.java
+++ b/src/main/java/org/yuccagw/core/placing/WaitingRequests.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.yuccagw.core.id.ServiceName;
 
 /**
  * Requests that wait at this entry for an endpoint, in the order in which they get one.
@@ -86,6 +87,14 @@
         return waiting.size();
     }
 
+    /** How many for the service wait and come before a request of this rank. */
+    int countBefore(Rank rank, ServiceName service) {
+        return (int) waiting.stream()
+                .filter(other -> other.asked().service().equals(service))
+                .filter(other -> other.rank().compareTo(rank) <= 0)
+                .count();
+    }
+
     /** Prompt tokens of those that wait and come before a request of this rank that can still be in time. */
     long tokensBefore(Rank rank, long nowNanos) {
         return waiting.stream()
--- a/src/main/java/org/yuccagw/core/ratelimit/RateLimitsPart.java
+++ b/src/main/java/org/yuccagw/core/ratelimit/RateLimitsPart.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.Comparators;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.yuccagw.core.control.ControlContext;
@@ -148,9 +149,20 @@
         return limited.containsKey(endpoint);
     }
 
-    /** Requests a second that this entry may send there; empty if the endpoint has no limit. */
-    public Optional<Double> part(ListedEndpoint endpoint) {
-        return Optional.ofNullable(limited.get(endpoint.incarnation())).map(known -> partOf(endpoint, known));
+    /** Whether no endpoint names a limit, as far as this entry knows. */
+    public boolean isEmpty() {
+        return limited.isEmpty();
+    }
+
+    /** Requests a second that this entry may send to an endpoint with a limit. */
+    public double part(ListedEndpoint endpoint) {
+        return partOf(endpoint, limited.get(endpoint.incarnation()));
+    }
+
+    /** The entries of a mesh that have a part of the limit of an endpoint. */
+    public List<EntryId> owners(ListedEndpoint endpoint) {
+        Limited known = limited.get(endpoint.incarnation());
+        return fleet.sendersTo(endpoint).owners(endpoint, known.limit);
     }
 
     /** Whether this entry may send one more request there now. */
--- a/src/main/java/org/yuccagw/daemon/GatewayParts.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayParts.java
@@ -28,6 +28,7 @@
 import org.yuccagw.core.peers.PeerStatus;
 import org.yuccagw.core.peers.PeersPart;
 import org.yuccagw.core.peers.RegistrationPart;
+import org.yuccagw.core.placing.PlaceAsked;
 import org.yuccagw.core.placing.PlacingBounds;
 import org.yuccagw.core.placing.PlacingDesk;
 import org.yuccagw.core.placing.PlacingPart;
@@ -83,7 +84,7 @@
                 rateLimits,
                 new Placing(),
                 desk);
-        PlacingRelay relay = PlacingRelay.of(this::leadsToAsk, placing::usableEndpoint);
+        PlacingRelay relay = PlacingRelay.of(this::placersOf, placing::usableEndpoint);
         duty = DutyPart.of(
                 WEIGHTS_DUTY,
                 codec,
@@ -147,9 +148,12 @@
         return placing.workOf(ticket);
     }
 
-    /** Nobody in a mesh, where every entry decides by what all tell each other. */
-    private List<EntryId> leadsToAsk() {
-        return peers.isMeshed() ? List.of() : peers.ownLeads();
+    /**
+     * Leads; in a mesh, where every entry decides by what all tell each other, nobody but those that may send where
+     * this entry may not.
+     */
+    private List<EntryId> placersOf(PlaceAsked asked) {
+        return peers.isMeshed() ? placing.othersWithinLimits(asked) : peers.ownLeads();
     }
 
     /** How this entry follows the key-value service. */
--- a/src/test/java/org/yuccagw/daemon/RateLimitTest.java
+++ b/src/test/java/org/yuccagw/daemon/RateLimitTest.java
@@ -39,6 +39,7 @@
     private static final Duration APART = Duration.ofMillis(3);
     private static final Duration EVENTS_AFTER = Duration.ofMillis(100);
     private static final Duration HEARD_BY_THEN = Duration.ofMillis(500);
+    private static final long AT_ONCE_MILLIS = 50;
     private static final int TOKENS = 800;
     private static final int ENGINES = 12;
     private static final int MESH = 8;
@@ -55,6 +56,8 @@
     private Map<String, List<Long>> requests;
     private Map<String, List<Long>> eventCalls;
     private Map<EntryId, Integer> senders;
+    private List<Long> refusedMillis;
+    private Duration apart;
     private int next;
 
     private void start(int entries) {
@@ -64,6 +67,8 @@
         requests = new HashMap<>();
         eventCalls = new HashMap<>();
         senders = new HashMap<>();
+        refusedMillis = new ArrayList<>();
+        apart = APART;
         next = 0;
         fleet.bench.onAction(this::tellEvents);
         for (int index = 0; index < entries; index++) {
@@ -106,14 +111,15 @@
     private void askNext(long endNanos) {
         BenchNode node = nodes.get(next++ % nodes.size());
         if (!node.isDead()) {
-            fleet.askPrompt(node, TOKENS, decision -> onDecision(node, decision));
+            long askedNanos = now();
+            fleet.askPrompt(node, TOKENS, decision -> onDecision(node, decision, askedNanos));
         }
         if (now() < endNanos) {
-            fleet.bench.time().after(APART, () -> askNext(endNanos));
+            fleet.bench.time().after(apart, () -> askNext(endNanos));
         }
     }
 
-    private void onDecision(BenchNode node, PlaceDecision decision) {
+    private void onDecision(BenchNode node, PlaceDecision decision, long askedNanos) {
         if (decision instanceof PlaceDecision.Placed placed) {
             String engine = placed.endpoint().id().value();
             requests.computeIfAbsent(engine, name -> new ArrayList<>()).add(now());
@@ -122,6 +128,8 @@
             }
             fleet.bench.time().after(FIRST_TOKEN, () -> onHead(node, placed));
             fleet.bench.time().after(ANSWER, () -> node.offer(new AttemptEnded(placed.ticket(), End.ANSWERED)));
+        } else {
+            refusedMillis.add((now() - askedNanos) / 1_000_000);
         }
     }
 
@@ -409,4 +417,51 @@
         fleet.bench.runFor(Duration.ofSeconds(2));
         assertTrue(count(eventCalls.get(LIMITED), from, now()) > 4, "calls for events");
     }
+
+    // ---- All endpoints of a service have limits.
+
+    private void limitAll(double perSecond) {
+        for (int index = 0; index < ENGINES; index++) {
+            limit("engine-" + index, perSecond);
+        }
+    }
+
+    private long placedInAll(long fromNanos) {
+        return requests.values().stream()
+                .mapToLong(times -> count(times, fromNanos, now()))
+                .sum();
+    }
+
+    // Twenty times as many callers as can be served: the rest must not wait for what it can't get.
+    @Test(dataProvider = "sizes")
+    public void whatCannotBeServedWithinRateLimitsIsRefusedAtOnce(int entries) {
+        start(entries);
+        play(Duration.ofSeconds(1));
+        limitAll(1.4);
+        play(Duration.ofSeconds(4));
+        refusedMillis.clear();
+        long from = now();
+        play(Duration.ofSeconds(10));
+        assertTrue(placedInAll(from) >= 0.6 * ENGINES * 1.4 * 10, "placed " + placedInAll(from));
+        long late =
+                refusedMillis.stream().filter(millis -> millis > AT_ONCE_MILLIS).count();
+        assertTrue(refusedMillis.size() > 2_000, "refused " + refusedMillis.size());
+        assertTrue(late < refusedMillis.size() / 10, late + " of " + refusedMillis.size() + " refused late");
+    }
+
+    // A third of what the limits allow. An entry without a part must not refuse what another one could serve.
+    @Test(dataProvider = "sizes")
+    public void fewRequestsAreServedThoughAllEndpointsHaveRateLimits(int entries) {
+        start(entries);
+        play(Duration.ofSeconds(1));
+        limitAll(1.4);
+        play(Duration.ofSeconds(4));
+        fleet.bench.runFor(Duration.ofSeconds(2));
+        refusedMillis.clear();
+        long from = now();
+        apart = Duration.ofMillis(200);
+        play(Duration.ofSeconds(20));
+        long placed = placedInAll(from);
+        assertTrue(placed >= 95, "placed " + placed + ", refused " + refusedMillis.size());
+    }
 }
