--- a/src/test/java/org/yuccagw/daemon/GatewayPathTest.java
+++ b/src/test/java/org/yuccagw/daemon/GatewayPathTest.java
@@ -34,6 +34,7 @@
 
     private KeyValueStandIn keyValue;
     private ScriptedEndpoint endpoint;
+    private ScriptedEndpoint inNeed;
     private HttpCaller caller;
     private GatewaySettings settings;
     private GatewayDaemon daemon;
@@ -52,11 +53,17 @@
                         .route("/stream/", "streaming", "plain", 3_000, 2)
                         .resumable()
                         .plain("plain")
+                        .route("/spared/", "idempotent", "in-need", 3_000, 2)
+                        .plain("in-need")
                         .workspace("ministry", "key-1", false)
                         .bytes());
         keyValue.put(
                 PlatformDocuments.endpointKey("i-1"),
                 PlatformDocuments.endpoint("plain", endpoint.address(), "a", false));
+        inNeed = new ScriptedEndpoint();
+        keyValue.put(
+                PlatformDocuments.endpointKey("i-2"),
+                PlatformDocuments.endpoint("in-need", inNeed.address(), "a", false));
         settings = GatewaySettingsReader.parse(
                 SmallDeployment.settings("entry-1", keyValue.address(), SmallDeployment.freePorts(4)));
         daemon = GatewayDaemon.start(settings);
@@ -69,6 +76,7 @@
         daemon.halt();
         caller.stop();
         endpoint.close();
+        inNeed.close();
         keyValue.stop();
     }
 
@@ -209,6 +217,26 @@
                         || request.get(":line").contains("smuggle")));
     }
 
+    // It says in each answer what it takes, and gets whatever callers ask for all the same.
+    @Test
+    public void anEndpointThatNamesARateLimitGetsNoMoreAndCallersAreRefusedAtOnceWithATime() throws Exception {
+        await().atMost(LONG).until(() -> ask("/spared/limited").status() == 200);
+        int before = inNeed.requests().size();
+        long begunNanos = System.nanoTime();
+        int refused = 0;
+        for (int index = 0; index < 20; index++) {
+            HttpAnswer answer = ask("/spared/limited");
+            if (answer.status() == 503) {
+                refused++;
+                assertTrue(Double.parseDouble(answer.header("Retry-After")) > 0, answer.text());
+            }
+        }
+        double seconds = (System.nanoTime() - begunNanos) / 1e9;
+        int arrived = inNeed.requests().size() - before;
+        assertTrue(arrived <= 1 + seconds, arrived + " arrived in " + seconds + " s");
+        assertEquals(refused, 20 - arrived);
+    }
+
     private HttpAnswer ask(String path) throws Exception {
         return send(request(path, "key-1"));
     }
--- a/src/test/java/org/yuccagw/daemon/ScriptedEndpoint.java
+++ b/src/test/java/org/yuccagw/daemon/ScriptedEndpoint.java
@@ -112,6 +112,7 @@
                 callerGone.countDown();
                 return false;
             }
+            case "limited" -> write(out, head(id) + "Server-Limit: 1.0\r\nContent-Length: 4\r\n\r\nbody");
             case "foreign" -> write(out, head("somebody-else") + "Content-Length: 6\r\n\r\nforged");
             case "reset" -> {
                 return false;
