Tell in logs and metrics what rate limits did to requests

A refusal for them has a reason of its own, which summarize counts; a placement says whether its endpoint has a limit; explain shows rate-limit lines of a request's endpoints already; a gauge counts limited endpoints.

--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -282,9 +282,13 @@
             refuse(request.asked(), ErrorKind.NO_ENDPOINT.raise(request.asked().service()), "all tried");
             return;
         }
-        long expectedMillis = Math.max(expectedWaitMillis(request), waitWithinLimitsMillis(request));
-        if (expectedMillis > (request.untilNanos() - request.sinceNanos()) / 1_000_000) {
-            refuseOverloaded(request.asked(), expectedMillis);
+        long longestMillis = (request.untilNanos() - request.sinceNanos()) / 1_000_000;
+        long engineMillis = expectedWaitMillis(request);
+        long limitMillis = waitWithinLimitsMillis(request);
+        if (engineMillis > longestMillis) {
+            refuseOverloaded(request.asked(), engineMillis, "wait too long");
+        } else if (limitMillis > longestMillis) {
+            refuseOverloaded(request.asked(), limitMillis, "rate limits");
         } else {
             waiting.add(request);
             answers.waits(request.asked());
@@ -343,13 +347,13 @@
         if (candidates.usableCount(asked.service()) == 0 || asked.prompt().isEmpty()) {
             refuse(asked, ErrorKind.NO_ENDPOINT.raise(asked.service()), "none usable");
         } else {
-            refuseOverloaded(asked, request.waitedMillis(context.nowNanos()));
+            refuseOverloaded(asked, request.waitedMillis(context.nowNanos()), "wait too long");
         }
     }
 
-    private void refuseOverloaded(PlaceAsked asked, long waitMillis) {
+    private void refuseOverloaded(PlaceAsked asked, long waitMillis, String reason) {
         YuccagwException error = ErrorKind.OVERLOADED.raise(waitMillis);
-        refuse(asked, error.comeBackAfter(retryAfter(waitMillis)), "wait too long");
+        refuse(asked, error.comeBackAfter(retryAfter(waitMillis)), reason);
     }
 
     /** Places or refuses the request; false if no endpoint can take it now. */
@@ -365,7 +369,7 @@
             return false;
         }
         if (chosen.get().firstByteMillis() > leftMillis) {
-            refuseOverloaded(asked, (long) chosen.get().firstByteMillis() - leftMillis);
+            refuseOverloaded(asked, (long) chosen.get().firstByteMillis() - leftMillis, "wait too long");
             return true;
         }
         place(request, chosen.get());
@@ -413,6 +417,7 @@
                 .with("running_tokens", endpoint.work().tokens())
                 .with("unread_tokens", endpoint.work().unreadTokens())
                 .with("repeat", asked.isRepeat())
+                .with("rate_limited", rateLimits.isLimited(endpoint.listed().incarnation()))
                 .with("urgency", request.rank().urgency())
                 .with("version", version.orElse(0))
                 .with(
--- a/src/main/java/org/yuccagw/core/ratelimit/Pace.java
+++ b/src/main/java/org/yuccagw/core/ratelimit/Pace.java
@@ -13,10 +13,15 @@
     private double tokens;
     private long filledNanos;
 
-    Pace(long nowNanos) {
+    private Pace(long nowNanos) {
         filledNanos = nowNanos;
     }
 
+    /** An empty one. */
+    static Pace from(long nowNanos) {
+        return new Pace(nowNanos);
+    }
+
     /** Whether a request may be sent now at so many a second. */
     boolean allows(double perSecond, long nowNanos) {
         fill(perSecond, nowNanos);
--- a/src/main/java/org/yuccagw/core/ratelimit/RateLimitsPart.java
+++ b/src/main/java/org/yuccagw/core/ratelimit/RateLimitsPart.java
@@ -9,6 +9,7 @@
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.control.ControlPart;
+import org.yuccagw.core.control.ControlSnapshot;
 import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.control.PeerReceived;
 import org.yuccagw.core.fleet.ListedEndpoint;
@@ -119,7 +120,7 @@
         private Limited(RateLimit limit, long nowNanos, long namedNanos) {
             this.limit = limit;
             this.namedNanos = namedNanos;
-            this.pace = new Pace(nowNanos);
+            this.pace = Pace.from(nowNanos);
         }
     }
 
@@ -142,6 +143,11 @@
         }
     }
 
+    @Override
+    public void contribute(ControlSnapshot.Builder snapshot) {
+        snapshot.put(RateLimitsSnapshot.class, new RateLimitsSnapshot(limited.size()));
+    }
+
     // ---- What others ask.
 
     /** Whether the endpoint names a limit, as far as this entry knows. */
--- a/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
@@ -25,6 +25,7 @@
 import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.membership.StopAsked;
 import org.yuccagw.core.peers.PeersSnapshot;
+import org.yuccagw.core.ratelimit.RateLimitsSnapshot;
 import org.yuccagw.platform.EngineCaller;
 import org.yuccagw.platform.KeyValueClient;
 import org.yuccagw.platform.PlatformDialect;
@@ -116,6 +117,13 @@
                 runs);
         metrics.gauge("yuccagw_requests_in_progress", "Requests in progress on this entry", runs::value);
         metrics.gauge("yuccagw_control_failures", "Control events whose handling failed", control::failureCount);
+        metrics.gauge(
+                "yuccagw_rate_limited_endpoints",
+                "Endpoints that ask for fewer requests, as far as this entry knows",
+                () -> control.snapshot()
+                        .part(RateLimitsSnapshot.class)
+                        .orElse(RateLimitsSnapshot.NONE)
+                        .endpoints());
         metrics.gauge("yuccagw_key_value_calls_sent", "Calls sent to the key-value service", keyValue::callsSent);
     }
 
--- a/src/test/java/org/yuccagw/core/ratelimit/PaceTest.java
+++ b/src/test/java/org/yuccagw/core/ratelimit/PaceTest.java
@@ -24,27 +24,27 @@
 
     @Test
     public void itBeginsEmpty() {
-        Pace pace = new Pace(0);
+        Pace pace = Pace.from(0);
         assertFalse(pace.allows(2, 0));
         assertTrue(pace.allows(2, SECOND));
     }
 
     @Test
     public void requestsComeAtTheRateAndNotFaster() {
-        assertEquals(takenIn(new Pace(0), 2, 0, 10 * SECOND), 19, 1);
+        assertEquals(takenIn(Pace.from(0), 2, 0, 10 * SECOND), 19, 1);
     }
 
     // A quiet hour must not be made up for at once.
     @Test
     public void afterALongPauseItHoldsNoMoreThanHalfASecondOfTheRate() {
-        Pace pace = new Pace(0);
+        Pace pace = Pace.from(0);
         assertEquals(takenIn(pace, 20, 3_600 * SECOND, 3_600 * SECOND + STEP * 5), 5);
         assertEquals(takenIn(pace, 20, 3_600 * SECOND + STEP * 5, 3_601 * SECOND), 24, 1);
     }
 
     @Test
     public void aCallThatCouldNotWaitIsPaidBackByLaterOnes() {
-        Pace pace = new Pace(0);
+        Pace pace = Pace.from(0);
         pace.take();
         pace.take();
         assertFalse(pace.allows(1, 2 * SECOND));
