Play random schedules of faults against rate limits

Entries are killed, started, stand still and are cut off, one after the other and overlapping, while engines name, change and end limits; what arrives at each limited engine stays within what is allowed, in a mesh and with leads. RateLimitTest says its common beginning once.

--- /dev/null
+++ b/src/test/java/org/yuccagw/daemon/RateLimitScheduleTest.java
@@ -0,0 +1,188 @@
+package org.yuccagw.daemon;
+
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.yuccagw.bench.control.BenchNode;
+import org.yuccagw.core.id.EndpointIncarnation;
+import org.yuccagw.core.id.FailureDomain;
+import org.yuccagw.core.placing.AttemptBegun;
+import org.yuccagw.core.placing.AttemptEnded;
+import org.yuccagw.core.placing.AttemptEnded.End;
+import org.yuccagw.core.placing.PlaceDecision;
+import org.yuccagw.core.ratelimit.RateLimit;
+import org.yuccagw.core.ratelimit.RateLimitHeard;
+
+/**
+ * Random schedules: engines name rate limits, change and end them, while entries are killed, started, stand still and
+ * are cut off, in series and overlapping. {@code -Drate.limit.seeds=50} plays more of them.
+ */
+public class RateLimitScheduleTest {
+    private static final String SEEDS = "rate.limit.seeds";
+    private static final int USUAL_SEEDS = 2;
+    private static final int ENGINES = 9;
+    private static final int STEPS = 24;
+    private static final int MESH = 8;
+    private static final int LARGE = 20;
+    private static final int TOKENS = 800;
+    private static final Duration APART = Duration.ofMillis(6);
+    private static final Duration FIRST_TOKEN = Duration.ofMillis(30);
+    private static final Duration ANSWER = Duration.ofMillis(400);
+    private static final Duration IN_FORCE_AFTER = Duration.ofSeconds(3);
+    private static final Duration WINDOW = Duration.ofSeconds(4);
+    private static final double OVERAGE = 1.5;
+    private static final int SLACK = 5;
+
+    private VirtualFleet fleet;
+    private List<BenchNode> nodes;
+    private SplittableRandom random;
+    private Map<String, Limit> limits;
+    private List<Limit> ended;
+    private Map<String, List<Long>> arrivals;
+    private int next;
+
+    /** One limit of an engine, from when it was named to when it changed or ended. */
+    private record Limit(String engine, double perSecond, long fromNanos, long untilNanos) {
+        private Limit until(long nanos) {
+            return new Limit(engine, perSecond, fromNanos, nanos);
+        }
+    }
+
+    @DataProvider
+    public Object[][] seeds() {
+        int count = Integer.getInteger(SEEDS, USUAL_SEEDS);
+        Object[][] seeds = new Object[2 * count][];
+        for (int seed = 0; seed < count; seed++) {
+            seeds[2 * seed] = new Object[] {seed, MESH};
+            seeds[2 * seed + 1] = new Object[] {seed, LARGE};
+        }
+        return seeds;
+    }
+
+    @Test(dataProvider = "seeds")
+    public void rateLimitsAreKeptWhateverHappensToEntries(int seed, int entries) {
+        start(seed, entries);
+        for (int step = 0; step < STEPS; step++) {
+            happen();
+            play(Duration.ofMillis(500 + random.nextInt(2_000)));
+        }
+        limits.values().forEach(limit -> ended.add(limit.until(now())));
+        for (Limit limit : ended) {
+            assertKept(limit);
+        }
+    }
+
+    private void start(int seed, int entries) {
+        fleet = new VirtualFleet();
+        random = new SplittableRandom(seed);
+        nodes = new ArrayList<>();
+        limits = new HashMap<>();
+        ended = new ArrayList<>();
+        arrivals = new HashMap<>();
+        next = 0;
+        for (int index = 0; index < entries; index++) {
+            nodes.add(fleet.start("entry-" + index, domainOf(index)));
+        }
+        fleet.configure(1);
+        for (int index = 0; index < ENGINES; index++) {
+            fleet.addEngine("engine-" + index, domainOf(index), Duration.ZERO);
+        }
+        fleet.bench.runFor(Duration.ofSeconds(8));
+    }
+
+    private static FailureDomain domainOf(int index) {
+        return index % 2 == 0 ? VirtualFleet.NORTHERN : VirtualFleet.SOUTHERN;
+    }
+
+    private void happen() {
+        int index = random.nextInt(nodes.size());
+        BenchNode node = nodes.get(index);
+        switch (random.nextInt(8)) {
+            case 0 -> restart(index, node);
+            case 1 -> node.pause(Duration.ofMillis(200 + random.nextInt(4_000)));
+            case 2 -> fleet.bench.cutFromAll(node);
+            case 3 -> fleet.bench.healNetwork();
+            case 4 -> end("engine-" + random.nextInt(ENGINES));
+            default -> name("engine-" + random.nextInt(ENGINES), 0.3 + random.nextInt(60) / 10.0);
+        }
+    }
+
+    private void restart(int index, BenchNode node) {
+        node.kill();
+        nodes.set(index, fleet.start(node.entry().value(), domainOf(index)));
+    }
+
+    private void name(String engine, double perSecond) {
+        end(engine);
+        limits.put(engine, new Limit(engine, perSecond, now(), Long.MAX_VALUE));
+    }
+
+    private void end(String engine) {
+        Limit before = limits.remove(engine);
+        if (before != null) {
+            ended.add(before.until(now()));
+        }
+    }
+
+    private void play(Duration duration) {
+        askNext(now() + duration.toNanos());
+        fleet.bench.runFor(duration);
+    }
+
+    private void askNext(long endNanos) {
+        BenchNode node = nodes.get(next++ % nodes.size());
+        if (!node.isDead() && VirtualFleet.configurationOf(node) > 0) {
+            fleet.askPrompt(node, TOKENS, decision -> onDecision(node, decision));
+        }
+        if (now() + APART.toNanos() < endNanos) {
+            fleet.bench.time().after(APART, () -> askNext(endNanos));
+        }
+    }
+
+    private void onDecision(BenchNode node, PlaceDecision decision) {
+        if (decision instanceof PlaceDecision.Placed placed) {
+            arrivals.computeIfAbsent(placed.endpoint().id().value(), name -> new ArrayList<>())
+                    .add(now());
+            fleet.bench.time().after(FIRST_TOKEN, () -> onHead(node, placed));
+            fleet.bench.time().after(ANSWER, () -> node.offer(new AttemptEnded(placed.ticket(), End.ANSWERED)));
+        }
+    }
+
+    private void onHead(BenchNode node, PlaceDecision.Placed placed) {
+        EndpointIncarnation engine = placed.endpoint().incarnation();
+        Optional<RateLimit> limit = Optional.ofNullable(
+                        limits.get(engine.endpoint().value()))
+                .flatMap(named -> RateLimit.of(named.perSecond()));
+        if (limit.isPresent() || placed.rateLimited()) {
+            node.offer(new RateLimitHeard(engine, limit));
+        }
+        node.offer(new AttemptBegun(placed.ticket()));
+    }
+
+    private long now() {
+        return fleet.bench.time().nowNanos();
+    }
+
+    private void assertKept(Limit limit) {
+        long from = limit.fromNanos() + IN_FORCE_AFTER.toNanos();
+        List<Long> times = arrivals.getOrDefault(limit.engine(), List.of()).stream()
+                .filter(at -> at >= from && at < limit.untilNanos())
+                .toList();
+        double bound = limit.perSecond() * WINDOW.toSeconds() * OVERAGE + SLACK;
+        for (int first = 0; first < times.size(); first++) {
+            int last = first;
+            while (last < times.size() && times.get(last) - times.get(first) < WINDOW.toNanos()) {
+                last++;
+            }
+            assertTrue(last - first <= bound, limit + ": " + (last - first) + " in 4 s, bound " + bound);
+        }
+    }
+}
--- a/src/test/java/org/yuccagw/daemon/RateLimitTest.java
+++ b/src/test/java/org/yuccagw/daemon/RateLimitTest.java
@@ -81,6 +81,14 @@
         fleet.bench.runFor(Duration.ofSeconds(8));
     }
 
+    /** Starts under load, and has one engine name a limit after a second; returns when. */
+    private long startLimited(int entries, double perSecond) {
+        start(entries);
+        play(Duration.ofSeconds(1));
+        limit(LIMITED, perSecond);
+        return now();
+    }
+
     private static FailureDomain domainOf(int index) {
         return index % 2 == 0 ? HOME : OTHER;
     }
@@ -221,10 +229,7 @@
     // Every entry sends what the endpoint takes from all together, or knows of no limit at all.
     @Test(dataProvider = "sizesAndLimits")
     public void allEntriesTogetherKeepTheRateLimitThatAnEndpointNames(int entries, double perSecond) {
-        start(entries);
-        play(Duration.ofSeconds(1));
-        limit(LIMITED, perSecond);
-        long named = now();
+        long named = startLimited(entries, perSecond);
         play(Duration.ofSeconds(9));
         assertWithin(perSecond, requestsOn(LIMITED), named);
     }
@@ -232,9 +237,7 @@
     // An engine that nobody sends to helps nobody, and can't say that its need is over.
     @Test(dataProvider = "sizesAndLimits")
     public void anEndpointWithARateLimitGetsMostOfWhatItTakes(int entries, double perSecond) {
-        start(entries);
-        play(Duration.ofSeconds(1));
-        limit(LIMITED, perSecond);
+        startLimited(entries, perSecond);
         play(Duration.ofSeconds(2));
         long from = now();
         play(Duration.ofSeconds(10));
@@ -245,9 +248,7 @@
     // The need is over; the entries that didn't hear it themselves must not spare the engine for ever.
     @Test(dataProvider = "sizes")
     public void anEndpointWhoseRateLimitHasEndedIsUsedByAllAgain(int entries) {
-        start(entries);
-        play(Duration.ofSeconds(1));
-        limit(LIMITED, 1.4);
+        startLimited(entries, 1.4);
         play(Duration.ofSeconds(5));
         limits.clear();
         play(Duration.ofSeconds(4));
@@ -261,10 +262,7 @@
     // Whoever had the part dies; another one takes it over, but not both at once.
     @Test(dataProvider = "sizes")
     public void thePartOfAnEntryThatDiesGoesToAnotherOne(int entries) {
-        start(entries);
-        play(Duration.ofSeconds(1));
-        limit(LIMITED, 1.4);
-        long named = now();
+        long named = startLimited(entries, 1.4);
         play(Duration.ofSeconds(4));
         senders.clear();
         play(Duration.ofSeconds(2));
@@ -280,10 +278,7 @@
     // It stands still, another one takes over, and it wakes and believes for a moment that the part is still its own.
     @Test(dataProvider = "sizes")
     public void anEntryThatWakesAfterItsPartWentToAnotherOneSendsNoMoreThanItsPart(int entries) {
-        start(entries);
-        play(Duration.ofSeconds(1));
-        limit(LIMITED, 1.4);
-        long named = now();
+        long named = startLimited(entries, 1.4);
         play(Duration.ofSeconds(3));
         senders.clear();
         play(Duration.ofSeconds(2));
@@ -295,10 +290,7 @@
     // Each of them soon believes that it is the last one, and that everything is its part.
     @Test(dataProvider = "sizes")
     public void entriesThatAreCutOffFromTheOthersSpareAnEndpointWithARateLimit(int entries) {
-        start(entries);
-        play(Duration.ofSeconds(1));
-        limit(LIMITED, 1.4);
-        long named = now();
+        long named = startLimited(entries, 1.4);
         play(Duration.ofSeconds(2));
         for (int index = 0; index < entries / 3; index++) {
             fleet.bench.cutFromAll(nodes.get(index));
@@ -310,10 +302,7 @@
     // It knows neither the others nor the limit.
     @Test(dataProvider = "sizes")
     public void anEntryThatHasJustStartedLearnsOfRateLimits(int entries) {
-        start(entries);
-        play(Duration.ofSeconds(1));
-        limit(LIMITED, 1.4);
-        long named = now();
+        long named = startLimited(entries, 1.4);
         play(Duration.ofSeconds(3));
         nodes.get(0).kill();
         nodes.set(0, fleet.start("entry-0", HOME));
@@ -325,10 +314,7 @@
     // Both leads of the domain die, and each entry decides for itself until it has turned to the next ones.
     @Test
     public void entriesWithoutALeadSpareAnEndpointWithARateLimit() {
-        start(LARGE);
-        play(Duration.ofSeconds(1));
-        limit(LIMITED, 1.4);
-        long named = now();
+        long named = startLimited(LARGE, 1.4);
         play(Duration.ofSeconds(3));
         fleet.leadsKnownTo(nodes.get(0)).forEach(lead -> node(lead).kill());
         play(Duration.ofSeconds(6));
@@ -338,9 +324,7 @@
     // The engine ends and starts again under its id. The limit was that of its earlier start.
     @Test
     public void aRateLimitEndsWithTheStartOfTheEndpointThatNamedIt() {
-        start(MESH);
-        play(Duration.ofSeconds(1));
-        limit(LIMITED, 1.4);
+        startLimited(MESH, 1.4);
         play(Duration.ofSeconds(3));
         limits.clear();
         fleet.restartEngine(LIMITED, 1);
@@ -354,9 +338,7 @@
     // From one answer to the next it says something else.
     @Test(dataProvider = "sizes")
     public void aRateLimitThatSinksIsKeptFromThenOn(int entries) {
-        start(entries);
-        play(Duration.ofSeconds(1));
-        limit(LIMITED, 12);
+        startLimited(entries, 12);
         play(Duration.ofSeconds(4));
         limit(LIMITED, 1.4);
         long named = now();
@@ -382,10 +364,7 @@
     // Calls for its cache events alone are more than it takes.
     @Test(dataProvider = "sizesAndLimits")
     public void callsForCacheEventsCountTowardsTheRateLimitOfAnEngine(int entries, double perSecond) {
-        start(entries);
-        play(Duration.ofSeconds(1));
-        limit(LIMITED, perSecond);
-        long named = now();
+        long named = startLimited(entries, perSecond);
         play(Duration.ofSeconds(9));
         assertWithin(perSecond, arrivalsOn(LIMITED), named);
     }
@@ -393,10 +372,7 @@
     // The holder of the duty asks an engine that loads for its state many times a second.
     @Test(dataProvider = "sizes")
     public void newWeightsReachAnEngineWithARateLimitInTimeAndWithinIt(int entries) {
-        start(entries);
-        play(Duration.ofSeconds(1));
-        limit(LIMITED, 1.4);
-        long named = now();
+        long named = startLimited(entries, 1.4);
         play(Duration.ofSeconds(4));
         fleet.nameWeights(2);
         play(VirtualFleet.OLD_WEIGHTS_ALLOWED);
@@ -407,9 +383,7 @@
     // Its events were not followed for a while; what it holds has to be known again.
     @Test
     public void cacheEventsAreFollowedAgainAfterTheRateLimitHasEnded() {
-        start(MESH);
-        play(Duration.ofSeconds(1));
-        limit(LIMITED, 1.4);
+        startLimited(MESH, 1.4);
         play(Duration.ofSeconds(5));
         limits.clear();
         play(Duration.ofSeconds(4));
