Tell a lead that has started again of rate limits by the first answer that names one

What callers saw: for up to two seconds after the first lead of a failure domain had started again, an endpoint in need got everything that its followers asked for. Cause: the lead knows of no limit; its followers do, so the limit in their answers was no news and was told to nobody before the next regular telling. Now an answer says whether the limit was known where its request was placed, and one that wasn't is told at once.

--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -11,6 +11,7 @@
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.id.EndpointId;
+import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.placing.AttemptBegun;
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.AttemptEnded.End;
@@ -440,7 +441,8 @@
         boolean names = head.rateLimit().isPresent();
         boolean endsOne = placed.rateLimited() && head.isGenuine();
         if (head.isOfExpectedEndpoint() && (names || endsOne)) {
-            effects.report(new RateLimitHeard(placed.endpoint().incarnation(), head.rateLimit()));
+            EndpointIncarnation endpoint = placed.endpoint().incarnation();
+            effects.report(new RateLimitHeard(endpoint, head.rateLimit(), placed.rateLimited()));
         }
     }
 
--- a/src/main/java/org/yuccagw/core/ratelimit/RateLimitsPart.java
+++ b/src/main/java/org/yuccagw/core/ratelimit/RateLimitsPart.java
@@ -30,6 +30,8 @@
  * <ol>
  *   <li>A limit that is new or has changed is told to all that place requests at once. A lead passes on what its
  *       followers tell, and tells them of the endpoints of its failure domain, since they decide alone when it dies.
+ *   <li>So is one that whoever placed the request didn't know, be it news here or not: a lead that has started again
+ *       knows of none.
  *   <li>Whoever still hears it tells it again every {@link #INTERVAL}, for those that have just started and for lost
  *       messages.
  *   <li>An answer without it ends it, if the request was sent after the limit was known and nobody has heard it for
@@ -224,7 +226,7 @@
                 name(heard.endpoint(), heard.limit().get(), now, context.self().entry());
         Limited known = limited.get(heard.endpoint());
         known.heardHereNanos = Optional.of(now);
-        if (news) {
+        if (news || !heard.foreseen()) {
             fleet.tell(newsOf(heard.endpoint(), known));
         }
     }
