--- a/src/main/java/org/yuccagw/core/peers/PeersPart.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersPart.java
@@ -60,6 +60,9 @@
     /** How many entries lead one failure domain at most. */
     public static final int LEADS_OF_DOMAIN = LeadOrder.LEADS;
 
+    /** Time after a start by which the other entries have been heard or found in the key-value service. */
+    public static final Duration FLEET_UNKNOWN = Duration.ofSeconds(2);
+
     /** In a mesh of 16 an entry sends 50 messages a second, as much as a lead of 16 others. */
     static final int MOST_IN_MESH = 16;
 
--- a/src/main/java/org/yuccagw/core/placing/Candidates.java
+++ b/src/main/java/org/yuccagw/core/placing/Candidates.java
@@ -21,6 +21,7 @@
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.ServiceName;
+import org.yuccagw.core.peers.PeersPart;
 import org.yuccagw.core.ratelimit.RateLimitsPart;
 
 /** Which endpoints may take a request at present, whatever it would cost there. */
@@ -180,7 +181,7 @@
         if (!endpoint.isCold(now)) {
             return true;
         }
-        boolean knowsFleet = now - startedNanos >= ColdLimit.FLEET_UNKNOWN.toNanos();
+        boolean knowsFleet = now - startedNanos >= PeersPart.FLEET_UNKNOWN.toNanos();
         int shares = knowsFleet ? fleet.coldShares(endpoint.listed().domain()) : 0;
         return cold.allows(endpoint, coldTraits(endpoint.listed().service()), shares, now);
     }
--- a/src/main/java/org/yuccagw/core/placing/ColdLimit.java
+++ b/src/main/java/org/yuccagw/core/placing/ColdLimit.java
@@ -33,9 +33,6 @@
     /** The rest is for requests whose place was given up, but which are on their way all the same. */
     private static final double SHARE_OF_BOUND = 0.9;
 
-    /** By then the other entries have been heard or found in the key-value service. */
-    static final Duration FLEET_UNKNOWN = Duration.ofSeconds(2);
-
     private final ColdBounds bounds;
 
     ColdLimit(ColdBounds bounds) {
--- a/src/main/java/org/yuccagw/core/ratelimit/RateLimitsPart.java
+++ b/src/main/java/org/yuccagw/core/ratelimit/RateLimitsPart.java
@@ -20,6 +20,7 @@
 import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
+import org.yuccagw.core.peers.PeersPart;
 
 /**
  * Which endpoints ask for fewer requests, and whether this entry may send one more there.
@@ -57,9 +58,6 @@
     /** New weights can't wait for longer. */
     private static final Duration LONGEST_BETWEEN_CALLS = Duration.ofSeconds(2);
 
-    /** By then the other entries have been heard or found in the key-value service. */
-    private static final Duration FLEET_UNKNOWN = Duration.ofSeconds(2);
-
     /** By then no message of before is on its way. */
     private static final Duration ENDS_KEPT = Duration.ofSeconds(10);
 
@@ -208,7 +206,7 @@
     }
 
     private double partOf(ListedEndpoint endpoint, Limited known) {
-        if (context.nowNanos() - startedNanos < FLEET_UNKNOWN.toNanos()) {
+        if (context.nowNanos() - startedNanos < PeersPart.FLEET_UNKNOWN.toNanos()) {
             return 0;
         }
         return fleet.sendersTo(endpoint).partOf(context.self().entry(), endpoint, known.limit);
