Hear what endpoints say of themselves in answers, and log it

Nothing is decided by it yet.

- An answer's head is read into one value, EndpointNotice: rate limit, leaving, the time for which nothing is wanted, and names of the platform's headers that nobody understands.
It is read of answers to requests, to calls for cache events, and to questions and orders about weights; NoticeHeard takes the place of RateLimitHeard.
- Lines: endpoint-said-leaving, back-off-asked, back-off-over with the requests and other calls that this entry sent meanwhile, unknown-header once for each name.
Gauges for both.
- PlatformWordsTest knows the second family of header names.

--- a/src/main/java/org/yuccagw/adapters/peer/RateLimitCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/RateLimitCodec.java
@@ -1,8 +1,8 @@
 package org.yuccagw.adapters.peer;
 
 import java.util.Optional;
+import org.yuccagw.core.notice.RateLimit;
 import org.yuccagw.core.port.PeerMessage;
-import org.yuccagw.core.ratelimit.RateLimit;
 import org.yuccagw.core.ratelimit.RateLimitNews;
 import org.yuccagw.wire.PeerProtocol.Envelope;
 import org.yuccagw.wire.PeerProtocol.RateLimitMessage;
--- a/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
@@ -27,12 +27,12 @@
 import org.yuccagw.core.forward.ForwardMachine.TimerKind;
 import org.yuccagw.core.forward.ForwardRequest;
 import org.yuccagw.core.id.EndpointId;
+import org.yuccagw.core.notice.NoticeHeard;
 import org.yuccagw.core.placing.AttemptBegun;
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.placing.PlaceAsked;
 import org.yuccagw.core.placing.PlaceDecision;
-import org.yuccagw.core.ratelimit.RateLimitHeard;
 
 /** One request: carries out what its {@link ForwardMachine} asks, on the I/O thread of the caller's connection. */
 final class ServingRun implements ForwardEffects, CallerResponse.Flow {
@@ -212,7 +212,7 @@
     }
 
     @Override
-    public void report(RateLimitHeard heard) {
+    public void report(NoticeHeard heard) {
         services.control().offer(heard);
     }
 
--- a/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
+++ b/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
@@ -24,7 +24,7 @@
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.peers.PeerStatus;
-import org.yuccagw.core.ratelimit.RateLimitsPart;
+import org.yuccagw.core.ratelimit.OwnCalls;
 
 /**
  * Brings every engine to the newest named weights while this entry holds the duty.
@@ -100,7 +100,7 @@
     private final NamedWeightsPart named;
     private final Runnable announce;
     private final ToIntFunction<EndpointId> load;
-    private final RateLimitsPart rateLimits;
+    private final OwnCalls calls;
     private final Map<EndpointId, ListedEndpoint> engines = new LinkedHashMap<>();
     private final Map<EndpointId, Loading> inProgress = new LinkedHashMap<>();
     private final Map<EndpointId, Heard> heard = new LinkedHashMap<>();
@@ -122,16 +122,12 @@
     }
 
     private WeightOrdersPart(
-            DutyPart duty,
-            NamedWeightsPart named,
-            Runnable announce,
-            ToIntFunction<EndpointId> load,
-            RateLimitsPart rateLimits) {
+            DutyPart duty, NamedWeightsPart named, Runnable announce, ToIntFunction<EndpointId> load, OwnCalls calls) {
         this.duty = duty;
         this.named = named;
         this.announce = announce;
         this.load = load;
-        this.rateLimits = rateLimits;
+        this.calls = calls;
     }
 
     /**
@@ -140,15 +136,11 @@
      * @param named which weights are named
      * @param announce tells the other entries at once which engines load
      * @param load how many requests run on an engine; idle ones load first
-     * @param rateLimits which engines ask for fewer calls
+     * @param calls what engines bear of calls that are no requests
      */
     public static WeightOrdersPart of(
-            DutyPart duty,
-            NamedWeightsPart named,
-            Runnable announce,
-            ToIntFunction<EndpointId> load,
-            RateLimitsPart rateLimits) {
-        return new WeightOrdersPart(duty, named, announce, load, rateLimits);
+            DutyPart duty, NamedWeightsPart named, Runnable announce, ToIntFunction<EndpointId> load, OwnCalls calls) {
+        return new WeightOrdersPart(duty, named, announce, load, calls);
     }
 
     @Override
@@ -250,7 +242,7 @@
             if (engine != null && context.nowNanos() - loading.nextNanos >= 0) {
                 loading.answerAwaited = true;
                 loading.nextNanos = context.nowNanos() + CALL_PATIENCE.toNanos();
-                rateLimits.sendsCall(engine.incarnation());
+                calls.made(engine.incarnation());
                 context.perform(new EngineCall.AskState(engine));
             }
         }
@@ -405,7 +397,7 @@
                 .with("version", loading.weights.version())
                 .with("fence", duty.fence())
                 .with("expected_orders", state.orders()));
-        rateLimits.sendsCall(engine.incarnation());
+        calls.made(engine.incarnation());
         context.perform(new EngineCall.OrderWeights(
                 engine, loading.weights, duty.fence(), state.orders(), duty.heldUntilNanos()));
     }
@@ -427,9 +419,9 @@
         }
     }
 
-    /** The next call to an engine with a rate limit waits for longer. */
+    /** The next call to an engine that asks for fewer waits for longer. */
     private Duration notBefore(ListedEndpoint engine, Duration wait) {
-        return Comparators.max(wait, rateLimits.betweenCalls(engine.incarnation()));
+        return Comparators.max(wait, calls.apart(engine.incarnation()));
     }
 
     private static Duration waitAfter(EngineAnswer.Outcome outcome) {
--- a/src/main/java/org/yuccagw/core/forward/AnswerStart.java
+++ b/src/main/java/org/yuccagw/core/forward/AnswerStart.java
@@ -1,8 +1,7 @@
 package org.yuccagw.core.forward;
 
-import java.util.Optional;
 import java.util.OptionalLong;
-import org.yuccagw.core.ratelimit.RateLimit;
+import org.yuccagw.core.notice.EndpointNotice;
 
 /**
  * What decides about an answer when its head arrives.
@@ -15,7 +14,7 @@
  * @param encoded whether the body is encoded, which no endpoint does by itself
  * @param framed whether its end can be told from a break
  * @param version weights that the answer is made with
- * @param rateLimit what the endpoint takes from all entries together, if it says so
+ * @param notice what the endpoint says of itself
  */
 public record AnswerStart(
         int status,
@@ -26,7 +25,7 @@
         boolean encoded,
         boolean framed,
         OptionalLong version,
-        Optional<RateLimit> rateLimit) {
+        EndpointNotice notice) {
     private static final int MISDIRECTED = 421;
     private static final int FIRST_FAULT = 500;
 
--- a/src/main/java/org/yuccagw/core/forward/ForwardEffects.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardEffects.java
@@ -6,11 +6,11 @@
 import java.util.OptionalLong;
 import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.id.EndpointId;
+import org.yuccagw.core.notice.NoticeHeard;
 import org.yuccagw.core.placing.AttemptBegun;
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.PlaceAsked;
 import org.yuccagw.core.placing.PlaceDecision;
-import org.yuccagw.core.ratelimit.RateLimitHeard;
 
 /** What {@link ForwardMachine} asks of its surroundings; all on one thread, none of it blocks. */
 public interface ForwardEffects {
@@ -61,8 +61,8 @@
     /** Tells how an attempt ended. */
     void report(AttemptEnded ended);
 
-    /** Tells what the head of an answer says of its endpoint's rate limit. */
-    void report(RateLimitHeard heard);
+    /** Tells what the head of an answer says of its endpoint. */
+    void report(NoticeHeard heard);
 
     /** One line about a decision on this request. */
     void explain(String decision, String detail);
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -12,12 +12,13 @@
 import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EndpointIncarnation;
+import org.yuccagw.core.notice.EndpointNotice;
+import org.yuccagw.core.notice.NoticeHeard;
 import org.yuccagw.core.placing.AttemptBegun;
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.placing.PlaceAsked.Kind;
 import org.yuccagw.core.placing.PlaceDecision;
-import org.yuccagw.core.ratelimit.RateLimitHeard;
 
 /**
  * One request: placed, sent, answered. Deterministic: events in by its methods, effects out, all on one thread.
@@ -142,7 +143,7 @@
         if (isStale(ofLeg)) {
             return;
         }
-        noteRateLimit(head);
+        noteNotice(head);
         if (head.notRun() || head.isMisdirected()) {
             onNotRun(head);
             return;
@@ -437,12 +438,13 @@
 
     // ---- Small helpers.
 
-    private void noteRateLimit(AnswerStart head) {
-        boolean names = head.rateLimit().isPresent();
-        boolean endsOne = placed.rateLimited() && head.isGenuine();
-        if (head.isOfExpectedEndpoint() && (names || endsOne)) {
+    private void noteNotice(AnswerStart head) {
+        EndpointNotice notice = head.notice();
+        boolean tellsOfLimit = notice.rateLimit().isPresent() || head.isGenuine();
+        boolean limitForeseen = placed.rateLimited() && tellsOfLimit;
+        if (head.isOfExpectedEndpoint() && (notice.saysSomething() || limitForeseen)) {
             EndpointIncarnation endpoint = placed.endpoint().incarnation();
-            effects.report(new RateLimitHeard(endpoint, head.rateLimit(), placed.rateLimited()));
+            effects.report(new NoticeHeard(endpoint, notice, limitForeseen));
         }
     }
 
--- a/src/main/java/org/yuccagw/core/ratelimit/RateLimit.java
+++ b/src/main/java/org/yuccagw/core/notice/RateLimit.java
@@ -1,4 +1,4 @@
-package org.yuccagw.core.ratelimit;
+package org.yuccagw.core.notice;
 
 import java.util.Optional;
 
--- a/src/main/java/org/yuccagw/core/placing/PlacingDesk.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingDesk.java
@@ -19,6 +19,7 @@
 import org.yuccagw.core.follow.ConfiguredPart;
 import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
+import org.yuccagw.core.notice.NoticesPart;
 import org.yuccagw.core.peers.PeersPart;
 import org.yuccagw.core.placing.AttemptEnded.End;
 
@@ -41,23 +42,26 @@
     private static final Duration UNREACHED_BY_TWO = Duration.ofSeconds(3);
 
     private final LongFunction<Work> workOf;
+    private final NoticesPart notices;
     private final IdentityHashMap<PlaceAsked, Asker> asking = new IdentityHashMap<>();
     private final Map<EntryId, Map<Long, Given>> given = new HashMap<>();
     private final Map<EndpointIncarnation, Unreached> unreached = new HashMap<>();
     private Optional<Deployment> deployment = Optional.empty();
     private ControlContext context;
 
-    private PlacingDesk(LongFunction<Work> workOf) {
+    private PlacingDesk(LongFunction<Work> workOf, NoticesPart notices) {
         this.workOf = workOf;
+        this.notices = notices;
     }
 
     /**
      * The desk of one entry.
      *
      * @param workOf what a ticket of the placing counts
+     * @param notices hears of what this entry sends itself
      */
-    public static PlacingDesk of(LongFunction<Work> workOf) {
-        return new PlacingDesk(workOf);
+    public static PlacingDesk of(LongFunction<Work> workOf, NoticesPart notices) {
+        return new PlacingDesk(workOf, notices);
     }
 
     private record Asker(EntryId entry, long number) {}
@@ -134,6 +138,9 @@
     public void decided(PlaceAsked asked, PlaceDecision decision) {
         Asker asker = asking.remove(asked);
         if (asker == null) {
+            if (decision instanceof PlaceDecision.Placed placed) {
+                notices.sendsRequest(placed.endpoint().incarnation());
+            }
             context.reply(() -> asked.reply().accept(decision));
         } else if (decision instanceof PlaceDecision.Placed placed) {
             give(asker, asked, placed);
--- a/src/main/java/org/yuccagw/core/placing/PlacingRelay.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingRelay.java
@@ -18,6 +18,7 @@
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
+import org.yuccagw.core.notice.NoticesPart;
 import org.yuccagw.core.peers.PeersPart;
 
 /**
@@ -61,6 +62,7 @@
 
     private final Function<PlaceAsked, List<EntryId>> placers;
     private final Function<EndpointIncarnation, Optional<ListedEndpoint>> usable;
+    private final NoticesPart notices;
     private final Map<Long, Asked> pending = new HashMap<>();
     private final Map<Long, Elsewhere> elsewhere = new HashMap<>();
     private final Map<EntryId, Long> distrustedUntil = new HashMap<>();
@@ -98,9 +100,11 @@
 
     private PlacingRelay(
             Function<PlaceAsked, List<EntryId>> placers,
-            Function<EndpointIncarnation, Optional<ListedEndpoint>> usable) {
+            Function<EndpointIncarnation, Optional<ListedEndpoint>> usable,
+            NoticesPart notices) {
         this.placers = placers;
         this.usable = usable;
+        this.notices = notices;
     }
 
     /**
@@ -108,11 +112,13 @@
      *
      * @param placers who places a request of this entry, the first one first; empty if it decides itself
      * @param usable the endpoint, if this entry knows nothing against it
+     * @param notices hears of what this entry sends
      */
     public static PlacingRelay of(
             Function<PlaceAsked, List<EntryId>> placers,
-            Function<EndpointIncarnation, Optional<ListedEndpoint>> usable) {
-        return new PlacingRelay(placers, usable);
+            Function<EndpointIncarnation, Optional<ListedEndpoint>> usable,
+            NoticesPart notices) {
+        return new PlacingRelay(placers, usable, notices);
     }
 
     @Override
@@ -278,6 +284,7 @@
                 placed.urgency(),
                 placed.firstByteMillis(),
                 placed.rateLimited());
+        notices.sendsRequest(placed.endpoint());
         context.reply(() -> question.get().asked.reply().accept(decision));
     }
 
--- /dev/null
+++ b/src/main/java/org/yuccagw/core/ratelimit/OwnCalls.java
@@ -0,0 +1,37 @@
+package org.yuccagw.core.ratelimit;
+
+import java.time.Duration;
+import org.yuccagw.core.id.EndpointIncarnation;
+import org.yuccagw.core.notice.NoticesPart;
+
+/** Calls of this entry to endpoints that are no caller's requests, such as for cache events or the state of engines. */
+public final class OwnCalls {
+    private final RateLimitsPart rateLimits;
+    private final NoticesPart notices;
+
+    private OwnCalls(RateLimitsPart rateLimits, NoticesPart notices) {
+        this.rateLimits = rateLimits;
+        this.notices = notices;
+    }
+
+    /** Calls within what endpoints ask for. */
+    public static OwnCalls of(RateLimitsPart rateLimits, NoticesPart notices) {
+        return new OwnCalls(rateLimits, notices);
+    }
+
+    /** Whether the endpoint asks for so few calls that all are needed for requests. */
+    public boolean asksForFewer(EndpointIncarnation endpoint) {
+        return rateLimits.isLimited(endpoint);
+    }
+
+    /** How long after a call the next one has to wait. */
+    public Duration apart(EndpointIncarnation endpoint) {
+        return rateLimits.betweenCalls(endpoint);
+    }
+
+    /** Notes that a call is made now. */
+    public void made(EndpointIncarnation endpoint) {
+        rateLimits.sendsCall(endpoint);
+        notices.sendsCall(endpoint);
+    }
+}
--- a/src/main/java/org/yuccagw/core/ratelimit/RateLimitNews.java
+++ b/src/main/java/org/yuccagw/core/ratelimit/RateLimitNews.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.yuccagw.core.id.EndpointIncarnation;
+import org.yuccagw.core.notice.RateLimit;
 import org.yuccagw.core.port.PeerMessage;
 
 /**
--- a/src/main/java/org/yuccagw/core/ratelimit/RateLimitsPart.java
+++ b/src/main/java/org/yuccagw/core/ratelimit/RateLimitsPart.java
@@ -20,6 +20,8 @@
 import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
+import org.yuccagw.core.notice.NoticeHeard;
+import org.yuccagw.core.notice.RateLimit;
 import org.yuccagw.core.peers.PeersPart;
 
 /**
@@ -132,7 +134,7 @@
 
     @Override
     public void handle(ControlEvent event, ControlContext ignored) {
-        if (event instanceof RateLimitHeard heard) {
+        if (event instanceof NoticeHeard heard) {
             hear(heard);
         } else if (event instanceof PeerReceived received && received.message() instanceof RateLimitNews news) {
             learn(received.from(), news);
@@ -214,17 +216,21 @@
 
     // ---- What endpoints and other entries tell.
 
-    private void hear(RateLimitHeard heard) {
-        long now = context.nowNanos();
-        if (heard.limit().isEmpty()) {
+    private void hear(NoticeHeard heard) {
+        Optional<RateLimit> limit = heard.notice().rateLimit();
+        if (limit.isPresent()) {
+            hearOf(limit.get(), heard);
+        } else if (heard.limitForeseen()) {
             hearOfNone(heard.endpoint());
-            return;
         }
-        boolean news =
-                name(heard.endpoint(), heard.limit().get(), now, context.self().entry());
+    }
+
+    private void hearOf(RateLimit limit, NoticeHeard heard) {
+        long now = context.nowNanos();
+        boolean news = name(heard.endpoint(), limit, now, context.self().entry());
         Limited known = limited.get(heard.endpoint());
         known.heardHereNanos = Optional.of(now);
-        if (news || !heard.foreseen()) {
+        if (news || !heard.limitForeseen()) {
             fleet.tell(newsOf(heard.endpoint(), known));
         }
     }
--- a/src/main/java/org/yuccagw/core/ratelimit/Senders.java
+++ b/src/main/java/org/yuccagw/core/ratelimit/Senders.java
@@ -8,6 +8,7 @@
 import org.yuccagw.core.fleet.EntryContact;
 import org.yuccagw.core.fleet.ListedEndpoint;
 import org.yuccagw.core.id.EntryId;
+import org.yuccagw.core.notice.RateLimit;
 
 /**
  * The entries that place requests on an endpoint, and how its rate limit is divided among them.
--- a/src/main/java/org/yuccagw/core/stores/EngineCachesPart.java
+++ b/src/main/java/org/yuccagw/core/stores/EngineCachesPart.java
@@ -23,9 +23,10 @@
 import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.StoreId;
+import org.yuccagw.core.notice.NoticeHeard;
 import org.yuccagw.core.prompt.PromptPart;
 import org.yuccagw.core.prompt.PromptShape;
-import org.yuccagw.core.ratelimit.RateLimitsPart;
+import org.yuccagw.core.ratelimit.OwnCalls;
 
 /**
  * What engines hold in their own memory, as their cache events tell.
@@ -39,25 +40,25 @@
  */
 public final class EngineCachesPart implements ControlPart {
     private final HolderEvents events;
-    private final RateLimitsPart rateLimits;
+    private final OwnCalls calls;
     private final Map<StoreId, EndpointIncarnation> engines = new HashMap<>();
     private final Map<EndpointId, ListedEndpoint> listed = new LinkedHashMap<>();
     private Optional<Deployment> deployment = Optional.empty();
     private ControlContext context;
 
-    private EngineCachesPart(Supplier<List<EntryId>> entries, RateLimitsPart rateLimits) {
+    private EngineCachesPart(Supplier<List<EntryId>> entries, OwnCalls calls) {
         this.events = HolderEvents.of(entries, this::goOn, new EngineCalls());
-        this.rateLimits = rateLimits;
+        this.calls = calls;
     }
 
     /**
      * The knowledge of one entry.
      *
      * @param entries those that follow the same engines, this one among them
-     * @param rateLimits which engines ask for fewer calls
+     * @param calls what engines bear of calls that are no requests
      */
-    public static EngineCachesPart of(Supplier<List<EntryId>> entries, RateLimitsPart rateLimits) {
-        return new EngineCachesPart(entries, rateLimits);
+    public static EngineCachesPart of(Supplier<List<EntryId>> entries, OwnCalls calls) {
+        return new EngineCachesPart(entries, calls);
     }
 
     @Override
@@ -77,6 +78,8 @@
             if (listed.remove(subject.endpoint()) != null) {
                 adopt();
             }
+        } else if (event instanceof StoreAnswer.Noticed noticed && engines.containsKey(noticed.store())) {
+            context.raise(new NoticeHeard(engines.get(noticed.store()), noticed.notice(), false));
         }
         events.handle(event);
     }
@@ -116,16 +119,16 @@
         return near.isEmpty() ? ImmutableList.copyOf(listed.values()) : near;
     }
 
-    /** An engine with a rate limit takes so few calls that all are needed for requests. */
+    /** Calls for events, which are only a help, leave engines alone that ask for fewer calls. */
     private final class EngineCalls implements HolderEvents.Calls {
         @Override
         public boolean may(CacheStore holder) {
-            return !rateLimits.isLimited(engines.get(holder.id()));
+            return !calls.asksForFewer(engines.get(holder.id()));
         }
 
         @Override
         public void made(CacheStore holder) {
-            rateLimits.sendsCall(engines.get(holder.id()));
+            calls.made(engines.get(holder.id()));
         }
     }
 
--- a/src/main/java/org/yuccagw/core/stores/StoreAnswer.java
+++ b/src/main/java/org/yuccagw/core/stores/StoreAnswer.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.id.StoreId;
+import org.yuccagw.core.notice.EndpointNotice;
 
 /** What came of a {@link StoreCall}. */
 public sealed interface StoreAnswer extends ControlEvent {
@@ -37,6 +38,9 @@
     /** Parts were freed, or not: then the store has restarted, or can't be reached. */
     record Freed(StoreId store, boolean done, String detail) implements StoreAnswer {}
 
+    /** The head of an answer says something of the holder; comes before the answer. */
+    record Noticed(StoreId store, EndpointNotice notice) implements StoreAnswer {}
+
     /** No answer: it may be gone, or cut off from this entry. */
     record Silent(StoreId store, String reason) implements StoreAnswer {}
 
--- a/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
@@ -24,6 +24,7 @@
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.membership.StopAsked;
+import org.yuccagw.core.notice.NoticesSnapshot;
 import org.yuccagw.core.peers.PeersSnapshot;
 import org.yuccagw.core.ratelimit.RateLimitsSnapshot;
 import org.yuccagw.platform.EngineCaller;
@@ -115,6 +116,10 @@
                 settings,
                 worker,
                 runs);
+        addGauges(metrics, keyValue);
+    }
+
+    private void addGauges(Metrics metrics, KeyValueClient keyValue) {
         metrics.gauge("yuccagw_requests_in_progress", "Requests in progress on this entry", runs::value);
         metrics.gauge("yuccagw_control_failures", "Control events whose handling failed", control::failureCount);
         metrics.gauge(
@@ -124,9 +129,21 @@
                         .part(RateLimitsSnapshot.class)
                         .orElse(RateLimitsSnapshot.NONE)
                         .endpoints());
+        metrics.gauge(
+                "yuccagw_endpoints_leaving",
+                "Endpoints that said in answers to this entry that they leave",
+                () -> notices().leaving());
+        metrics.gauge(
+                "yuccagw_endpoints_backing_off",
+                "Endpoints that want nothing from this entry for a while",
+                () -> notices().backingOff());
         metrics.gauge("yuccagw_key_value_calls_sent", "Calls sent to the key-value service", keyValue::callsSent);
     }
 
+    private NoticesSnapshot notices() {
+        return control.snapshot().part(NoticesSnapshot.class).orElse(NoticesSnapshot.NONE);
+    }
+
     /**
      * Starts an entry and returns once its addresses listen.
      *
--- a/src/main/java/org/yuccagw/daemon/GatewayParts.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayParts.java
@@ -25,6 +25,7 @@
 import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
+import org.yuccagw.core.notice.NoticesPart;
 import org.yuccagw.core.peers.PeerStatus;
 import org.yuccagw.core.peers.PeersPart;
 import org.yuccagw.core.peers.RegistrationPart;
@@ -35,6 +36,7 @@
 import org.yuccagw.core.placing.PlacingRelay;
 import org.yuccagw.core.placing.Work;
 import org.yuccagw.core.port.PeerMessage;
+import org.yuccagw.core.ratelimit.OwnCalls;
 import org.yuccagw.core.ratelimit.RateLimitNews;
 import org.yuccagw.core.ratelimit.RateLimitsPart;
 import org.yuccagw.core.ratelimit.Senders;
@@ -72,9 +74,11 @@
         peers = PeersPart.of(this, settings.seeds());
         NamedWeightsPart weights = NamedWeightsPart.of(settings.bounds().oldWeightsAllowed());
         stores = StoresPart.of(peers::firstLeads);
+        NoticesPart notices = NoticesPart.create();
         RateLimitsPart rateLimits = RateLimitsPart.of(new Limiting());
-        EngineCachesPart caches = EngineCachesPart.of(peers::ownLeads, rateLimits);
-        PlacingDesk desk = PlacingDesk.of(this::workOf);
+        OwnCalls calls = OwnCalls.of(rateLimits, notices);
+        EngineCachesPart caches = EngineCachesPart.of(peers::ownLeads, calls);
+        PlacingDesk desk = PlacingDesk.of(this::workOf, notices);
         placing = PlacingPart.of(
                 new PlacingBounds(settings.bounds().retries(), settings.bounds().cold()),
                 settings.regions(),
@@ -84,14 +88,14 @@
                 rateLimits,
                 new Placing(),
                 desk);
-        PlacingRelay relay = PlacingRelay.of(this::placersOf, placing::usableEndpoint);
+        PlacingRelay relay = PlacingRelay.of(this::placersOf, placing::usableEndpoint, notices);
         duty = DutyPart.of(
                 WEIGHTS_DUTY,
                 codec,
                 peers::allLeads,
                 follow::isReachable,
                 settings.bounds().orderSeparation());
-        orders = WeightOrdersPart.of(duty, weights, this::announceOrders, placing::requestsOn, rateLimits);
+        orders = WeightOrdersPart.of(duty, weights, this::announceOrders, placing::requestsOn, calls);
         RetiredPartsPart retired = RetiredPartsPart.of(duty::mayAct, weights, orders::lowestRunning, stores);
         parts = List.of(
                 follow,
@@ -99,6 +103,7 @@
                 weights,
                 peers,
                 RegistrationPart.of(codec),
+                notices,
                 rateLimits,
                 stores,
                 caches,
--- a/src/main/java/org/yuccagw/platform/EndpointHeads.java
+++ b/src/main/java/org/yuccagw/platform/EndpointHeads.java
@@ -16,7 +16,6 @@
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.RequestId;
 import org.yuccagw.core.placing.PlaceDecision;
-import org.yuccagw.core.ratelimit.RateLimit;
 import org.yuccagw.core.stores.CachePlan;
 
 /** Heads of requests to endpoints and of their answers. */
@@ -95,7 +94,7 @@
                 headers.contains(Headers.CONTENT_ENCODING),
                 framed,
                 number(headers.getFirst(PlatformNames.VERSION_RUN)),
-                rateLimit(headers.getFirst(PlatformNames.RATE_LIMIT)));
+                EndpointNotices.read(status, headers));
     }
 
     /** The endpoint's headers that go on to the caller. */
@@ -123,15 +122,6 @@
         }
     }
 
-    private static Optional<RateLimit> rateLimit(String text) {
-        try {
-            return text == null ? Optional.empty() : RateLimit.of(Double.parseDouble(text.trim()));
-        } catch (NumberFormatException ignored) {
-            // Nobody can keep a limit that is no number.
-            return Optional.empty();
-        }
-    }
-
     private static void put(HeaderMap headers, String name, String value) {
         headers.put(new HttpString(name), value);
     }
--- a/src/main/java/org/yuccagw/platform/EngineCaller.java
+++ b/src/main/java/org/yuccagw/platform/EngineCaller.java
@@ -60,6 +60,7 @@
     private void askState(EngineCall.AskState ask, ControlInput input) {
         HttpQuery query = to(ask, HttpQuery.get(ask.endpoint().address(), PlatformNames.REPORT_PATH));
         caller.send(query).whenComplete((answer, failure) -> {
+            hearNotice(ask, answer, input);
             Optional<EngineState> state = failure == null ? readState(answer) : Optional.empty();
             input.offer(new EngineAnswer.Told(ask.endpoint().incarnation(), state));
         });
@@ -83,13 +84,20 @@
                 input.offer(new EngineAnswer.Ordered(order.endpoint().incarnation(), Outcome.NOT_SENT));
                 return;
             }
-            caller.send(orderQuery(order))
-                    .whenComplete((answer, failure) -> input.offer(new EngineAnswer.Ordered(
-                            order.endpoint().incarnation(),
-                            failure == null ? outcome(answer.status()) : Outcome.UNKNOWN)));
+            caller.send(orderQuery(order)).whenComplete((answer, failure) -> {
+                hearNotice(order, answer, input);
+                input.offer(new EngineAnswer.Ordered(
+                        order.endpoint().incarnation(), failure == null ? outcome(answer.status()) : Outcome.UNKNOWN));
+            });
         });
     }
 
+    private static void hearNotice(EngineCall call, HttpAnswer answer, ControlInput input) {
+        if (answer != null) {
+            EndpointNotices.heard(call.endpoint().incarnation(), answer).ifPresent(input::offer);
+        }
+    }
+
     private HttpQuery orderQuery(EngineCall.OrderWeights order) {
         ObjectNode body = JsonText.object()
                 .put("op", "version")
--- a/src/main/java/org/yuccagw/platform/PlatformNames.java
+++ b/src/main/java/org/yuccagw/platform/PlatformNames.java
@@ -37,6 +37,11 @@
     static final String VERSION_RUN = "Yuccagw-Weight-Versions";
     /** Requests a second from all entries together; a decimal number. */
     static final String RATE_LIMIT = "Server-Limit";
+    /** 1 of an endpoint that takes no new work. */
+    static final String LEAVING = "Server-Leaving";
+
+    /** Seconds, maybe with a fraction. */
+    static final String RETRY_AFTER = "Retry-After";
 
     // ---- Calls.
     static final String READY_PATH = "/readyz";
--- a/src/main/java/org/yuccagw/platform/StoreCaller.java
+++ b/src/main/java/org/yuccagw/platform/StoreCaller.java
@@ -16,6 +16,7 @@
 import org.yuccagw.core.control.ControlInput;
 import org.yuccagw.core.deployment.CacheStore;
 import org.yuccagw.core.id.StoreId;
+import org.yuccagw.core.notice.EndpointNotice;
 import org.yuccagw.core.stores.PartName;
 import org.yuccagw.core.stores.StoreAnswer;
 import org.yuccagw.core.stores.StoreAnswer.Change;
@@ -102,9 +103,17 @@
 
     private void send(StoreCall call, HttpQuery query, ControlInput input) {
         StoreId store = call.store().id();
-        caller.send(query)
-                .whenComplete((answer, failure) -> input.offer(
-                        failure == null ? read(call, answer) : new StoreAnswer.Silent(store, failure.toString())));
+        caller.send(query).whenComplete((answer, failure) -> {
+            if (failure != null) {
+                input.offer(new StoreAnswer.Silent(store, failure.toString()));
+                return;
+            }
+            EndpointNotice notice = EndpointNotices.read(answer.status(), answer.headers());
+            if (notice.saysSomething()) {
+                input.offer(new StoreAnswer.Noticed(store, notice));
+            }
+            input.offer(read(call, answer));
+        });
     }
 
     private static StoreAnswer read(StoreCall call, HttpAnswer answer) {
--- a/src/test/java/org/yuccagw/adapters/peer/RateLimitCodecTest.java
+++ b/src/test/java/org/yuccagw/adapters/peer/RateLimitCodecTest.java
@@ -7,7 +7,7 @@
 import org.testng.annotations.Test;
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EndpointIncarnation;
-import org.yuccagw.core.ratelimit.RateLimit;
+import org.yuccagw.core.notice.RateLimit;
 import org.yuccagw.core.ratelimit.RateLimitNews;
 import org.yuccagw.wire.PeerProtocol.Envelope;
 
--- a/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
+++ b/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
@@ -26,10 +26,11 @@
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.core.id.RequestId;
 import org.yuccagw.core.id.ServiceName;
+import org.yuccagw.core.notice.EndpointNotice;
+import org.yuccagw.core.notice.NoticeHeard;
+import org.yuccagw.core.notice.RateLimit;
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.placing.PlaceDecision;
-import org.yuccagw.core.ratelimit.RateLimit;
-import org.yuccagw.core.ratelimit.RateLimitHeard;
 
 public class ForwardMachineTest {
     private static final ServiceName SERVICE = ServiceName.of("service");
@@ -74,8 +75,10 @@
     public void theRateLimitThatAnAnswerNamesIsReportedOfTheEndpointThatSaidSo() {
         ForwardMachine machine = begin(RouteKind.IDEMPOTENT, false, 2);
         machine.onPlaced(placed("e1"));
-        machine.onHead(1, limited(ok(), RateLimit.of(1.4)));
-        assertEquals(effects.rateLimits, ImmutableList.of(new RateLimitHeard(FIRST_START, RateLimit.of(1.4), false)));
+        machine.onHead(1, noticed(ok(), EndpointNotice.ofRateLimit(RateLimit.of(1.4))));
+        assertEquals(
+                effects.notices,
+                ImmutableList.of(new NoticeHeard(FIRST_START, EndpointNotice.ofRateLimit(RateLimit.of(1.4)), false)));
     }
 
     @Test
@@ -84,11 +87,11 @@
         machine.onPlaced(placed("e1"));
         machine.onHead(1, ok());
         machine.onEnd(1);
-        assertEquals(effects.rateLimits, ImmutableList.of());
+        assertEquals(effects.notices, ImmutableList.of());
         ForwardMachine second = begin(RouteKind.IDEMPOTENT, false, 2);
         second.onPlaced(placed("e1", true));
         second.onHead(1, ok());
-        assertEquals(effects.rateLimits, ImmutableList.of(new RateLimitHeard(FIRST_START, Optional.empty(), true)));
+        assertEquals(effects.notices, ImmutableList.of(new NoticeHeard(FIRST_START, EndpointNotice.NONE, true)));
     }
 
     @Test
@@ -96,8 +99,18 @@
         ForwardMachine machine = begin(RouteKind.IDEMPOTENT, false, 2);
         machine.onPlaced(placed("e1"));
         machine.onHead(
-                1, new AnswerStart(421, true, false, true, true, false, true, OptionalLong.empty(), RateLimit.of(1.4)));
-        assertEquals(effects.rateLimits, ImmutableList.of());
+                1,
+                new AnswerStart(
+                        421,
+                        true,
+                        false,
+                        true,
+                        true,
+                        false,
+                        true,
+                        OptionalLong.empty(),
+                        EndpointNotice.ofRateLimit(RateLimit.of(1.4))));
+        assertEquals(effects.notices, ImmutableList.of());
     }
 
     // Others decide by what an engine has still to read; they have to hear when an answer has begun, once.
@@ -286,7 +299,8 @@
         machine.onFailure(1, End.BROKEN, "reset");
         machine.onPlaced(placed("e2"));
         machine.onHead(
-                2, new AnswerStart(200, true, true, false, false, false, true, OptionalLong.of(2), Optional.empty()));
+                2,
+                new AnswerStart(200, true, true, false, false, false, true, OptionalLong.of(2), EndpointNotice.NONE));
         machine.onBytes(2, bytes("id: 2\ndata: other\n\n"));
         assertFalse(effects.callerBody.toString().contains("other"));
     }
@@ -427,10 +441,10 @@
                 false,
                 true,
                 OptionalLong.of(FIRST_WEIGHTS),
-                Optional.empty());
+                EndpointNotice.NONE);
     }
 
-    private static AnswerStart limited(AnswerStart head, Optional<RateLimit> limit) {
+    private static AnswerStart noticed(AnswerStart head, EndpointNotice notice) {
         return new AnswerStart(
                 head.status(),
                 head.ofThisRequest(),
@@ -440,11 +454,12 @@
                 head.encoded(),
                 head.framed(),
                 head.version(),
-                limit);
+                notice);
     }
 
     private static AnswerStart notRun(int status) {
-        return new AnswerStart(status, true, false, true, false, false, true, OptionalLong.empty(), Optional.empty());
+        return new AnswerStart(
+                status, true, false, true, false, false, true, OptionalLong.empty(), EndpointNotice.NONE);
     }
 
     private static ByteBuffer bytes(String text) {
--- a/src/test/java/org/yuccagw/core/forward/RecordedForwardEffects.java
+++ b/src/test/java/org/yuccagw/core/forward/RecordedForwardEffects.java
@@ -10,16 +10,16 @@
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.id.EndpointId;
+import org.yuccagw.core.notice.NoticeHeard;
 import org.yuccagw.core.placing.AttemptBegun;
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.PlaceAsked;
 import org.yuccagw.core.placing.PlaceDecision;
-import org.yuccagw.core.ratelimit.RateLimitHeard;
 
 /** Writes down what a machine asks for, in virtual time. */
 final class RecordedForwardEffects implements ForwardEffects {
     final List<Long> begunTickets = new ArrayList<>();
-    final List<RateLimitHeard> rateLimits = new ArrayList<>();
+    final List<NoticeHeard> notices = new ArrayList<>();
     final List<String> lines = new ArrayList<>();
     final StringBuilder callerBody = new StringBuilder();
     final List<AttemptEnded.End> attempts = new ArrayList<>();
@@ -103,8 +103,8 @@
     }
 
     @Override
-    public void report(RateLimitHeard heard) {
-        rateLimits.add(heard);
+    public void report(NoticeHeard heard) {
+        notices.add(heard);
     }
 
     @Override
--- a/src/test/java/org/yuccagw/core/placing/PromptNeedsTest.java
+++ b/src/test/java/org/yuccagw/core/placing/PromptNeedsTest.java
@@ -60,7 +60,7 @@
         ControlBench bench = ControlBench.of(3);
         bench.onAction((action, input) -> answer(bench, action, input));
         StoresPart stores = StoresPart.of(() -> List.of(EntryId.of("entry-1")));
-        EngineCachesPart caches = EngineCachesPart.of(() -> List.of(EntryId.of("entry-1")), NoOthers.noLimits());
+        EngineCachesPart caches = EngineCachesPart.of(() -> List.of(EntryId.of("entry-1")), NoOthers.unlimitedCalls());
         BenchNode node = bench.start("entry-1", NEAR, List.of(stores, caches));
         node.offer(new ConfiguredPart.Applied(deployment()));
         bench.runFor(Duration.ofSeconds(1));
--- a/src/test/java/org/yuccagw/core/ratelimit/NoOthers.java
+++ b/src/test/java/org/yuccagw/core/ratelimit/NoOthers.java
@@ -2,14 +2,15 @@
 
 import org.yuccagw.core.fleet.ListedEndpoint;
 import org.yuccagw.core.id.EntryId;
+import org.yuccagw.core.notice.NoticesPart;
 
 /** The surroundings of an entry that hears of no other one. */
 public final class NoOthers implements RateLimitsPart.Fleet {
     private NoOthers() {}
 
-    /** Limits that nobody names. */
-    public static RateLimitsPart noLimits() {
-        return RateLimitsPart.of(new NoOthers());
+    /** Calls to endpoints that ask for nothing. */
+    public static OwnCalls unlimitedCalls() {
+        return OwnCalls.of(RateLimitsPart.of(new NoOthers()), NoticesPart.create());
     }
 
     @Override
--- a/src/test/java/org/yuccagw/core/ratelimit/SendersTest.java
+++ b/src/test/java/org/yuccagw/core/ratelimit/SendersTest.java
@@ -19,6 +19,7 @@
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.core.id.ServiceName;
+import org.yuccagw.core.notice.RateLimit;
 
 public class SendersTest {
     private static final FailureDomain NEAR = FailureDomain.of("near");
--- a/src/test/java/org/yuccagw/core/stores/EngineCachesPartTest.java
+++ b/src/test/java/org/yuccagw/core/stores/EngineCachesPartTest.java
@@ -61,7 +61,7 @@
         asked = new HashSet<>();
         gap = false;
         bench.onAction(this::perform);
-        caches = EngineCachesPart.of(() -> List.of(EntryId.of("entry-1")), NoOthers.noLimits());
+        caches = EngineCachesPart.of(() -> List.of(EntryId.of("entry-1")), NoOthers.unlimitedCalls());
         node = bench.start("entry-1", FailureDomain.of("near"), List.of(caches));
         node.offer(new ConfiguredPart.Applied(deployment()));
         node.offer(seen(engine("near", 1)));
--- a/src/test/java/org/yuccagw/daemon/RateLimitScheduleTest.java
+++ b/src/test/java/org/yuccagw/daemon/RateLimitScheduleTest.java
@@ -17,12 +17,13 @@
 import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
+import org.yuccagw.core.notice.EndpointNotice;
+import org.yuccagw.core.notice.NoticeHeard;
+import org.yuccagw.core.notice.RateLimit;
 import org.yuccagw.core.placing.AttemptBegun;
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.placing.PlaceDecision;
-import org.yuccagw.core.ratelimit.RateLimit;
-import org.yuccagw.core.ratelimit.RateLimitHeard;
 
 /**
  * Random schedules: engines name rate limits, change and end them, while entries are killed, started, stand still and
@@ -198,7 +199,7 @@
                         limits.get(engine.endpoint().value()))
                 .flatMap(named -> RateLimit.of(named.perSecond()));
         if (limit.isPresent() || placed.rateLimited()) {
-            node.offer(new RateLimitHeard(engine, limit, placed.rateLimited()));
+            node.offer(new NoticeHeard(engine, EndpointNotice.ofRateLimit(limit), placed.rateLimited()));
         }
         node.offer(new AttemptBegun(placed.ticket()));
     }
--- a/src/test/java/org/yuccagw/daemon/RateLimitTest.java
+++ b/src/test/java/org/yuccagw/daemon/RateLimitTest.java
@@ -18,12 +18,13 @@
 import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
+import org.yuccagw.core.notice.EndpointNotice;
+import org.yuccagw.core.notice.NoticeHeard;
+import org.yuccagw.core.notice.RateLimit;
 import org.yuccagw.core.placing.AttemptBegun;
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.placing.PlaceDecision;
-import org.yuccagw.core.ratelimit.RateLimit;
-import org.yuccagw.core.ratelimit.RateLimitHeard;
 import org.yuccagw.core.stores.StoreAnswer;
 import org.yuccagw.core.stores.StoreCall;
 
@@ -146,7 +147,7 @@
         Optional<RateLimit> limit =
                 Optional.ofNullable(limits.get(engine.endpoint().value()));
         if (limit.isPresent() || placed.rateLimited()) {
-            node.offer(new RateLimitHeard(engine, limit, placed.rateLimited()));
+            node.offer(new NoticeHeard(engine, EndpointNotice.ofRateLimit(limit), placed.rateLimited()));
         }
         node.offer(new AttemptBegun(placed.ticket()));
     }
--- a/src/test/java/org/yuccagw/platform/EndpointHeadsTest.java
+++ b/src/test/java/org/yuccagw/platform/EndpointHeadsTest.java
@@ -9,7 +9,7 @@
 import org.testng.annotations.Test;
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.RequestId;
-import org.yuccagw.core.ratelimit.RateLimit;
+import org.yuccagw.core.notice.RateLimit;
 
 public class EndpointHeadsTest {
     @DataProvider
@@ -32,6 +32,7 @@
         }
         assertEquals(
                 EndpointHeads.answer(200, headers, RequestId.of("r"), EndpointId.of("e"))
+                        .notice()
                         .rateLimit(),
                 limit);
     }
--- a/src/test/java/org/yuccagw/platform/PlatformWordsTest.java
+++ b/src/test/java/org/yuccagw/platform/PlatformWordsTest.java
@@ -15,7 +15,7 @@
 public class PlatformWordsTest {
     private static final Path SOURCES = Path.of("src", "main", "java", "org", "yuccagw");
     private static final List<Path> SPEAK_IT = List.of(SOURCES.resolve("platform"), SOURCES.resolve("standins"));
-    private static final Pattern NAMES = Pattern.compile("Yuccagw-[A-Z]|Kv-From|Last-Event-Id|Wait-Ms"
+    private static final Pattern NAMES = Pattern.compile("(Yuccagw|Server)-[A-Z]|Kv-From|Last-Event-Id|Wait-Ms"
             + "|/kv-(key|range|watch|txn|lease|keep|events|list|free|copy)|\"/(resolve|report|order)\""
             + "|op/(config|version|evacuate)"
             + "|\"servers/|nodeName|listenAddrs|seedNodes|portRange|pathPrefix\"|trafficSplit"
