--- a/src/test/java/org/yuccagw/daemon/VirtualFleet.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualFleet.java
@@ -82,7 +82,7 @@
     record Order(EntryId from, EndpointId engine, long fence, long atNanos) {}
 
     /** A question for the state of an engine. */
-    record StateAsked(EndpointId engine, long atNanos) {}
+    record StateAsked(EntryId from, EndpointId engine, long atNanos) {}
 
     VirtualFleet() {
         bench.onAction(this::perform);
@@ -153,6 +153,11 @@
         register(engine, cold);
     }
 
+    /** The registration of an engine lapses, while the engine runs on. */
+    void lapse(String id) {
+        bench.keyValue().remove(PlatformDocuments.endpointKey(id));
+    }
+
     void evacuate(FailureDomain domain) {
         bench.keyValue().put(PlatformDocuments.evacuationKey(domain.value()), new byte[] {'{', '}'});
     }
@@ -236,12 +241,30 @@
         ask(node, "/model/x", PlaceAsked.Kind.FIRST, "f" + nextRequest, Optional.of(prompt), reply);
     }
 
+    /** Asks for another place for a prompt that these engines turned away. */
+    void askPromptAgain(BenchNode node, int tokens, ImmutableSet<EndpointId> excluded, Consumer<PlaceDecision> reply) {
+        PromptShape prompt = new PromptShape(MODEL, tokens, 50, ImmutableList.of(new PromptPart("own", tokens)));
+        String fingerprint = "f" + nextRequest;
+        ask(node, "/model/x", PlaceAsked.Kind.REPEAT, fingerprint, Optional.of(prompt), excluded, reply);
+    }
+
+    private void ask(
+            BenchNode node,
+            String path,
+            PlaceAsked.Kind kind,
+            String fingerprint,
+            Optional<PromptShape> prompt,
+            Consumer<PlaceDecision> reply) {
+        ask(node, path, kind, fingerprint, prompt, ImmutableSet.of(), reply);
+    }
+
     private void ask(
             BenchNode node,
             String path,
             PlaceAsked.Kind kind,
             String fingerprint,
             Optional<PromptShape> prompt,
+            ImmutableSet<EndpointId> excluded,
             Consumer<PlaceDecision> reply) {
         Route route = node.state(Deployment.class)
                 .orElseThrow()
@@ -254,7 +277,7 @@
                 Optional.empty(),
                 prompt,
                 fingerprint,
-                ImmutableSet.of(),
+                excluded,
                 kind,
                 OptionalLong.empty(),
                 route.timeout().toMillis(),
@@ -281,7 +304,9 @@
 
     private boolean perform(ControlAction action, ControlInput input) {
         if (action instanceof EngineCall.AskState ask) {
-            statesAsked.add(new StateAsked(ask.endpoint().id(), bench.time().nowNanos()));
+            EntryId from = ((BenchNode) input).entry();
+            statesAsked.add(
+                    new StateAsked(from, ask.endpoint().id(), bench.time().nowNanos()));
             bench.time()
                     .after(
                             Duration.ofMillis(3),
