Send nothing more to an endpoint that said in an answer that it leaves

Callers saw nothing yet: their requests were served by an engine that was about to end, 2.9 s after it had said so to the entry that sent them; a few seconds later such requests are cut. Class of fault: an endpoint says something of itself in an answer, and what places the next request doesn't hear it.

Whoever hears it first tells all that place; a lead passes on what its followers heard, and tells them. An entry names the endpoint as excluded to its lead, so a lead that has just started can't send it there.

--- /dev/null
+++ b/src/main/java/org/yuccagw/adapters/peer/NoticeCodec.java
@@ -0,0 +1,34 @@
+package org.yuccagw.adapters.peer;
+
+import java.util.Optional;
+import org.yuccagw.core.notice.EndpointNews;
+import org.yuccagw.core.port.PeerMessage;
+import org.yuccagw.wire.PeerProtocol.EndpointNewsMessage;
+import org.yuccagw.wire.PeerProtocol.Envelope;
+
+/** What entries tell each other of what endpoints said of themselves, in protobuf. */
+public final class NoticeCodec implements BodyCodec {
+    private NoticeCodec() {}
+
+    public static NoticeCodec create() {
+        return new NoticeCodec();
+    }
+
+    @Override
+    public boolean encode(PeerMessage message, Envelope.Builder envelope) {
+        if (!(message instanceof EndpointNews news)) {
+            return false;
+        }
+        envelope.setEndpointNews(EndpointNewsMessage.newBuilder().setEndpoint(EndpointStarts.encode(news.endpoint())));
+        return true;
+    }
+
+    @Override
+    public Optional<PeerMessage> decode(Envelope envelope) {
+        if (!envelope.hasEndpointNews()) {
+            return Optional.empty();
+        }
+        return Optional.of(new EndpointNews(
+                EndpointStarts.decode(envelope.getEndpointNews().getEndpoint())));
+    }
+}
--- a/src/main/java/org/yuccagw/core/notice/NoticesPart.java
+++ b/src/main/java/org/yuccagw/core/notice/NoticesPart.java
@@ -10,11 +10,20 @@
 import org.yuccagw.core.control.ControlPart;
 import org.yuccagw.core.control.ControlSnapshot;
 import org.yuccagw.core.control.Decision;
+import org.yuccagw.core.control.PeerReceived;
+import org.yuccagw.core.follow.Fact;
+import org.yuccagw.core.follow.FactSeen;
 import org.yuccagw.core.id.EndpointIncarnation;
+import org.yuccagw.core.id.EntryId;
+import org.yuccagw.core.peers.NewsSpread;
 
 /**
  * What endpoints said of themselves in answers to this entry: that they leave, and for how long they want nothing from
  * it. Rate limits, which bind all entries together, are {@code RateLimitsPart}'s.
+ *
+ * <p>Leaving is final for an incarnation. It is remembered longer than the endpoint is listed, since a registration
+ * that lapsed with the key-value service comes back as it was. Whoever hears it first tells all that place requests;
+ * an entry that misses this is told by the next answer that it passes on itself.
  */
 public final class NoticesPart implements ControlPart {
     private static final Duration SWEEP = Duration.ofSeconds(1);
@@ -25,16 +34,24 @@
     /** Names of headers come from outside. */
     private static final int MOST_UNKNOWN_NAMES = 50;
 
+    private final NewsSpread spread;
     private final Map<EndpointIncarnation, Long> leavingNanos = new HashMap<>();
     private final Map<EndpointIncarnation, BackOff> backOffs = new HashMap<>();
     private final Set<String> unknownNames = new HashSet<>();
     private ControlContext context;
     private boolean sweepScheduled;
 
-    private NoticesPart() {}
+    private NoticesPart(NewsSpread spread) {
+        this.spread = spread;
+    }
 
-    public static NoticesPart create() {
-        return new NoticesPart();
+    /**
+     * What one entry was told.
+     *
+     * @param spread tells the others
+     */
+    public static NoticesPart of(NewsSpread spread) {
+        return new NoticesPart(spread);
     }
 
     /** An endpoint that wants nothing from this entry until a time. */
@@ -57,6 +74,12 @@
     public void handle(ControlEvent event, ControlContext ignored) {
         if (event instanceof NoticeHeard heard) {
             hear(heard);
+        } else if (event instanceof PeerReceived received && received.message() instanceof EndpointNews news) {
+            learn(received.from(), news);
+        } else if (event instanceof FactSeen seen
+                && seen.fact() instanceof Fact.EndpointListed listed
+                && listed.endpoint().leaving()) {
+            remember(listed.endpoint().incarnation());
         }
     }
 
@@ -67,6 +90,11 @@
 
     // ---- What others ask.
 
+    /** Whether the endpoint said that it leaves, here, to another entry or by its registration. */
+    public boolean isLeaving(EndpointIncarnation endpoint) {
+        return leavingNanos.containsKey(endpoint);
+    }
+
     /** Notes that a request of a caller of this entry is sent there now. */
     public void sendsRequest(EndpointIncarnation endpoint) {
         BackOff known = backOffs.get(endpoint);
@@ -88,17 +116,37 @@
     private void hear(NoticeHeard heard) {
         EndpointNotice notice = heard.notice();
         if (notice.leaving()) {
-            leave(heard.endpoint());
+            leave(heard.endpoint(), context.self().entry());
         }
         notice.backOff().ifPresent(time -> backOff(heard.endpoint(), time));
         notice.unknown().forEach(name -> logUnknown(heard.endpoint(), name));
     }
 
-    private void leave(EndpointIncarnation endpoint) {
-        if (leavingNanos.putIfAbsent(endpoint, context.nowNanos()) == null) {
-            context.perform(Decision.of("endpoint-said-leaving").with("endpoint", endpoint));
+    private void learn(EntryId from, EndpointNews news) {
+        leave(news.endpoint(), from);
+    }
+
+    private void leave(EndpointIncarnation endpoint, EntryId from) {
+        if (!remember(endpoint)) {
+            return;
+        }
+        context.perform(
+                Decision.of("endpoint-said-leaving").with("endpoint", endpoint).with("from", from));
+        context.raise(new EndpointLeaves(endpoint));
+        EndpointNews news = new EndpointNews(endpoint);
+        if (from.equals(context.self().entry()) || spread.speaksFor(from)) {
+            spread.tell(news);
+        }
+        spread.tellFollowers(news);
+    }
+
+    /** Whether that is new. */
+    private boolean remember(EndpointIncarnation endpoint) {
+        boolean first = leavingNanos.put(endpoint, context.nowNanos()) == null;
+        if (first) {
             sweepLater();
         }
+        return first;
     }
 
     /** One that is asked for while another one lasts ends when the later one of both does. */
--- a/src/main/java/org/yuccagw/core/placing/EndpointTable.java
+++ b/src/main/java/org/yuccagw/core/placing/EndpointTable.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.control.Decision;
@@ -26,6 +27,7 @@
 import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.ServiceName;
+import org.yuccagw.core.notice.EndpointLeaves;
 import org.yuccagw.core.peers.PeerStatus;
 import org.yuccagw.core.peers.PeersPart;
 
@@ -44,14 +46,17 @@
     private final Map<EntryId, Map<EndpointIncarnation, Work>> peerLoads = new HashMap<>();
     private final Map<EntryId, List<EndpointIncarnation>> loadingBy = new HashMap<>();
     private final Evacuations evacuations;
+    private final Predicate<EndpointIncarnation> leaving;
     private ControlContext context;
 
     /**
      * Knows no endpoint yet.
      *
      * @param cold what cold endpoints of a service bear
+     * @param leaving which endpoints said that they leave, listed at present or not
      */
-    EndpointTable(Function<ServiceName, ColdTraits> cold) {
+    EndpointTable(Function<ServiceName, ColdTraits> cold, Predicate<EndpointIncarnation> leaving) {
+        this.leaving = leaving;
         this.evacuations = new Evacuations(endpoints::values, cold);
     }
 
@@ -72,6 +77,8 @@
             replaceLoad(received.from(), news.load());
         } else if (event instanceof PeersPart.PeerLost lost) {
             replaceLoads(lost.entry(), ImmutableList.of());
+        } else if (event instanceof EndpointLeaves leaves) {
+            present(leaves.endpoint()).ifPresent(EndpointState::leave);
         } else if (event instanceof WorkMoved moved) {
             present(moved.endpoint()).ifPresent(endpoint -> move(endpoint, moved));
         } else if (event instanceof WeightOrdersPart.WeightsRun runs) {
@@ -94,6 +101,14 @@
                 .filter(endpoint -> endpoint.listed().incarnation().equals(incarnation));
     }
 
+    /** Endpoints that are there and leave. */
+    List<EndpointId> leaving() {
+        return endpoints.values().stream()
+                .filter(EndpointState::leaving)
+                .map(endpoint -> endpoint.listed().id())
+                .toList();
+    }
+
     /** How many requests run on an endpoint, as far as known. */
     int requestsOn(EndpointId endpoint) {
         EndpointState state = endpoints.get(endpoint);
@@ -140,6 +155,9 @@
         if (first) {
             EndpointState state = new EndpointState(listed, context.nowNanos());
             evacuations.adopt(state);
+            if (leaving.test(listed.incarnation())) {
+                state.leave();
+            }
             endpoints.put(listed.id(), state);
         } else {
             known.relist(listed, context.nowNanos());
--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -36,6 +36,7 @@
 import org.yuccagw.core.port.PeerMessage;
 import org.yuccagw.core.prompt.PromptPart;
 import org.yuccagw.core.prompt.PromptShape;
+import org.yuccagw.core.ratelimit.EndpointAsks;
 import org.yuccagw.core.ratelimit.RateLimitsPart;
 import org.yuccagw.core.stores.CachePlan;
 import org.yuccagw.core.stores.CacheSalt;
@@ -78,7 +79,7 @@
     private final PromptNeeds needs;
     private final Fleet fleet;
     private final Answers answers;
-    private final EndpointTable endpoints = new EndpointTable(this::coldTraits);
+    private final EndpointTable endpoints;
     private final ReadSpeed speed = new ReadSpeed();
     private final Map<ServiceName, RetryAllowance> allowances = new HashMap<>();
     private final SuspectRequests suspects = new SuspectRequests();
@@ -119,10 +120,11 @@
             NamedWeightsPart weights,
             StoresPart stores,
             EngineCachesPart caches,
-            RateLimitsPart rateLimits,
+            EndpointAsks asks,
             Fleet fleet,
             Answers answers) {
-        this.rateLimits = rateLimits;
+        this.endpoints = new EndpointTable(this::coldTraits, asks.notices()::isLeaving);
+        this.rateLimits = asks.rateLimits();
         this.regions = regions;
         this.retries = bounds.retries();
         this.stores = stores;
@@ -141,7 +143,7 @@
      * @param weights which weights are named
      * @param stores plans what is fetched from and saved to cache stores
      * @param caches what engines hold themselves
-     * @param rateLimits which endpoints ask for fewer requests
+     * @param asks what endpoints ask of this entry
      * @param fleet the other entries that place requests
      * @param answers takes what is decided
      */
@@ -151,10 +153,10 @@
             NamedWeightsPart weights,
             StoresPart stores,
             EngineCachesPart caches,
-            RateLimitsPart rateLimits,
+            EndpointAsks asks,
             Fleet fleet,
             Answers answers) {
-        return new PlacingPart(bounds, regions, weights, stores, caches, rateLimits, fleet, answers);
+        return new PlacingPart(bounds, regions, weights, stores, caches, asks, fleet, answers);
     }
 
     /** The entries that place requests. */
@@ -242,6 +244,11 @@
                 .map(EndpointState::listed);
     }
 
+    /** Endpoints to which this entry sends nothing, whoever decides. */
+    public List<EndpointId> spared() {
+        return endpoints.leaving();
+    }
+
     /** Entries that may serve the request where this one may send nothing; empty if this one may. */
     public List<EntryId> othersWithinLimits(PlaceAsked asked) {
         return candidates.othersWithinLimits(asked);
--- a/src/main/java/org/yuccagw/core/placing/PlacingRelay.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingRelay.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.control.ControlPart;
@@ -62,6 +63,7 @@
 
     private final Function<PlaceAsked, List<EntryId>> placers;
     private final Function<EndpointIncarnation, Optional<ListedEndpoint>> usable;
+    private final Supplier<List<EndpointId>> spared;
     private final NoticesPart notices;
     private final Map<Long, Asked> pending = new HashMap<>();
     private final Map<Long, Elsewhere> elsewhere = new HashMap<>();
@@ -101,9 +103,11 @@
     private PlacingRelay(
             Function<PlaceAsked, List<EntryId>> placers,
             Function<EndpointIncarnation, Optional<ListedEndpoint>> usable,
+            Supplier<List<EndpointId>> spared,
             NoticesPart notices) {
         this.placers = placers;
         this.usable = usable;
+        this.spared = spared;
         this.notices = notices;
     }
 
@@ -112,13 +116,15 @@
      *
      * @param placers who places a request of this entry, the first one first; empty if it decides itself
      * @param usable the endpoint, if this entry knows nothing against it
+     * @param spared endpoints to which this entry sends nothing, whatever others know of them
      * @param notices hears of what this entry sends
      */
     public static PlacingRelay of(
             Function<PlaceAsked, List<EntryId>> placers,
             Function<EndpointIncarnation, Optional<ListedEndpoint>> usable,
+            Supplier<List<EndpointId>> spared,
             NoticesPart notices) {
-        return new PlacingRelay(placers, usable, notices);
+        return new PlacingRelay(placers, usable, spared, notices);
     }
 
     @Override
@@ -190,6 +196,7 @@
         return ImmutableSet.<EndpointId>builder()
                 .addAll(asked.excluded())
                 .addAll(unreachedUntil.keySet())
+                .addAll(spared.get())
                 .build();
     }
 
--- /dev/null
+++ b/src/main/java/org/yuccagw/core/ratelimit/EndpointAsks.java
@@ -0,0 +1,11 @@
+package org.yuccagw.core.ratelimit;
+
+import org.yuccagw.core.notice.NoticesPart;
+
+/**
+ * What endpoints ask of those that call them.
+ *
+ * @param rateLimits of all entries together
+ * @param notices of this entry, and whether they leave
+ */
+public record EndpointAsks(RateLimitsPart rateLimits, NoticesPart notices) {}
--- a/src/main/java/org/yuccagw/core/ratelimit/OwnCalls.java
+++ b/src/main/java/org/yuccagw/core/ratelimit/OwnCalls.java
@@ -9,14 +9,14 @@
     private final RateLimitsPart rateLimits;
     private final NoticesPart notices;
 
-    private OwnCalls(RateLimitsPart rateLimits, NoticesPart notices) {
-        this.rateLimits = rateLimits;
-        this.notices = notices;
+    private OwnCalls(EndpointAsks asks) {
+        this.rateLimits = asks.rateLimits();
+        this.notices = asks.notices();
     }
 
     /** Calls within what endpoints ask for. */
-    public static OwnCalls of(RateLimitsPart rateLimits, NoticesPart notices) {
-        return new OwnCalls(rateLimits, notices);
+    public static OwnCalls of(EndpointAsks asks) {
+        return new OwnCalls(asks);
     }
 
     /** Whether the endpoint asks for so few calls that all are needed for requests. */
--- a/src/main/java/org/yuccagw/core/ratelimit/RateLimitsPart.java
+++ b/src/main/java/org/yuccagw/core/ratelimit/RateLimitsPart.java
@@ -22,6 +22,7 @@
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.notice.NoticeHeard;
 import org.yuccagw.core.notice.RateLimit;
+import org.yuccagw.core.peers.NewsSpread;
 import org.yuccagw.core.peers.PeersPart;
 
 /**
@@ -94,18 +95,9 @@
     }
 
     /** The other entries. */
-    public interface Fleet {
+    public interface Fleet extends NewsSpread {
         /** Who places requests on the endpoint. */
         Senders sendersTo(ListedEndpoint endpoint);
-
-        /** Sends to all that place requests or pass news on to these. */
-        void tell(RateLimitNews news);
-
-        /** Sends to the entries of the own failure domain that rely on this one, if it is a lead. */
-        void tellFollowers(RateLimitNews news);
-
-        /** Whether news of that entry have to be passed on, since it tells this one only. */
-        boolean speaksFor(EntryId from);
     }
 
     /** An endpoint with a limit. */
--- a/src/main/java/org/yuccagw/daemon/GatewayParts.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayParts.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import org.yuccagw.adapters.peer.FollowCodec;
+import org.yuccagw.adapters.peer.NoticeCodec;
 import org.yuccagw.adapters.peer.PeerCodec;
 import org.yuccagw.adapters.peer.PlacementCodec;
 import org.yuccagw.adapters.peer.RateLimitCodec;
@@ -36,8 +37,8 @@
 import org.yuccagw.core.placing.PlacingRelay;
 import org.yuccagw.core.placing.Work;
 import org.yuccagw.core.port.PeerMessage;
+import org.yuccagw.core.ratelimit.EndpointAsks;
 import org.yuccagw.core.ratelimit.OwnCalls;
-import org.yuccagw.core.ratelimit.RateLimitNews;
 import org.yuccagw.core.ratelimit.RateLimitsPart;
 import org.yuccagw.core.ratelimit.Senders;
 import org.yuccagw.core.stores.EngineCachesPart;
@@ -74,9 +75,11 @@
         peers = PeersPart.of(this, settings.seeds());
         NamedWeightsPart weights = NamedWeightsPart.of(settings.bounds().oldWeightsAllowed());
         stores = StoresPart.of(peers::firstLeads);
-        NoticesPart notices = NoticesPart.create();
-        RateLimitsPart rateLimits = RateLimitsPart.of(new Limiting());
-        OwnCalls calls = OwnCalls.of(rateLimits, notices);
+        Limiting fleet = new Limiting();
+        NoticesPart notices = NoticesPart.of(fleet);
+        RateLimitsPart rateLimits = RateLimitsPart.of(fleet);
+        EndpointAsks asks = new EndpointAsks(rateLimits, notices);
+        OwnCalls calls = OwnCalls.of(asks);
         EngineCachesPart caches = EngineCachesPart.of(peers::ownLeads, calls);
         PlacingDesk desk = PlacingDesk.of(this::workOf, notices);
         placing = PlacingPart.of(
@@ -85,10 +88,10 @@
                 weights,
                 stores,
                 caches,
-                rateLimits,
+                asks,
                 new Placing(),
                 desk);
-        PlacingRelay relay = PlacingRelay.of(this::placersOf, placing::usableEndpoint, notices);
+        PlacingRelay relay = PlacingRelay.of(this::placersOf, placing::usableEndpoint, placing::spared, notices);
         duty = DutyPart.of(
                 WEIGHTS_DUTY,
                 codec,
@@ -145,8 +148,12 @@
     }
 
     static PeerCodec codec() {
-        return PeerCodec.of(
-                List.of(StatusCodec.create(), FollowCodec.create(), PlacementCodec.create(), RateLimitCodec.create()));
+        return PeerCodec.of(List.of(
+                StatusCodec.create(),
+                FollowCodec.create(),
+                PlacementCodec.create(),
+                RateLimitCodec.create(),
+                NoticeCodec.create()));
     }
 
     private Work workOf(long ticket) {
@@ -235,7 +242,7 @@
         return domain.equals(ownDomain) && peers.ownLeads().contains(self) && peers.hearsMostOfOwnDomain();
     }
 
-    /** Who sends to endpoints with a rate limit, and who hears of it. */
+    /** Who sends to endpoints with a rate limit, and who hears what endpoints say of themselves. */
     private final class Limiting implements RateLimitsPart.Fleet {
         @Override
         public Senders sendersTo(ListedEndpoint endpoint) {
@@ -246,7 +253,7 @@
         }
 
         @Override
-        public void tell(RateLimitNews news) {
+        public void tell(PeerMessage news) {
             if (peers.allLeads().contains(self)) {
                 peers.tellAll(news);
             } else {
@@ -255,7 +262,7 @@
         }
 
         @Override
-        public void tellFollowers(RateLimitNews news) {
+        public void tellFollowers(PeerMessage news) {
             if (peers.ownLeads().contains(self)) {
                 peers.tellFollowers(news);
             }
--- a/src/test/java/org/yuccagw/core/ratelimit/NoOthers.java
+++ b/src/test/java/org/yuccagw/core/ratelimit/NoOthers.java
@@ -3,6 +3,7 @@
 import org.yuccagw.core.fleet.ListedEndpoint;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.notice.NoticesPart;
+import org.yuccagw.core.port.PeerMessage;
 
 /** The surroundings of an entry that hears of no other one. */
 public final class NoOthers implements RateLimitsPart.Fleet {
@@ -10,7 +11,8 @@
 
     /** Calls to endpoints that ask for nothing. */
     public static OwnCalls unlimitedCalls() {
-        return OwnCalls.of(RateLimitsPart.of(new NoOthers()), NoticesPart.create());
+        NoOthers nobody = new NoOthers();
+        return OwnCalls.of(new EndpointAsks(RateLimitsPart.of(nobody), NoticesPart.of(nobody)));
     }
 
     @Override
@@ -19,10 +21,10 @@
     }
 
     @Override
-    public void tell(RateLimitNews news) {}
+    public void tell(PeerMessage news) {}
 
     @Override
-    public void tellFollowers(RateLimitNews news) {}
+    public void tellFollowers(PeerMessage news) {}
 
     @Override
     public boolean speaksFor(EntryId from) {
