Send no requests to an endpoint for as long as it said that it wants none

Callers were refused though three quarters of the engines had room: four of thirteen turned everything away with 503 and Retry-After 3 s, every entry went on sending them 6 to 15 requests a second, and the repeats spent the retry budget (BUDGET: 4 and 10 calls of one entry within three seconds, 2 allowed).

What an endpoint wants of one entry binds that entry, whoever decides: it counts among the candidates as one that will take requests soon; a lead is told to leave it out, and what it names all the same is given back.

--- a/src/main/java/org/yuccagw/core/notice/NoticesPart.java
+++ b/src/main/java/org/yuccagw/core/notice/NoticesPart.java
@@ -60,8 +60,8 @@
         private int requests;
         private int otherCalls;
 
-        private boolean isOver(long nowNanos) {
-            return nowNanos - untilNanos >= 0;
+        private Duration left(long nowNanos) {
+            return Duration.ofNanos(Math.max(0, untilNanos - nowNanos));
         }
     }
 
@@ -95,6 +95,17 @@
         return leavingNanos.containsKey(endpoint);
     }
 
+    /** Whether the endpoint wants nothing from this entry now. */
+    public boolean backsOff(EndpointIncarnation endpoint) {
+        return !backOffLeft(endpoint).isZero();
+    }
+
+    /** How much longer the endpoint wants nothing from this entry; zero if it said nothing like that. */
+    public Duration backOffLeft(EndpointIncarnation endpoint) {
+        BackOff known = backOffs.get(endpoint);
+        return known == null ? Duration.ZERO : known.left(context.nowNanos());
+    }
+
     /** Notes that a request of a caller of this entry is sent there now. */
     public void sendsRequest(EndpointIncarnation endpoint) {
         BackOff known = backOffs.get(endpoint);
@@ -192,7 +203,7 @@
     }
 
     private boolean endIfOver(EndpointIncarnation endpoint, BackOff known, long now) {
-        if (!known.isOver(now)) {
+        if (!known.left(now).isZero()) {
             return false;
         }
         context.perform(Decision.of("back-off-over")
--- a/src/main/java/org/yuccagw/core/placing/Candidates.java
+++ b/src/main/java/org/yuccagw/core/placing/Candidates.java
@@ -21,7 +21,9 @@
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.ServiceName;
+import org.yuccagw.core.notice.NoticesPart;
 import org.yuccagw.core.peers.PeersPart;
+import org.yuccagw.core.ratelimit.EndpointAsks;
 import org.yuccagw.core.ratelimit.RateLimitsPart;
 
 /** Which endpoints may take a request at present, whatever it would cost there. */
@@ -34,6 +36,7 @@
     private final Regions regions;
     private final NamedWeightsPart weights;
     private final RateLimitsPart rateLimits;
+    private final NoticesPart notices;
     private final PlacingPart.Fleet fleet;
     private Optional<Deployment> deployment = Optional.empty();
     private ControlContext context;
@@ -50,13 +53,14 @@
             ColdLimit cold,
             Regions regions,
             NamedWeightsPart weights,
-            RateLimitsPart rateLimits,
+            EndpointAsks asks,
             PlacingPart.Fleet fleet) {
         this.endpoints = endpoints;
         this.cold = cold;
         this.regions = regions;
         this.weights = weights;
-        this.rateLimits = rateLimits;
+        this.rateLimits = asks.rateLimits();
+        this.notices = asks.notices();
         this.fleet = fleet;
     }
 
@@ -82,8 +86,8 @@
 
     /**
      * The endpoints that may take the request now. One that loads, is cold or names a rate limit and has got all that
-     * it takes, has just turned a request away or couldn't be reached is none while others are there; if all are like
-     * that, those that couldn't be reached are tried.
+     * it takes, wants nothing for a while, has just turned a request away or couldn't be reached is none while others
+     * are there; if all are like that, those that couldn't be reached are tried.
      */
     List<EndpointState> of(PlaceAsked asked) {
         long now = context.nowNanos();
@@ -95,7 +99,7 @@
             if (!mayTake(endpoint, asked, homes)) {
                 continue;
             }
-            if (!bearsAnother(endpoint) || !rateLimits.allows(endpoint.listed())) {
+            if (!bearsAnother(endpoint)) {
                 soon = true;
             } else if (endpoint.isAvoided(now)) {
                 unreached.add(endpoint);
@@ -175,8 +179,13 @@
                 .orElse(ColdTraits.NEVER_COLD);
     }
 
-    /** Whether the endpoint isn't cold, or this entry may send one more request to it all the same. */
+    /** Whether this entry may send one more request there now, by all that the endpoint asks for. */
     private boolean bearsAnother(EndpointState endpoint) {
+        ListedEndpoint listed = endpoint.listed();
+        return !notices.backsOff(listed.incarnation()) && bearsAnotherWhileCold(endpoint) && rateLimits.allows(listed);
+    }
+
+    private boolean bearsAnotherWhileCold(EndpointState endpoint) {
         long now = context.nowNanos();
         if (!endpoint.isCold(now)) {
             return true;
--- a/src/main/java/org/yuccagw/core/placing/EndpointTable.java
+++ b/src/main/java/org/yuccagw/core/placing/EndpointTable.java
@@ -101,14 +101,6 @@
                 .filter(endpoint -> endpoint.listed().incarnation().equals(incarnation));
     }
 
-    /** Endpoints that are there and leave. */
-    List<EndpointId> leaving() {
-        return endpoints.values().stream()
-                .filter(EndpointState::leaving)
-                .map(endpoint -> endpoint.listed().id())
-                .toList();
-    }
-
     /** How many requests run on an endpoint, as far as known. */
     int requestsOn(EndpointId endpoint) {
         EndpointState state = endpoints.get(endpoint);
--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -30,6 +30,7 @@
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.ServiceName;
+import org.yuccagw.core.notice.NoticesPart;
 import org.yuccagw.core.peers.PeerStatus;
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.placing.WaitingRequests.Waiting;
@@ -76,6 +77,7 @@
     private final NamedWeightsPart weights;
     private final StoresPart stores;
     private final RateLimitsPart rateLimits;
+    private final NoticesPart notices;
     private final PromptNeeds needs;
     private final Fleet fleet;
     private final Answers answers;
@@ -125,6 +127,7 @@
             Answers answers) {
         this.endpoints = new EndpointTable(this::coldTraits, asks.notices()::isLeaving);
         this.rateLimits = asks.rateLimits();
+        this.notices = asks.notices();
         this.regions = regions;
         this.retries = bounds.retries();
         this.stores = stores;
@@ -132,7 +135,7 @@
         this.weights = weights;
         this.fleet = fleet;
         this.answers = answers;
-        this.candidates = new Candidates(endpoints, new ColdLimit(bounds.cold()), regions, weights, rateLimits, fleet);
+        this.candidates = new Candidates(endpoints, new ColdLimit(bounds.cold()), regions, weights, asks, fleet);
     }
 
     /**
@@ -236,17 +239,26 @@
         return attempt == null ? Work.NONE : attempt.work;
     }
 
-    /** The endpoint, if it may be used as far as this entry knows. */
+    /** The endpoint, if this entry may send a request there as far as it knows. */
     public Optional<ListedEndpoint> usableEndpoint(EndpointIncarnation incarnation) {
         return endpoints
                 .present(incarnation)
                 .filter(endpoint -> endpoint.isUsable(context.nowNanos()))
-                .map(EndpointState::listed);
+                .map(EndpointState::listed)
+                .filter(endpoint -> !notices.backsOff(endpoint.incarnation()));
     }
 
     /** Endpoints to which this entry sends nothing, whoever decides. */
     public List<EndpointId> spared() {
-        return endpoints.leaving();
+        return endpoints.all().stream()
+                .filter(this::isSpared)
+                .map(EndpointState::listed)
+                .map(ListedEndpoint::id)
+                .toList();
+    }
+
+    private boolean isSpared(EndpointState endpoint) {
+        return endpoint.leaving() || notices.backsOff(endpoint.listed().incarnation());
     }
 
     /** Entries that may serve the request where this one may send nothing; empty if this one may. */
