Make no calls of our own to an engine for as long as it wants none

Cache events aren't followed until the time is over; calls about weights are at most a question and an order, the next one waits for its end.

BackOffTest: callsForCacheEventsStopToo failed before with up to 206 calls of one entry in 12 s (46 once requests had stopped), newWeightsReachAnEngine... with 10 in 3 s, 2 allowed; both green, and the weights arrive in time. RateLimitTest green.

--- a/src/main/java/org/yuccagw/core/ratelimit/OwnCalls.java
+++ b/src/main/java/org/yuccagw/core/ratelimit/OwnCalls.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.ratelimit;
 
+import com.google.common.collect.Comparators;
 import java.time.Duration;
 import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.notice.NoticesPart;
@@ -21,12 +22,12 @@
 
     /** Whether the endpoint asks for so few calls that all are needed for requests. */
     public boolean asksForFewer(EndpointIncarnation endpoint) {
-        return rateLimits.isLimited(endpoint);
+        return rateLimits.isLimited(endpoint) || notices.backsOff(endpoint);
     }
 
     /** How long after a call the next one has to wait. */
     public Duration apart(EndpointIncarnation endpoint) {
-        return rateLimits.betweenCalls(endpoint);
+        return Comparators.max(rateLimits.betweenCalls(endpoint), notices.backOffLeft(endpoint));
     }
 
     /** Notes that a call is made now. */
