Try an endpoint that turned requests away with one request first, and tell those that place of it

At the end of the time all that waited would have arrived together (16 of one entry within 400 ms), and a lead that was turned away itself left the endpoint out for all its followers (14 requests where another engine gets 197). Every other entry found out by itself, each by a repeat.

BackOff, one for each endpoint that turned somebody away: it binds the entry that was turned away; two entries that were are a sign that there is no room for others either, and then it is used only where nothing else is there; after that one request at a time goes there until one is answered. Entries tell all that place in a mesh, else the leads of their domain.

--- a/src/main/java/org/yuccagw/adapters/peer/NoticeCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/NoticeCodec.java
@@ -1,5 +1,6 @@
 package org.yuccagw.adapters.peer;
 
+import java.time.Duration;
 import java.util.Optional;
 import org.yuccagw.core.notice.EndpointNews;
 import org.yuccagw.core.port.PeerMessage;
@@ -19,7 +20,10 @@
         if (!(message instanceof EndpointNews news)) {
             return false;
         }
-        envelope.setEndpointNews(EndpointNewsMessage.newBuilder().setEndpoint(EndpointStarts.encode(news.endpoint())));
+        envelope.setEndpointNews(EndpointNewsMessage.newBuilder()
+                .setEndpoint(EndpointStarts.encode(news.endpoint()))
+                .setLeaving(news.leaving())
+                .setBackOffMillis(news.backOff().orElse(Duration.ZERO).toMillis()));
         return true;
     }
 
@@ -28,7 +32,10 @@
         if (!envelope.hasEndpointNews()) {
             return Optional.empty();
         }
-        return Optional.of(new EndpointNews(
-                EndpointStarts.decode(envelope.getEndpointNews().getEndpoint())));
+        EndpointNewsMessage wire = envelope.getEndpointNews();
+        Optional<Duration> backOff = wire.getBackOffMillis() > 0
+                ? Optional.of(Duration.ofMillis(wire.getBackOffMillis()))
+                : Optional.empty();
+        return Optional.of(new EndpointNews(EndpointStarts.decode(wire.getEndpoint()), wire.getLeaving(), backOff));
     }
 }
--- a/src/main/java/org/yuccagw/core/notice/NoticesPart.java
+++ b/src/main/java/org/yuccagw/core/notice/NoticesPart.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
@@ -31,6 +32,9 @@
     /** Longer than any endpoint takes to end. */
     private static final Duration LEAVING_KEPT = Duration.ofMinutes(10);
 
+    /** Of an endpoint to which nobody sends anything. */
+    private static final Duration UNPROVEN_KEPT = Duration.ofMinutes(1);
+
     /** Names of headers come from outside. */
     private static final int MOST_UNKNOWN_NAMES = 50;
 
@@ -54,17 +58,6 @@
         return new NoticesPart(spread);
     }
 
-    /** An endpoint that wants nothing from this entry until a time. */
-    private static final class BackOff {
-        private long untilNanos;
-        private int requests;
-        private int otherCalls;
-
-        private Duration left(long nowNanos) {
-            return Duration.ofNanos(Math.max(0, untilNanos - nowNanos));
-        }
-    }
-
     @Override
     public void start(ControlContext startContext) {
         context = startContext;
@@ -106,11 +99,56 @@
         return known == null ? Duration.ZERO : known.left(context.nowNanos());
     }
 
+    /**
+     * Whether a request may be placed there now.
+     *
+     * @param own whether this entry sends it itself
+     */
+    public boolean mayPlace(EndpointIncarnation endpoint, boolean own) {
+        BackOff known = backOffs.get(endpoint);
+        if (known == null) {
+            return true;
+        }
+        long now = context.nowNanos();
+        boolean refusesThis = own && !known.left(now).isZero();
+        return !refusesThis && !known.isProbed(now);
+    }
+
+    /** Whether the endpoint turned several entries away, so that it has no room for others either. */
+    public boolean isFull(EndpointIncarnation endpoint) {
+        BackOff known = backOffs.get(endpoint);
+        return known != null && known.isFull(context.nowNanos());
+    }
+
+    /** Notes that a request is placed there now, by this entry for itself or for another one. */
+    public void places(EndpointIncarnation endpoint) {
+        BackOff known = backOffs.get(endpoint);
+        if (known != null) {
+            known.placed(context.nowNanos());
+        }
+    }
+
+    /** Notes that a request that was placed there then is answered. */
+    public void answered(EndpointIncarnation endpoint, long placedNanos) {
+        BackOff known = backOffs.get(endpoint);
+        if (known != null && known.answered(placedNanos, context.nowNanos())) {
+            end(endpoint, backOffs.remove(endpoint));
+        }
+    }
+
+    /** Notes that a request that was placed there ended without an answer. */
+    public void unanswered(EndpointIncarnation endpoint) {
+        BackOff known = backOffs.get(endpoint);
+        if (known != null) {
+            known.unanswered();
+        }
+    }
+
     /** Notes that a request of a caller of this entry is sent there now. */
     public void sendsRequest(EndpointIncarnation endpoint) {
         BackOff known = backOffs.get(endpoint);
         if (known != null) {
-            known.requests++;
+            known.countRequest(context.nowNanos());
         }
     }
 
@@ -118,7 +156,7 @@
     public void sendsCall(EndpointIncarnation endpoint) {
         BackOff known = backOffs.get(endpoint);
         if (known != null) {
-            known.otherCalls++;
+            known.countOtherCall(context.nowNanos());
         }
     }
 
@@ -134,7 +172,10 @@
     }
 
     private void learn(EntryId from, EndpointNews news) {
-        leave(news.endpoint(), from);
+        if (news.leaving()) {
+            leave(news.endpoint(), from);
+        }
+        news.backOff().ifPresent(time -> backOffOf(news.endpoint()).asked(from, time, context.nowNanos()));
     }
 
     private void leave(EndpointIncarnation endpoint, EntryId from) {
@@ -144,7 +185,7 @@
         context.perform(
                 Decision.of("endpoint-said-leaving").with("endpoint", endpoint).with("from", from));
         context.raise(new EndpointLeaves(endpoint));
-        EndpointNews news = new EndpointNews(endpoint);
+        EndpointNews news = new EndpointNews(endpoint, true, Optional.empty());
         if (from.equals(context.self().entry()) || spread.speaksFor(from)) {
             spread.tell(news);
         }
@@ -160,22 +201,23 @@
         return first;
     }
 
-    /** One that is asked for while another one lasts ends when the later one of both does. */
     private void backOff(EndpointIncarnation endpoint, Duration time) {
-        long until = context.nowNanos() + time.toNanos();
-        BackOff known = backOffs.get(endpoint);
-        if (known == null) {
-            known = new BackOff();
-            known.untilNanos = until;
-            backOffs.put(endpoint, known);
+        EntryId self = context.self().entry();
+        boolean first = !backsOff(endpoint);
+        backOffOf(endpoint).asked(self, time, context.nowNanos());
+        if (first) {
             context.perform(
                     Decision.of("back-off-asked").with("endpoint", endpoint).with("millis", time.toMillis()));
-            sweepLater();
-        } else if (until - known.untilNanos > 0) {
-            known.untilNanos = until;
+            spread.tell(new EndpointNews(endpoint, false, Optional.of(time)));
         }
     }
 
+    private BackOff backOffOf(EndpointIncarnation endpoint) {
+        sweepLater();
+        return backOffs.computeIfAbsent(
+                endpoint, first -> BackOff.knownTo(context.self().entry()));
+    }
+
     private void logUnknown(EndpointIncarnation endpoint, String name) {
         if (unknownNames.size() < MOST_UNKNOWN_NAMES && unknownNames.add(name)) {
             context.perform(
@@ -196,20 +238,24 @@
         sweepScheduled = false;
         long now = context.nowNanos();
         leavingNanos.values().removeIf(since -> now - since > LEAVING_KEPT.toNanos());
-        backOffs.entrySet().removeIf(each -> endIfOver(each.getKey(), each.getValue(), now));
+        backOffs.entrySet().removeIf(each -> endIfSilent(each.getKey(), each.getValue(), now));
         if (!leavingNanos.isEmpty() || !backOffs.isEmpty()) {
             sweepLater();
         }
     }
 
-    private boolean endIfOver(EndpointIncarnation endpoint, BackOff known, long now) {
-        if (!known.left(now).isZero()) {
-            return false;
+    private boolean endIfSilent(EndpointIncarnation endpoint, BackOff known, long now) {
+        boolean silent = known.isSilentFor(UNPROVEN_KEPT, now);
+        if (silent) {
+            end(endpoint, known);
         }
+        return silent;
+    }
+
+    private void end(EndpointIncarnation endpoint, BackOff known) {
         context.perform(Decision.of("back-off-over")
                 .with("endpoint", endpoint)
-                .with("requests", known.requests)
-                .with("other_calls", known.otherCalls));
-        return true;
+                .with("requests", known.requests())
+                .with("other_calls", known.otherCalls()));
     }
 }
--- a/src/main/java/org/yuccagw/core/placing/Candidates.java
+++ b/src/main/java/org/yuccagw/core/placing/Candidates.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.deployment.BackEndService;
@@ -38,6 +39,7 @@
     private final RateLimitsPart rateLimits;
     private final NoticesPart notices;
     private final PlacingPart.Fleet fleet;
+    private final Predicate<PlaceAsked> own;
     private Optional<Deployment> deployment = Optional.empty();
     private ControlContext context;
     private long startedNanos;
@@ -46,7 +48,9 @@
      * The candidates as one entry knows them.
      *
      * @param cold bounds what is sent to cold endpoints
+     * @param asks what endpoints ask of this entry
      * @param fleet the other entries that place requests
+     * @param own which requests this entry sends itself
      */
     Candidates(
             EndpointTable endpoints,
@@ -54,7 +58,8 @@
             Regions regions,
             NamedWeightsPart weights,
             EndpointAsks asks,
-            PlacingPart.Fleet fleet) {
+            PlacingPart.Fleet fleet,
+            Predicate<PlaceAsked> own) {
         this.endpoints = endpoints;
         this.cold = cold;
         this.regions = regions;
@@ -62,6 +67,7 @@
         this.rateLimits = asks.rateLimits();
         this.notices = asks.notices();
         this.fleet = fleet;
+        this.own = own;
     }
 
     void start(ControlContext startContext) {
@@ -87,29 +93,34 @@
     /**
      * The endpoints that may take the request now. One that loads, is cold or names a rate limit and has got all that
      * it takes, wants nothing for a while, has just turned a request away or couldn't be reached is none while others
-     * are there; if all are like that, those that couldn't be reached are tried.
+     * are there. If all are like that, those that turned other entries away are tried; if there are none, those
+     * that couldn't be reached.
      */
     List<EndpointState> of(PlaceAsked asked) {
         long now = context.nowNanos();
         Homes homes = asked.homes();
         List<EndpointState> ready = new ArrayList<>();
+        List<EndpointState> full = new ArrayList<>();
         List<EndpointState> unreached = new ArrayList<>();
         boolean soon = false;
         for (EndpointState endpoint : endpoints.all()) {
             if (!mayTake(endpoint, asked, homes)) {
                 continue;
             }
-            if (!bearsAnother(endpoint)) {
+            if (!bearsAnother(endpoint, asked)) {
                 soon = true;
             } else if (endpoint.isAvoided(now)) {
                 unreached.add(endpoint);
             } else if (endpoint.isLoading(now) || endpoint.hasJustShed(now)) {
                 soon = true;
+            } else if (notices.isFull(endpoint.listed().incarnation())) {
+                full.add(endpoint);
             } else {
                 ready.add(endpoint);
             }
         }
-        return ready.isEmpty() && !soon ? unreached : ready;
+        List<EndpointState> best = ready.isEmpty() ? full : ready;
+        return best.isEmpty() && !soon ? unreached : best;
     }
 
     /**
@@ -180,9 +191,10 @@
     }
 
     /** Whether this entry may send one more request there now, by all that the endpoint asks for. */
-    private boolean bearsAnother(EndpointState endpoint) {
+    private boolean bearsAnother(EndpointState endpoint, PlaceAsked asked) {
         ListedEndpoint listed = endpoint.listed();
-        return !notices.backsOff(listed.incarnation()) && bearsAnotherWhileCold(endpoint) && rateLimits.allows(listed);
+        boolean wanted = notices.mayPlace(listed.incarnation(), own.test(asked));
+        return wanted && bearsAnotherWhileCold(endpoint) && rateLimits.allows(listed);
     }
 
     private boolean bearsAnotherWhileCold(EndpointState endpoint) {
--- a/src/main/java/org/yuccagw/core/placing/PlacingDesk.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingDesk.java
@@ -152,6 +152,11 @@
         }
     }
 
+    @Override
+    public boolean isOwn(PlaceAsked asked) {
+        return !asking.containsKey(asked);
+    }
+
     @Override
     public void waits(PlaceAsked asked) {
         Asker asker = asking.get(asked);
--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -135,7 +135,8 @@
         this.weights = weights;
         this.fleet = fleet;
         this.answers = answers;
-        this.candidates = new Candidates(endpoints, new ColdLimit(bounds.cold()), regions, weights, asks, fleet);
+        this.candidates =
+                new Candidates(endpoints, new ColdLimit(bounds.cold()), regions, weights, asks, fleet, answers::isOwn);
     }
 
     /**
@@ -187,6 +188,9 @@
     public interface Answers {
         void decided(PlaceAsked asked, PlaceDecision decision);
 
+        /** Whether the caller of the request is one of this entry. */
+        boolean isOwn(PlaceAsked asked);
+
         /** No endpoint has room, and the decision comes later. */
         void waits(PlaceAsked asked);
     }
@@ -417,6 +421,7 @@
         endpoint.add(work);
         endpoint.sent(context.nowNanos());
         rateLimits.sendsRequest(endpoint.listed().incarnation());
+        notices.places(endpoint.listed().incarnation());
         tellIfLong(endpoint, work);
         running.put(ticket, new Running(chosen, asked, work, alone, context.nowNanos()));
         OptionalLong version = asked.prompt().isPresent()
@@ -556,6 +561,7 @@
         attempt.endpoint.remove(before);
         attempt.work = before.begun();
         attempt.endpoint.add(attempt.work);
+        notices.answered(attempt.endpoint.listed().incarnation(), attempt.sinceNanos);
         tellIfLong(attempt.endpoint, before);
         lookIfWaiting();
     }
@@ -575,6 +581,11 @@
                     new ModelWeights(attempt.model().get(), ended.version().getAsLong()));
         }
         note(endpoint, ended.end(), attempt);
+        if (ended.end() == End.ANSWERED || ended.end() == End.FAULT) {
+            notices.answered(incarnation, attempt.sinceNanos);
+        } else {
+            notices.unanswered(incarnation);
+        }
         if (ended.end() == End.ANSWERED) {
             suspects.clear(attempt.asked.fingerprint());
         } else if (ended.end() == End.BROKEN) {
