Refuse at once what no endpoint takes until a caller's patience is over

While all endpoints of a service turned requests away, callers were held for their whole wait and then told to come back within 300 ms, to be held again. Now such a request is refused at once, with the time until the first endpoint takes requests again: what this entry was asked for itself, or two others were. An entry of a large fleet decides that alone, without asking a lead.

--- a/src/main/java/org/yuccagw/core/notice/BackOff.java
+++ b/src/main/java/org/yuccagw/core/notice/BackOff.java
@@ -1,6 +1,7 @@
 package org.yuccagw.core.notice;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -63,6 +64,17 @@
         return lasting(nowNanos) >= ENTRIES_OF_A_FULL_ONE;
     }
 
+    /** Until it wants something from all entries but one. */
+    Duration fullLeft(long nowNanos) {
+        long left = untilNanos.values().stream()
+                .map(until -> until - nowNanos)
+                .sorted(Comparator.reverseOrder())
+                .skip(ENTRIES_OF_A_FULL_ONE - 1L)
+                .findFirst()
+                .orElse(0L);
+        return Duration.ofNanos(Math.max(0, left));
+    }
+
     private long lasting(long nowNanos) {
         return untilNanos.values().stream()
                 .filter(until -> until - nowNanos > 0)
--- a/src/main/java/org/yuccagw/core/notice/NoticesPart.java
+++ b/src/main/java/org/yuccagw/core/notice/NoticesPart.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.notice;
 
+import com.google.common.collect.Comparators;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -120,6 +121,26 @@
         return known != null && known.isFull(context.nowNanos());
     }
 
+    /** Whether any endpoint turned requests away lately. */
+    public boolean isAnyBackingOff() {
+        return !backOffs.isEmpty();
+    }
+
+    /**
+     * How much longer the endpoint turns requests away as far as known.
+     *
+     * @param own whether this entry sends them itself
+     */
+    public Duration turnsAwayFor(EndpointIncarnation endpoint, boolean own) {
+        BackOff known = backOffs.get(endpoint);
+        if (known == null) {
+            return Duration.ZERO;
+        }
+        long now = context.nowNanos();
+        Duration full = known.fullLeft(now);
+        return own ? Comparators.max(full, known.left(now)) : full;
+    }
+
     /** Notes that a request is placed there now, by this entry for itself or for another one. */
     public void places(EndpointIncarnation endpoint) {
         BackOff known = backOffs.get(endpoint);
--- a/src/main/java/org/yuccagw/core/placing/Candidates.java
+++ b/src/main/java/org/yuccagw/core/placing/Candidates.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -170,6 +171,19 @@
         return owners;
     }
 
+    /** Until the first endpoint takes requests again, if all that may take this one turn requests away; else zero. */
+    Duration turnedAwayFor(PlaceAsked asked) {
+        if (!notices.isAnyBackingOff()) {
+            return Duration.ZERO;
+        }
+        boolean isOwn = own.test(asked);
+        return endpoints.all().stream()
+                .filter(endpoint -> mayTake(endpoint, asked, asked.homes()))
+                .map(endpoint -> notices.turnsAwayFor(endpoint.listed().incarnation(), isOwn))
+                .min(Comparator.naturalOrder())
+                .orElse(Duration.ZERO);
+    }
+
     private List<ListedEndpoint> ableIfAllLimited(PlaceAsked asked) {
         if (rateLimits.isEmpty()) {
             return List.of();
--- a/src/main/java/org/yuccagw/core/placing/PlacingPart.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacingPart.java
@@ -252,6 +252,11 @@
                 .filter(endpoint -> !notices.backsOff(endpoint.incarnation()));
     }
 
+    /** Whether all endpoints for the request turn requests away, so that no other entry needs to be asked. */
+    public boolean isTurnedAway(PlaceAsked asked) {
+        return !candidates.turnedAwayFor(asked).isZero();
+    }
+
     /** Endpoints to which this entry sends nothing, whoever decides. */
     public List<EndpointId> spared() {
         return endpoints.all().stream()
@@ -384,7 +389,7 @@
         PlaceAsked asked = request.asked();
         List<EndpointState> able = candidates.of(asked);
         if (able.isEmpty()) {
-            return false;
+            return refuseIfTurnedAwayForTooLong(request);
         }
         long leftMillis = asked.leftMillis() - request.waitedMillis(context.nowNanos());
         Optional<EndpointChoice.Chosen> chosen = choose(request, able);
@@ -399,6 +404,16 @@
         return true;
     }
 
+    /** Guards against callers that are held for their whole patience while it is known that no endpoint takes them. */
+    private boolean refuseIfTurnedAwayForTooLong(Waiting request) {
+        long millis = candidates.turnedAwayFor(request.asked()).toMillis();
+        boolean tooLong = millis > (request.untilNanos() - context.nowNanos()) / 1_000_000 && millis > 0;
+        if (tooLong) {
+            refuseOverloaded(request.asked(), millis, "endpoints turn away");
+        }
+        return tooLong;
+    }
+
     private Optional<EndpointChoice.Chosen> choose(Waiting request, List<EndpointState> candidates) {
         PlaceAsked asked = request.asked();
         long now = context.nowNanos();
--- a/src/main/java/org/yuccagw/daemon/GatewayParts.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayParts.java
@@ -162,9 +162,12 @@
 
     /**
      * Leads; in a mesh, where every entry decides by what all tell each other, nobody but those that may send where
-     * this entry may not.
+     * this entry may not. Nobody either where no endpoint takes the request from this entry.
      */
     private List<EntryId> placersOf(PlaceAsked asked) {
+        if (placing.isTurnedAway(asked)) {
+            return List.of();
+        }
         return peers.isMeshed() ? placing.othersWithinLimits(asked) : peers.ownLeads();
     }
 
