--- a/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
+++ b/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
@@ -94,6 +94,22 @@
         assertEquals(effects.notices, ImmutableList.of(new NoticeHeard(FIRST_START, EndpointNotice.NONE, true)));
     }
 
+    // The answer is kept back for a second try, or the request goes elsewhere: what its head says still counts.
+    @Test
+    public void whatAnEndpointSaysOfItselfCountsInAnswersThatAreNotPassedOn() {
+        EndpointNotice leaving = EndpointNotice.ofLeaving();
+        EndpointNotice backOff = EndpointNotice.ofBackOff(Duration.ofSeconds(3));
+        ForwardMachine machine = begin(RouteKind.IDEMPOTENT, false, 3);
+        machine.onPlaced(placed("e1"));
+        machine.onHead(1, noticed(answer(500, true, true), leaving));
+        machine.onPlaced(placed("e1"));
+        machine.onHead(2, noticed(notRun(503), backOff));
+        assertEquals(
+                effects.notices,
+                ImmutableList.of(
+                        new NoticeHeard(FIRST_START, leaving, false), new NoticeHeard(FIRST_START, backOff, false)));
+    }
+
     @Test
     public void anAnswerOfAnotherEndpointSaysNothingOfTheLimitOfTheExpectedOne() {
         ForwardMachine machine = begin(RouteKind.IDEMPOTENT, false, 2);
--- /dev/null
+++ b/src/test/java/org/yuccagw/daemon/NoticeScheduleTest.java
@@ -0,0 +1,82 @@
+package org.yuccagw.daemon;
+
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.yuccagw.bench.control.BenchNode;
+
+/**
+ * Random schedules: engines say that they leave, turn requests away for a while and start again, while entries are
+ * killed, stand still and are cut off, and the key-value service is away. {@code -Dnotice.seeds=50} plays more of them.
+ */
+public class NoticeScheduleTest {
+    private static final String SEEDS = "notice.seeds";
+    private static final int USUAL_SEEDS = 2;
+    private static final int ENGINES = 9;
+    private static final int STEPS = 24;
+    private static final Duration APART = Duration.ofMillis(6);
+    private static final Duration LEAVING_BOUND = Duration.ofSeconds(2);
+    private static final Duration HEARD_BY_THEN = Duration.ofMillis(500);
+    private static final long ALLOWED = 2;
+    private static final int[] SIZES = {8, 20};
+
+    private VirtualLoad load;
+    private SplittableRandom random;
+
+    @DataProvider
+    public Object[][] seeds() {
+        int count = Integer.getInteger(SEEDS, USUAL_SEEDS);
+        List<Object[]> seeds = new ArrayList<>();
+        for (int seed = 0; seed < count; seed++) {
+            for (int entries : SIZES) {
+                seeds.add(new Object[] {seed, entries});
+            }
+        }
+        return seeds.toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "seeds")
+    public void whatEndpointsSayOfThemselvesIsKeptWhateverHappens(int seed, int entries) {
+        load = VirtualLoad.start(entries, ENGINES);
+        load.callEvery(APART);
+        random = new SplittableRandom(seed);
+        for (int step = 0; step < STEPS; step++) {
+            happen();
+            load.play(Duration.ofMillis(500 + random.nextInt(2_000)));
+            assertNothingArrivesAtThoseThatLeave();
+        }
+        List<VirtualLoad.Arrival> sent = new ArrayList<>(load.arrivals);
+        sent.addAll(load.otherCalls);
+        long most = load.mostWhileTurnedAway(HEARD_BY_THEN, sent);
+        assertTrue(most <= ALLOWED, most + " calls of one entry to an engine that had turned it away");
+        assertTrue(load.served > load.refused.size(), load.served + " served, " + load.refused.size() + " refused");
+    }
+
+    private void assertNothingArrivesAtThoseThatLeave() {
+        for (int index = 0; index < ENGINES; index++) {
+            List<VirtualLoad.Arrival> late = load.arrivalsAfterHeardLeaving("engine-" + index, LEAVING_BOUND);
+            assertTrue(late.isEmpty(), late.size() + " requests to engine-" + index + " which leaves");
+        }
+    }
+
+    private void happen() {
+        BenchNode node = load.nodes.get(random.nextInt(load.nodes.size()));
+        String engine = "engine-" + random.nextInt(ENGINES);
+        switch (random.nextInt(10)) {
+            case 0 -> load.restart(node);
+            case 1 -> load.pause(node, Duration.ofMillis(200 + random.nextInt(4_000)));
+            case 2 -> load.cut(node);
+            case 3 -> load.fleet.bench.healNetwork();
+            case 4 -> load.fleet.bench.keyValue().setDown(random.nextBoolean());
+            case 5 -> load.leave(engine);
+            case 6 -> load.restartEngine(engine);
+            case 7 -> load.takeAgain(engine);
+            default -> load.turnAway(engine, Duration.ofMillis(300 + random.nextInt(8_000)));
+        }
+    }
+}
