Make no calls for events to a store for as long as it wants none

StoresPartTest.aStoreThatWantsNoCallsForAWhileGetsNone failed without the change (58 calls where 51 had been made before), green with it.

--- a/src/main/java/org/yuccagw/core/stores/HolderEvents.java
+++ b/src/main/java/org/yuccagw/core/stores/HolderEvents.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -45,6 +46,7 @@
     private final Calls calls;
     private final Map<StoreId, HeldParts> holders = new LinkedHashMap<>();
     private final Map<StoreId, Long> sentNanos = new LinkedHashMap<>();
+    private final Map<StoreId, Long> backOffUntilNanos = new HashMap<>();
     private List<HeldParts> leftToOthers = new ArrayList<>();
     private ControlContext context;
 
@@ -103,6 +105,8 @@
             onChanges(changes);
         } else if (event instanceof StoreAnswer.Listed listed) {
             onListed(listed);
+        } else if (event instanceof StoreAnswer.Noticed noticed) {
+            noticed.notice().backOff().ifPresent(time -> backOff(noticed.store(), time));
         } else if (event instanceof StoreAnswer.Silent silent) {
             onSilent(silent);
         }
@@ -140,7 +144,7 @@
         if (holders.get(store.id()) != held) {
             return;
         }
-        if (!isFollower(store) || !calls.may(store)) {
+        if (!isFollower(store) || !calls.may(store) || backsOff(store.id())) {
             held.doubt();
             leftToOthers.add(held);
             return;
@@ -150,6 +154,21 @@
         context.perform(new StoreCall.AskChanges(store, held.next(), WAIT));
     }
 
+    private void backOff(StoreId holder, Duration time) {
+        backOffUntilNanos.merge(
+                holder, context.nowNanos() + time.toNanos(), (known, until) -> until - known > 0 ? until : known);
+    }
+
+    /** Whether the holder wants no calls from this entry yet. */
+    private boolean backsOff(StoreId holder) {
+        Long until = backOffUntilNanos.get(holder);
+        boolean over = until == null || context.nowNanos() - until >= 0;
+        if (over) {
+            backOffUntilNanos.remove(holder);
+        }
+        return !over;
+    }
+
     /**
      * Whether this entry may follow the holder, which takes a fixed number of calls and turns further ones away: that
      * would cost each of many entries a call in vain several times a second. So the first entries in an order that
--- a/src/test/java/org/yuccagw/core/stores/StoresPartTest.java
+++ b/src/test/java/org/yuccagw/core/stores/StoresPartTest.java
@@ -30,6 +30,7 @@
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.core.id.ServiceName;
 import org.yuccagw.core.id.StoreId;
+import org.yuccagw.core.notice.EndpointNotice;
 import org.yuccagw.core.prompt.PromptPart;
 import org.yuccagw.core.prompt.PromptShape;
 
@@ -57,6 +58,7 @@
         private long epoch = 1;
         private boolean silent;
         private boolean broken;
+        private int calls;
     }
 
     @BeforeMethod
@@ -127,6 +129,21 @@
         assertFalse(plan().hasFetch());
     }
 
+    // It turns calls away since it has too many, and is called again after 0.3 s all the same.
+    @Test
+    public void aStoreThatWantsNoCallsForAWhileGetsNone() {
+        FakeStore fake = fakes.get(LARGE.id());
+        fake.broken = true;
+        node.offer(new StoreAnswer.Noticed(LARGE.id(), EndpointNotice.ofBackOff(Duration.ofSeconds(3))));
+        bench.runFor(Duration.ofMillis(200));
+        int before = fake.calls;
+        bench.runFor(Duration.ofMillis(2_700));
+        assertEquals(fake.calls, before);
+        fake.broken = false;
+        bench.runFor(Duration.ofSeconds(1));
+        assertTrue(fake.calls > before);
+    }
+
     @Test
     public void nothingIsSavedToARestartedStoreUntilEverybodyHasNoticed() {
         tell(LARGE, "session", 5_000);
@@ -204,6 +221,7 @@
     private boolean perform(ControlAction action, ControlInput input) {
         if (action instanceof StoreCall.AskChanges ask) {
             FakeStore fake = fakes.get(ask.store().id());
+            fake.calls++;
             if (!fake.silent) {
                 bench.time().after(Duration.ofMillis(100), () -> input.offer(answer(ask, fake)));
             }
