Test over real sockets that endpoints which leave or turn away get nothing more

Two scripted endpoints, the only ones of their services: one answers 503 with Retry-After 30, the other 200 with the mark that it leaves. Each gets one request; callers of the first are told to come back after more than 20 s.

--- a/src/test/java/org/yuccagw/daemon/GatewayPathTest.java
+++ b/src/test/java/org/yuccagw/daemon/GatewayPathTest.java
@@ -35,6 +35,8 @@
     private KeyValueStandIn keyValue;
     private ScriptedEndpoint endpoint;
     private ScriptedEndpoint inNeed;
+    private ScriptedEndpoint busy;
+    private ScriptedEndpoint leaving;
     private HttpCaller caller;
     private GatewaySettings settings;
     private GatewayDaemon daemon;
@@ -55,15 +57,18 @@
                         .plain("plain")
                         .route("/spared/", "idempotent", "in-need", 3_000, 2)
                         .plain("in-need")
+                        .route("/busy/", "idempotent", "busy", 3_000, 2)
+                        .plain("busy")
+                        .route("/leaving/", "idempotent", "leaving", 3_000, 2)
+                        .plain("leaving")
                         .workspace("ministry", "key-1", false)
                         .bytes());
         keyValue.put(
                 PlatformDocuments.endpointKey("i-1"),
                 PlatformDocuments.endpoint("plain", endpoint.address(), "a", false));
-        inNeed = new ScriptedEndpoint();
-        keyValue.put(
-                PlatformDocuments.endpointKey("i-2"),
-                PlatformDocuments.endpoint("in-need", inNeed.address(), "a", false));
+        inNeed = startEndpoint("i-2", "in-need");
+        busy = startEndpoint("i-3", "busy");
+        leaving = startEndpoint("i-4", "leaving");
         settings = GatewaySettingsReader.parse(
                 SmallDeployment.settings("entry-1", keyValue.address(), SmallDeployment.freePorts(4)));
         daemon = GatewayDaemon.start(settings);
@@ -71,12 +76,21 @@
         await().atMost(LONG).until(() -> ask("/once/x").status() == 200);
     }
 
+    private ScriptedEndpoint startEndpoint(String id, String service) throws IOException {
+        ScriptedEndpoint started = new ScriptedEndpoint();
+        keyValue.put(
+                PlatformDocuments.endpointKey(id), PlatformDocuments.endpoint(service, started.address(), "a", false));
+        return started;
+    }
+
     @AfterClass(alwaysRun = true)
     public void stopAll() throws IOException {
         daemon.halt();
         caller.stop();
         endpoint.close();
         inNeed.close();
+        busy.close();
+        leaving.close();
         keyValue.stop();
     }
 
@@ -237,6 +251,30 @@
         assertEquals(refused, 20 - arrived);
     }
 
+    // It is the only one of its service, wants nothing for thirty seconds, and is asked by every caller all the same.
+    @Test
+    public void anEndpointThatTurnsAwayForAWhileGetsOneRequestAndCallersAreToldWhenToComeBack() throws Exception {
+        await().atMost(LONG)
+                .until(() ->
+                        ask("/busy/busy").status() == 503 && !busy.requests().isEmpty());
+        for (int index = 0; index < 5; index++) {
+            HttpAnswer answer = ask("/busy/busy");
+            assertEquals(answer.status(), 503);
+            assertTrue(Double.parseDouble(answer.header("Retry-After")) > 20, answer.header("Retry-After"));
+        }
+        assertEquals(busy.requests().size(), 1);
+    }
+
+    // Its registration says nothing of it.
+    @Test
+    public void anEndpointThatSaysInAnAnswerThatItLeavesGetsNoFurtherRequest() throws Exception {
+        await().atMost(LONG).until(() -> ask("/leaving/leaving").status() == 200);
+        for (int index = 0; index < 3; index++) {
+            assertEquals(ask("/leaving/leaving").status(), 503);
+        }
+        assertEquals(leaving.requests().size(), 1);
+    }
+
     private HttpAnswer ask(String path) throws Exception {
         return send(request(path, "key-1"));
     }
--- a/src/test/java/org/yuccagw/daemon/ScriptedEndpoint.java
+++ b/src/test/java/org/yuccagw/daemon/ScriptedEndpoint.java
@@ -113,6 +113,12 @@
                 return false;
             }
             case "limited" -> write(out, head(id) + "Server-Limit: 1.0\r\nContent-Length: 4\r\n\r\nbody");
+            case "leaving" -> write(out, head(id) + "Server-Leaving: 1\r\nContent-Length: 4\r\n\r\nbody");
+            case "busy" ->
+                write(
+                        out,
+                        "HTTP/1.1 503 Unavailable\r\nYuccagw-Request-Id: " + id
+                                + "\r\nYuccagw-Not-Executed: 1\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n");
             case "foreign" -> write(out, head("somebody-else") + "Content-Length: 6\r\n\r\nforged");
             case "reset" -> {
                 return false;
