--- a/src/main/java/org/yuccagw/core/forward/AnswerStart.java
+++ b/src/main/java/org/yuccagw/core/forward/AnswerStart.java
@@ -43,9 +43,12 @@
         return ofThisRequest && !encoded && framed && complete;
     }
 
-    /** Whether it says something of the endpoint that was asked, and not of another one at its address. */
+    /**
+     * Whether it says something of the endpoint that was asked, and not of another one at its address. A refusal that
+     * names no request is believed like the refusal itself.
+     */
     boolean isOfExpectedEndpoint() {
-        return ofThisRequest && !fromOther;
+        return (ofThisRequest || notRun) && !fromOther;
     }
 
     boolean isMisdirected() {
--- a/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
+++ b/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
@@ -110,6 +110,18 @@
                         new NoticeHeard(FIRST_START, leaving, false), new NoticeHeard(FIRST_START, backOff, false)));
     }
 
+    // An endpoint that is full answers without looking at the request, so it can't name its id.
+    @Test
+    public void whatAnEndpointSaysOfItselfCountsInARefusalThatNamesNoRequest() {
+        EndpointNotice backOff = EndpointNotice.ofBackOff(Duration.ofSeconds(3));
+        ForwardMachine machine = begin(RouteKind.IDEMPOTENT, false, 3);
+        machine.onPlaced(placed("e1"));
+        AnswerStart refusal =
+                new AnswerStart(503, false, false, true, false, false, true, OptionalLong.empty(), backOff);
+        machine.onHead(1, refusal);
+        assertEquals(effects.notices, ImmutableList.of(new NoticeHeard(FIRST_START, backOff, false)));
+    }
+
     @Test
     public void anAnswerOfAnotherEndpointSaysNothingOfTheLimitOfTheExpectedOne() {
         ForwardMachine machine = begin(RouteKind.IDEMPOTENT, false, 2);
