Ask an engine that turns away and doesn't answer for its state once, not every 1.5 s

A question or order about weights that got no answer was sent again after 1.5 s, whatever the engine had asked for: 7 calls of one entry in 12 s, 2 allowed. The next one now waits for the end of the time, like the one after an answer.

BackOffTest.enginesThatTurnAwayAndDoNotTellTheirState... failed before at all four sizes. newWeightsReach... has two engines now, both turning away, so that the holder of the duty is surely one of the entries that were turned away; with twelve, the word of two others kept it from being turned away itself, and the test would have asked less than before.

--- a/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
+++ b/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
@@ -241,7 +241,8 @@
             Loading loading = each.getValue();
             if (engine != null && context.nowNanos() - loading.nextNanos >= 0) {
                 loading.answerAwaited = true;
-                loading.nextNanos = context.nowNanos() + CALL_PATIENCE.toNanos();
+                loading.nextNanos =
+                        context.nowNanos() + notBefore(engine, CALL_PATIENCE).toNanos();
                 calls.made(engine.incarnation());
                 context.perform(new EngineCall.AskState(engine));
             }
@@ -390,7 +391,8 @@
 
     private void order(ListedEndpoint engine, Loading loading, EngineState state) {
         loading.ordered = true;
-        loading.nextNanos = context.nowNanos() + CALL_PATIENCE.toNanos();
+        loading.nextNanos =
+                context.nowNanos() + notBefore(engine, CALL_PATIENCE).toNanos();
         context.perform(Decision.of("weights-ordered")
                 .with("endpoint", engine.incarnation())
                 .with("model", loading.weights.model())
--- a/src/test/java/org/yuccagw/daemon/BackOffTest.java
+++ b/src/test/java/org/yuccagw/daemon/BackOffTest.java
@@ -70,20 +70,44 @@
         assertSpared(load, allCalls(load));
     }
 
+    /** Two engines, both of which turn every entry away after a second. */
+    private static VirtualLoad startAllBusy(int entries, Duration backOff) {
+        VirtualLoad load = VirtualLoad.start(entries, 2);
+        load.play(Duration.ofSeconds(1));
+        load.turnAway(BUSY, backOff);
+        load.turnAway("engine-1", backOff);
+        return load;
+    }
+
     // The holder of the duty asks an engine that loads for its state many times a second.
     @Test(dataProvider = "sizes")
-    public void newWeightsReachAnEngineThatTurnsAwayInTimeAndWithFewCalls(int entries) {
-        VirtualLoad load = startBusy(entries, BACK_OFF);
+    public void newWeightsReachEnginesThatTurnAwayInTimeAndWithFewCalls(int entries) {
+        VirtualLoad load = startAllBusy(entries, BACK_OFF);
         load.play(Duration.ofSeconds(4));
         load.fleet.nameWeights(2);
         load.play(VirtualFleet.OLD_WEIGHTS_ALLOWED);
         assertTrue(load.fleet.allRun(2), "weights: " + load.fleet.weights);
+        assertSpared(load, callsAndOrders(load));
+    }
+
+    // Their state can't be had, and is asked for again and again.
+    @Test(dataProvider = "sizes")
+    public void enginesThatTurnAwayAndDoNotTellTheirStateAreNotAskedForItAgain(int entries) {
+        VirtualLoad load = startAllBusy(entries, Duration.ofSeconds(12));
+        load.fleet.answerNoStates();
+        load.play(Duration.ofSeconds(2));
+        load.fleet.nameWeights(2);
+        load.play(Duration.ofSeconds(10));
+        assertSpared(load, callsAndOrders(load));
+    }
+
+    private static List<VirtualLoad.Arrival> callsAndOrders(VirtualLoad load) {
         List<VirtualLoad.Arrival> calls = allCalls(load);
         load.fleet.statesAsked.forEach(asked ->
                 calls.add(VirtualLoad.Arrival.ofCall(asked.from(), firstStart(asked.engine()), asked.atNanos())));
         load.fleet.orders.forEach(order ->
                 calls.add(VirtualLoad.Arrival.ofCall(order.from(), firstStart(order.engine()), order.atNanos())));
-        assertSpared(load, calls);
+        return calls;
     }
 
     private static EndpointIncarnation firstStart(EndpointId engine) {
@@ -152,10 +176,7 @@
     // The time is over for many requests that waited for it: one of them has to find out first.
     @Test(dataProvider = "sizes")
     public void whenTheTimeIsOverFewRequestsArriveAtOnce(int entries) {
-        VirtualLoad load = VirtualLoad.start(entries, 2);
-        load.play(Duration.ofSeconds(1));
-        load.turnAway(BUSY, BACK_OFF);
-        load.turnAway("engine-1", BACK_OFF);
+        VirtualLoad load = startAllBusy(entries, BACK_OFF);
         load.play(Duration.ofSeconds(7));
         long most = mostFromOneWithin(load, BUSY, Duration.ofMillis(400));
         assertTrue(most <= ALLOWED, most + " of one entry within 400 ms");
--- a/src/test/java/org/yuccagw/daemon/VirtualFleet.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualFleet.java
@@ -76,6 +76,7 @@
     private final Map<EndpointId, Long> starts = new LinkedHashMap<>();
     private int ordersToIgnore;
     private boolean dropping;
+    private boolean statesUnanswered;
     private long nextRequest = 1;
 
     /** An order that arrived at an engine. */
@@ -194,6 +195,11 @@
         bench.keyValue().put(PlatformDocuments.weightsKey(MODEL), PlatformDocuments.weights(MODEL, version));
     }
 
+    /** Questions for the state of engines get no answer. */
+    void answerNoStates() {
+        statesUnanswered = true;
+    }
+
     /** Orders are neither carried out nor answered. */
     void dropOrders() {
         dropping = true;
@@ -307,10 +313,12 @@
             EntryId from = ((BenchNode) input).entry();
             statesAsked.add(
                     new StateAsked(from, ask.endpoint().id(), bench.time().nowNanos()));
-            bench.time()
-                    .after(
-                            Duration.ofMillis(3),
-                            () -> input.offer(told(ask.endpoint().incarnation())));
+            if (!statesUnanswered) {
+                bench.time()
+                        .after(
+                                Duration.ofMillis(3),
+                                () -> input.offer(told(ask.endpoint().incarnation())));
+            }
             return true;
         }
         if (action instanceof EngineCall.OrderWeights order) {
