Bound the calls about weights within the time for which an engine wants none, and give its turn to others

Two namings of weights within that time cost an engine a question and an order each (4 calls where 2 are allowed; 6 with three namings). Now the time bears two calls, and the next ones wait for its end. An engine that may not be called has no turn to load meanwhile: it would have kept the others from theirs.

VirtualLoad counts states and orders for all its tests.

--- a/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
+++ b/src/main/java/org/yuccagw/core/duty/WeightOrdersPart.java
@@ -113,6 +113,7 @@
     private static final class Loading {
         private final ModelWeights weights;
         private boolean ordered;
+        private long orderedNanos;
         private boolean answerAwaited;
         private long nextNanos;
 
@@ -239,7 +240,7 @@
         for (Map.Entry<EndpointId, Loading> each : new ArrayList<>(inProgress.entrySet())) {
             ListedEndpoint engine = engines.get(each.getKey());
             Loading loading = each.getValue();
-            if (engine != null && context.nowNanos() - loading.nextNanos >= 0) {
+            if (engine != null && isDue(engine, loading)) {
                 loading.answerAwaited = true;
                 loading.nextNanos =
                         context.nowNanos() + notBefore(engine, CALL_PATIENCE).toNanos();
@@ -249,26 +250,31 @@
         }
     }
 
+    private boolean isDue(ListedEndpoint engine, Loading loading) {
+        return context.nowNanos() - loading.nextNanos >= 0 && calls.mayMake(engine.incarnation());
+    }
+
     /** Chooses the next engines, those with the fewest running requests first. */
     private void begin() {
         List<ListedEndpoint> waiting = new ArrayList<>();
         for (ListedEndpoint engine : engines.values()) {
-            if (missing(engine).isPresent() && !inProgress.containsKey(engine.id())) {
+            boolean begun = inProgress.containsKey(engine.id());
+            if (missing(engine).isPresent() && !begun && calls.mayMake(engine.incarnation())) {
                 waiting.add(engine);
             }
         }
         waiting.sort(Comparator.comparingInt(engine -> load.applyAsInt(engine.id())));
-        boolean begun = false;
+        boolean anyBegun = false;
         for (ListedEndpoint engine : waiting) {
             if (hasRoom(engine)) {
                 Loading loading = new Loading(missing(engine).get());
                 Duration wait = isHurried(sameService(engine)) ? Duration.ZERO : NO_NEW_REQUESTS_BEFORE;
                 loading.nextNanos = context.nowNanos() + wait.toNanos();
                 inProgress.put(engine.id(), loading);
-                begun = true;
+                anyBegun = true;
             }
         }
-        if (begun) {
+        if (anyBegun) {
             announce.run();
         }
     }
@@ -279,9 +285,7 @@
      */
     private boolean hasRoom(ListedEndpoint engine) {
         List<ListedEndpoint> pool = sameService(engine);
-        long progressing = pool.stream()
-                .filter(other -> inProgress.containsKey(other.id()))
-                .count();
+        long progressing = pool.stream().filter(this::hasTurn).count();
         long atOnce = atOnce(pool);
         if (isHurried(pool)) {
             return progressing < atOnce;
@@ -297,11 +301,20 @@
 
     private long orderedIn(List<ListedEndpoint> pool) {
         return pool.stream()
-                .map(other -> inProgress.get(other.id()))
-                .filter(loading -> loading != null && loading.ordered)
+                .filter(other -> hasTurn(other) && inProgress.get(other.id()).ordered)
                 .count();
     }
 
+    /** Whether the engine is on its way; one that may not be called for long must not keep others from their turn. */
+    private boolean hasTurn(ListedEndpoint engine) {
+        Loading loading = inProgress.get(engine.id());
+        if (loading == null) {
+            return false;
+        }
+        boolean justOrdered = loading.ordered && context.nowNanos() - loading.orderedNanos < CALL_PATIENCE.toNanos();
+        return justOrdered || calls.mayMake(engine.incarnation());
+    }
+
     private Optional<ModelWeights> missing(ListedEndpoint engine) {
         for (String model : engine.weights().keySet()) {
             if (named.isBehind(model, runs(engine, model))) {
@@ -350,7 +363,8 @@
 
     private boolean mayOrder(ListedEndpoint engine, Loading loading) {
         List<ListedEndpoint> pool = sameService(engine);
-        return loading.ordered || orderedIn(pool) < atOnce(pool);
+        boolean isTurn = loading.ordered || orderedIn(pool) < atOnce(pool);
+        return isTurn && calls.mayMake(engine.incarnation());
     }
 
     private static long calmAtOnce(List<ListedEndpoint> pool) {
@@ -391,6 +405,7 @@
 
     private void order(ListedEndpoint engine, Loading loading, EngineState state) {
         loading.ordered = true;
+        loading.orderedNanos = context.nowNanos();
         loading.nextNanos =
                 context.nowNanos() + notBefore(engine, CALL_PATIENCE).toNanos();
         context.perform(Decision.of("weights-ordered")
--- a/src/main/java/org/yuccagw/core/notice/BackOff.java
+++ b/src/main/java/org/yuccagw/core/notice/BackOff.java
@@ -25,6 +25,9 @@
     /** A request whose answer takes longer says nothing about the others. */
     private static final Duration PROBE_PATIENCE = Duration.ofSeconds(1);
 
+    /** A question for the state of an engine and an order to load weights, which can't always wait. */
+    private static final int CALLS_BORNE = 2;
+
     /** What turns only one entry away may well have room for others. */
     private static final int ENTRIES_OF_A_FULL_ONE = 2;
 
@@ -35,6 +38,7 @@
     private boolean proven;
     private int requests;
     private int otherCalls;
+    private int callsInPresentTime;
 
     private BackOff(EntryId self) {
         this.self = self;
@@ -47,6 +51,9 @@
 
     /** It wants nothing from that entry for so long. A shorter time doesn't end a longer one. */
     void asked(EntryId entry, Duration time, long nowNanos) {
+        if (left(nowNanos).isZero()) {
+            callsInPresentTime = 0;
+        }
         untilNanos.merge(entry, nowNanos + time.toNanos(), (known, until) -> until - known > 0 ? until : known);
         heardNanos = nowNanos;
         probeSentNanos = OptionalLong.empty();
@@ -111,7 +118,15 @@
     }
 
     void countOtherCall(long nowNanos) {
-        otherCalls += left(nowNanos).isZero() ? 0 : 1;
+        if (!left(nowNanos).isZero()) {
+            otherCalls++;
+            callsInPresentTime++;
+        }
+    }
+
+    /** Whether it bears one more call that is no request. */
+    boolean bearsCall(long nowNanos) {
+        return left(nowNanos).isZero() || callsInPresentTime < CALLS_BORNE;
     }
 
     int requests() {
--- a/src/main/java/org/yuccagw/core/notice/NoticesPart.java
+++ b/src/main/java/org/yuccagw/core/notice/NoticesPart.java
@@ -173,6 +173,12 @@
         }
     }
 
+    /** Whether the endpoint bears one more call of this entry that is no request, and that can't wait. */
+    public boolean bearsCall(EndpointIncarnation endpoint) {
+        BackOff known = backOffs.get(endpoint);
+        return known == null || known.bearsCall(context.nowNanos());
+    }
+
     /** Notes a call that is no caller's request, such as one for cache events or for the state of an engine. */
     public void sendsCall(EndpointIncarnation endpoint) {
         BackOff known = backOffs.get(endpoint);
--- a/src/main/java/org/yuccagw/core/ratelimit/OwnCalls.java
+++ b/src/main/java/org/yuccagw/core/ratelimit/OwnCalls.java
@@ -25,6 +25,11 @@
         return rateLimits.isLimited(endpoint) || notices.backsOff(endpoint);
     }
 
+    /** Whether the endpoint bears a call now that can't wait for long. */
+    public boolean mayMake(EndpointIncarnation endpoint) {
+        return notices.bearsCall(endpoint);
+    }
+
     /** How long after a call the next one has to wait. */
     public Duration apart(EndpointIncarnation endpoint) {
         return Comparators.max(rateLimits.betweenCalls(endpoint), notices.backOffLeft(endpoint));
--- a/src/test/java/org/yuccagw/daemon/BackOffTest.java
+++ b/src/test/java/org/yuccagw/daemon/BackOffTest.java
@@ -4,15 +4,12 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.yuccagw.bench.control.BenchNode;
 import org.yuccagw.core.id.EndpointId;
-import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
-import org.yuccagw.standins.platform.PlatformDocuments;
 
 /** Engines that turn requests of an entry away and say for how long they want none of it. */
 public class BackOffTest {
@@ -48,12 +45,6 @@
         assertTrue(most <= ALLOWED, most + " sent by one entry, allowed " + ALLOWED);
     }
 
-    private static List<VirtualLoad.Arrival> allCalls(VirtualLoad load) {
-        List<VirtualLoad.Arrival> all = new ArrayList<>(load.arrivals);
-        all.addAll(load.otherCalls);
-        return all;
-    }
-
     // Each request that arrives is turned away, and the next one is sent there all the same.
     @Test(dataProvider = "sizesAndTimes")
     public void anEndpointThatTurnsAnEntryAwayGetsNoRequestsFromItForAsLongAsItSays(int entries, int millis) {
@@ -67,7 +58,7 @@
     public void callsForCacheEventsStopToo(int entries, int millis) {
         VirtualLoad load = startBusy(entries, Duration.ofMillis(millis));
         load.play(Duration.ofSeconds(15));
-        assertSpared(load, allCalls(load));
+        assertSpared(load, load.allCalls());
     }
 
     /** Two engines, both of which turn every entry away after a second. */
@@ -87,7 +78,35 @@
         load.fleet.nameWeights(2);
         load.play(VirtualFleet.OLD_WEIGHTS_ALLOWED);
         assertTrue(load.fleet.allRun(2), "weights: " + load.fleet.weights);
-        assertSpared(load, callsAndOrders(load));
+        assertSpared(load, load.allCalls());
+    }
+
+    // Operators name weights three times within one time; each naming alone costs a question and an order.
+    @Test(dataProvider = "sizes")
+    public void severalNamingsOfWeightsCostAnEngineThatTurnsAwayNoMoreCalls(int entries) {
+        VirtualLoad load = startAllBusy(entries, Duration.ofSeconds(12));
+        load.play(Duration.ofSeconds(2));
+        for (int version = 2; version <= 4; version++) {
+            load.fleet.nameWeights(version);
+            load.play(Duration.ofSeconds(3));
+        }
+        assertSpared(load, load.allCalls());
+    }
+
+    // It may not be called for a minute, and would keep the turn to load all that time.
+    @Test(dataProvider = "sizes")
+    public void newWeightsReachTheOthersWhileAnEngineWantsNoCalls(int entries) {
+        VirtualLoad load = VirtualLoad.start(entries, 4);
+        load.fleet.nameWeights(2);
+        load.play(VirtualFleet.OLD_WEIGHTS_ALLOWED);
+        load.tellAll(BUSY, Duration.ofSeconds(60));
+        for (int version = 3; version <= 5; version++) {
+            load.fleet.nameWeights(version);
+            load.play(VirtualFleet.OLD_WEIGHTS_ALLOWED);
+        }
+        for (int index = 1; index < 4; index++) {
+            assertEquals(load.fleet.weights.get(EndpointId.of("engine-" + index)), Long.valueOf(5));
+        }
     }
 
     // Their state can't be had, and is asked for again and again.
@@ -98,20 +117,7 @@
         load.play(Duration.ofSeconds(2));
         load.fleet.nameWeights(2);
         load.play(Duration.ofSeconds(10));
-        assertSpared(load, callsAndOrders(load));
-    }
-
-    private static List<VirtualLoad.Arrival> callsAndOrders(VirtualLoad load) {
-        List<VirtualLoad.Arrival> calls = allCalls(load);
-        load.fleet.statesAsked.forEach(asked ->
-                calls.add(VirtualLoad.Arrival.ofCall(asked.from(), firstStart(asked.engine()), asked.atNanos())));
-        load.fleet.orders.forEach(order ->
-                calls.add(VirtualLoad.Arrival.ofCall(order.from(), firstStart(order.engine()), order.atNanos())));
-        return calls;
-    }
-
-    private static EndpointIncarnation firstStart(EndpointId engine) {
-        return EndpointIncarnation.of(engine, PlatformDocuments.FIRST_START_MILLIS);
+        assertSpared(load, load.allCalls());
     }
 
     // A request on its way is turned away too, with a shorter time than the one before.
--- a/src/test/java/org/yuccagw/daemon/GatewayCoreTest.java
+++ b/src/test/java/org/yuccagw/daemon/GatewayCoreTest.java
@@ -315,7 +315,7 @@
     private void assertHoldersAreSeparated() {
         Map<EndpointId, VirtualFleet.Order> last = new HashMap<>();
         for (VirtualFleet.Order order : fleet.orders) {
-            VirtualFleet.Order before = last.put(order.engine(), order);
+            VirtualFleet.Order before = last.put(order.engine().endpoint(), order);
             if (before != null && !before.from().equals(order.from())) {
                 assertTrue(order.atNanos() - before.atNanos() >= VirtualFleet.SEPARATION.toNanos());
                 assertTrue(order.fence() > before.fence());
--- a/src/test/java/org/yuccagw/daemon/NoticeScheduleTest.java
+++ b/src/test/java/org/yuccagw/daemon/NoticeScheduleTest.java
@@ -11,8 +11,9 @@
 import org.yuccagw.bench.control.BenchNode;
 
 /**
- * Random schedules: engines say that they leave, turn requests away for a while and start again, while entries are
- * killed, stand still and are cut off, and the key-value service is away. {@code -Dnotice.seeds=50} plays more of them.
+ * Random schedules: engines say that they leave, turn requests away for a while, load weights and start again, while
+ * entries are killed, stand still and are cut off, and the key-value service is away. {@code -Dnotice.seeds=50} plays
+ * more of them.
  */
 public class NoticeScheduleTest {
     private static final String SEEDS = "notice.seeds";
@@ -27,6 +28,7 @@
 
     private VirtualLoad load;
     private SplittableRandom random;
+    private long weights;
 
     @DataProvider
     public Object[][] seeds() {
@@ -45,14 +47,13 @@
         load = VirtualLoad.start(entries, ENGINES);
         load.callEvery(APART);
         random = new SplittableRandom(seed);
+        weights = 1;
         for (int step = 0; step < STEPS; step++) {
             happen();
             load.play(Duration.ofMillis(500 + random.nextInt(2_000)));
             assertNothingArrivesAtThoseThatLeave();
         }
-        List<VirtualLoad.Arrival> sent = new ArrayList<>(load.arrivals);
-        sent.addAll(load.otherCalls);
-        long most = load.mostWhileTurnedAway(HEARD_BY_THEN, sent);
+        long most = load.mostWhileTurnedAway(HEARD_BY_THEN, load.allCalls());
         assertTrue(most <= ALLOWED, most + " calls of one entry to an engine that had turned it away");
         assertTrue(load.served > load.refused.size(), load.served + " served, " + load.refused.size() + " refused");
     }
@@ -67,7 +68,7 @@
     private void happen() {
         BenchNode node = load.nodes.get(random.nextInt(load.nodes.size()));
         String engine = "engine-" + random.nextInt(ENGINES);
-        switch (random.nextInt(10)) {
+        switch (random.nextInt(11)) {
             case 0 -> load.restart(node);
             case 1 -> load.pause(node, Duration.ofMillis(200 + random.nextInt(4_000)));
             case 2 -> load.cut(node);
@@ -76,6 +77,7 @@
             case 5 -> load.leave(engine);
             case 6 -> load.restartEngine(engine);
             case 7 -> load.takeAgain(engine);
+            case 8 -> load.fleet.nameWeights(++weights);
             default -> load.turnAway(engine, Duration.ofMillis(300 + random.nextInt(8_000)));
         }
     }
--- a/src/test/java/org/yuccagw/daemon/RateLimitTest.java
+++ b/src/test/java/org/yuccagw/daemon/RateLimitTest.java
@@ -171,10 +171,10 @@
         List<Long> all = new ArrayList<>(requestsOn(engine));
         all.addAll(eventCalls.getOrDefault(engine, List.of()));
         fleet.statesAsked.stream()
-                .filter(asked -> asked.engine().value().equals(engine))
+                .filter(asked -> asked.engine().endpoint().value().equals(engine))
                 .forEach(asked -> all.add(asked.atNanos()));
         fleet.orders.stream()
-                .filter(order -> order.engine().value().equals(engine))
+                .filter(order -> order.engine().endpoint().value().equals(engine))
                 .forEach(order -> all.add(order.atNanos()));
         all.sort(null);
         return all;
--- a/src/test/java/org/yuccagw/daemon/VirtualFleet.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualFleet.java
@@ -80,10 +80,10 @@
     private long nextRequest = 1;
 
     /** An order that arrived at an engine. */
-    record Order(EntryId from, EndpointId engine, long fence, long atNanos) {}
+    record Order(EntryId from, EndpointIncarnation engine, long fence, long atNanos) {}
 
     /** A question for the state of an engine. */
-    record StateAsked(EntryId from, EndpointId engine, long atNanos) {}
+    record StateAsked(EntryId from, EndpointIncarnation engine, long atNanos) {}
 
     VirtualFleet() {
         bench.onAction(this::perform);
@@ -311,8 +311,8 @@
     private boolean perform(ControlAction action, ControlInput input) {
         if (action instanceof EngineCall.AskState ask) {
             EntryId from = ((BenchNode) input).entry();
-            statesAsked.add(
-                    new StateAsked(from, ask.endpoint().id(), bench.time().nowNanos()));
+            statesAsked.add(new StateAsked(
+                    from, ask.endpoint().incarnation(), bench.time().nowNanos()));
             if (!statesUnanswered) {
                 bench.time()
                         .after(
@@ -341,7 +341,11 @@
 
     private void carryOut(EntryId from, EngineCall.OrderWeights order, ControlInput input) {
         EndpointId engine = order.endpoint().id();
-        orders.add(new Order(from, engine, order.fence(), bench.time().nowNanos()));
+        orders.add(new Order(
+                from,
+                order.endpoint().incarnation(),
+                order.fence(),
+                bench.time().nowNanos()));
         if (dropping) {
             bench.time().after(Duration.ofSeconds(1), () -> input.offer(unanswered(order)));
             return;
--- a/src/test/java/org/yuccagw/daemon/VirtualLoad.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualLoad.java
@@ -26,6 +26,7 @@
 import org.yuccagw.core.placing.PlaceDecision;
 import org.yuccagw.core.stores.StoreAnswer;
 import org.yuccagw.core.stores.StoreCall;
+import org.yuccagw.standins.platform.PlatformDocuments;
 
 /**
  * Callers of a {@link VirtualFleet} whose engines say of themselves that they leave, or turn requests away for a while.
@@ -42,7 +43,7 @@
     final VirtualFleet fleet = new VirtualFleet();
     final List<BenchNode> nodes = new ArrayList<>();
     final List<Arrival> arrivals = new ArrayList<>();
-    final List<Arrival> otherCalls = new ArrayList<>();
+    private final List<Arrival> eventCalls = new ArrayList<>();
     final List<TurnedAway> turnedAway = new ArrayList<>();
     final List<Refused> refused = new ArrayList<>();
     int served;
@@ -118,6 +119,13 @@
         turningAway.put(engine, backOff);
     }
 
+    /** It tells every entry that it wants nothing for so long. */
+    void tellAll(String engine, Duration backOff) {
+        EndpointIncarnation start = EndpointIncarnation.of(EndpointId.of(engine), PlatformDocuments.FIRST_START_MILLIS);
+        EndpointNotice notice = EndpointNotice.ofBackOff(backOff);
+        nodes.forEach(node -> node.offer(new NoticeHeard(start, notice, false)));
+    }
+
     void takeAgain(String engine) {
         turningAway.remove(engine);
     }
@@ -133,7 +141,7 @@
             return false;
         }
         EndpointIncarnation engine = startNamed(ask.store().id().value());
-        otherCalls.add(Arrival.ofCall(((BenchNode) input).entry(), engine, now()));
+        eventCalls.add(Arrival.ofCall(((BenchNode) input).entry(), engine, now()));
         StoreAnswer.Change change = new StoreAnswer.Change(true, "s.1", "part", TOKENS, VirtualFleet.MODEL);
         StoreAnswer answer = new StoreAnswer.Changes(
                 ask.store().id(), 1, ask.since() + 1, false, now() / 1_000_000, ImmutableList.of(change));
@@ -299,6 +307,15 @@
                 .count();
     }
 
+    /** Requests, calls for cache events, questions and orders about weights. */
+    List<Arrival> allCalls() {
+        List<Arrival> all = new ArrayList<>(arrivals);
+        all.addAll(eventCalls);
+        fleet.statesAsked.forEach(asked -> all.add(Arrival.ofCall(asked.from(), asked.engine(), asked.atNanos())));
+        fleet.orders.forEach(order -> all.add(Arrival.ofCall(order.from(), order.engine(), order.atNanos())));
+        return all;
+    }
+
     /** The most that one entry sent to one engine between so long after it was turned away and the end of that time. */
     long mostWhileTurnedAway(Duration from, List<Arrival> sent) {
         return turnedAway.stream()
