--- a/src/test/java/org/yuccagw/daemon/RateLimitTest.java
+++ b/src/test/java/org/yuccagw/daemon/RateLimitTest.java
@@ -2,46 +2,20 @@
 
 import static org.testng.Assert.assertTrue;
 
-import com.google.common.collect.ImmutableList;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.yuccagw.bench.control.BenchNode;
-import org.yuccagw.core.control.ControlAction;
-import org.yuccagw.core.control.ControlInput;
-import org.yuccagw.core.id.EndpointIncarnation;
-import org.yuccagw.core.id.EntryId;
-import org.yuccagw.core.id.FailureDomain;
-import org.yuccagw.core.notice.EndpointNotice;
-import org.yuccagw.core.notice.NoticeHeard;
-import org.yuccagw.core.notice.RateLimit;
-import org.yuccagw.core.placing.AttemptBegun;
-import org.yuccagw.core.placing.AttemptEnded;
-import org.yuccagw.core.placing.AttemptEnded.End;
-import org.yuccagw.core.placing.PlaceDecision;
-import org.yuccagw.core.stores.StoreAnswer;
-import org.yuccagw.core.stores.StoreCall;
 
 /**
  * Engines that name a rate limit in their answers: what arrives there from all entries together stays within it, from
  * half a second after it was first named on.
  */
 public class RateLimitTest {
-    private static final FailureDomain HOME = VirtualFleet.NORTHERN;
-    private static final FailureDomain OTHER = VirtualFleet.SOUTHERN;
-    private static final Duration ANSWER = Duration.ofMillis(500);
-    private static final Duration FIRST_TOKEN = Duration.ofMillis(30);
-    private static final Duration APART = Duration.ofMillis(3);
-    private static final Duration EVENTS_AFTER = Duration.ofMillis(100);
     private static final Duration HEARD_BY_THEN = Duration.ofMillis(500);
     private static final long AT_ONCE_MILLIS = 50;
-    private static final int TOKENS = 800;
     private static final int ENGINES = 12;
     private static final int MESH = 8;
     private static final int LARGE = 66;
@@ -51,133 +25,37 @@
     private static final double OVERAGE = 1.5;
     private static final int SLACK = 5;
 
-    private VirtualFleet fleet;
-    private List<BenchNode> nodes;
-    private Map<String, RateLimit> limits;
-    private Map<String, List<Long>> requests;
-    private Map<String, List<Long>> eventCalls;
-    private Map<EntryId, Integer> senders;
-    private List<Long> refusedMillis;
-    private Duration apart;
-    private int next;
+    private VirtualLoad load;
 
     private void start(int entries) {
-        fleet = new VirtualFleet();
-        nodes = new ArrayList<>();
-        limits = new HashMap<>();
-        requests = new HashMap<>();
-        eventCalls = new HashMap<>();
-        senders = new HashMap<>();
-        refusedMillis = new ArrayList<>();
-        apart = APART;
-        next = 0;
-        fleet.bench.onAction(this::tellEvents);
-        for (int index = 0; index < entries; index++) {
-            nodes.add(fleet.start("entry-" + index, domainOf(index)));
-        }
-        fleet.configure(1);
-        for (int index = 0; index < ENGINES; index++) {
-            fleet.addEngine("engine-" + index, domainOf(index), Duration.ZERO);
-        }
-        fleet.bench.runFor(Duration.ofSeconds(8));
+        load = VirtualLoad.start(entries, ENGINES);
     }
 
     /** Starts under load, and has one engine name a limit after a second; returns when. */
     private long startLimited(int entries, double perSecond) {
         start(entries);
-        play(Duration.ofSeconds(1));
-        limit(LIMITED, perSecond);
-        return now();
-    }
-
-    private static FailureDomain domainOf(int index) {
-        return index % 2 == 0 ? HOME : OTHER;
-    }
-
-    /** Each engine has news of its cache whenever it is asked, a moment later. */
-    private boolean tellEvents(ControlAction action, ControlInput input) {
-        if (!(action instanceof StoreCall.AskChanges ask)) {
-            return false;
-        }
-        String engine = ask.store().id().value().replaceAll("@.*", "");
-        eventCalls.computeIfAbsent(engine, name -> new ArrayList<>()).add(now());
-        StoreAnswer.Change change = new StoreAnswer.Change(true, "s.1", "part", TOKENS, VirtualFleet.MODEL);
-        StoreAnswer answer = new StoreAnswer.Changes(
-                ask.store().id(), 1, ask.since() + 1, false, now() / 1_000_000, ImmutableList.of(change));
-        fleet.bench.time().after(EVENTS_AFTER, () -> input.offer(answer));
-        return true;
-    }
-
-    // ---- Load.
-
-    /** 333 prompts a second, of every entry in turn; each is answered after a while. */
-    private void play(Duration duration) {
-        long end = now() + duration.toNanos();
-        askNext(end);
-        fleet.bench.runFor(duration);
-    }
-
-    private void askNext(long endNanos) {
-        BenchNode node = nodes.get(next++ % nodes.size());
-        if (!node.isDead()) {
-            long askedNanos = now();
-            fleet.askPrompt(node, TOKENS, decision -> onDecision(node, decision, askedNanos));
-        }
-        if (now() < endNanos) {
-            fleet.bench.time().after(apart, () -> askNext(endNanos));
-        }
-    }
-
-    private void onDecision(BenchNode node, PlaceDecision decision, long askedNanos) {
-        if (decision instanceof PlaceDecision.Placed placed) {
-            String engine = placed.endpoint().id().value();
-            requests.computeIfAbsent(engine, name -> new ArrayList<>()).add(now());
-            if (engine.equals(LIMITED)) {
-                senders.merge(node.entry(), 1, Integer::sum);
-            }
-            fleet.bench.time().after(FIRST_TOKEN, () -> onHead(node, placed));
-            fleet.bench.time().after(ANSWER, () -> node.offer(new AttemptEnded(placed.ticket(), End.ANSWERED)));
-        } else {
-            refusedMillis.add((now() - askedNanos) / 1_000_000);
-        }
-    }
-
-    private void onHead(BenchNode node, PlaceDecision.Placed placed) {
-        EndpointIncarnation engine = placed.endpoint().incarnation();
-        Optional<RateLimit> limit =
-                Optional.ofNullable(limits.get(engine.endpoint().value()));
-        if (limit.isPresent() || placed.rateLimited()) {
-            node.offer(new NoticeHeard(engine, EndpointNotice.ofRateLimit(limit), placed.rateLimited()));
-        }
-        node.offer(new AttemptBegun(placed.ticket()));
-    }
-
-    private void limit(String engine, double perSecond) {
-        limits.put(engine, RateLimit.of(perSecond).orElseThrow());
+        load.play(Duration.ofSeconds(1));
+        load.limit(LIMITED, perSecond);
+        return load.now();
     }
 
     // ---- What arrived.
 
-    private long now() {
-        return fleet.bench.time().nowNanos();
-    }
-
     private List<Long> requestsOn(String engine) {
-        return requests.getOrDefault(engine, List.of());
+        return timesOn(engine, load.arrivals);
     }
 
     /** Requests and all other calls to the engine, in order. */
     private List<Long> arrivalsOn(String engine) {
-        List<Long> all = new ArrayList<>(requestsOn(engine));
-        all.addAll(eventCalls.getOrDefault(engine, List.of()));
-        fleet.statesAsked.stream()
-                .filter(asked -> asked.engine().endpoint().value().equals(engine))
-                .forEach(asked -> all.add(asked.atNanos()));
-        fleet.orders.stream()
-                .filter(order -> order.engine().endpoint().value().equals(engine))
-                .forEach(order -> all.add(order.atNanos()));
-        all.sort(null);
-        return all;
+        return timesOn(engine, load.allCalls());
+    }
+
+    private static List<Long> timesOn(String engine, List<VirtualLoad.Arrival> arrivals) {
+        return arrivals.stream()
+                .filter(arrival -> arrival.engine().equals(engine))
+                .map(VirtualLoad.Arrival::atNanos)
+                .sorted()
+                .toList();
     }
 
     private static int most(List<Long> arrivals, long fromNanos) {
@@ -199,24 +77,28 @@
         assertTrue(most <= bound, most + " in " + WINDOW.toSeconds() + " s, bound " + bound);
     }
 
-    private static long count(List<Long> times, long fromNanos, long untilNanos) {
-        return times.stream().filter(at -> at >= fromNanos && at < untilNanos).count();
+    private long callsBesideRequests(long fromNanos) {
+        return count(arrivalsOn(LIMITED), fromNanos) - count(requestsOn(LIMITED), fromNanos);
     }
 
-    private BenchNode node(EntryId entry) {
-        return nodes.stream()
-                .filter(each -> each.entry().equals(entry))
-                .findFirst()
-                .orElseThrow();
+    private static long count(List<Long> times, long fromNanos) {
+        return times.stream().filter(at -> at >= fromNanos).count();
     }
 
-    /** The entry that sends most to the limited engine. */
-    private BenchNode busiest() {
-        return nodes.stream()
-                .max(Comparator.comparingInt(each -> senders.getOrDefault(each.entry(), 0)))
+    /** The entry that sent most to the limited engine since then. */
+    private BenchNode busiestSince(long fromNanos) {
+        return load.nodes.stream()
+                .max(Comparator.comparingLong(node -> sentBy(node, fromNanos)))
                 .orElseThrow();
     }
 
+    private long sentBy(BenchNode node, long fromNanos) {
+        return load.arrivals.stream()
+                .filter(arrival -> arrival.from().equals(node.entry()))
+                .filter(arrival -> arrival.engine().equals(LIMITED) && arrival.atNanos() >= fromNanos)
+                .count();
+    }
+
     @DataProvider
     public Object[][] sizesAndLimits() {
         return new Object[][] {{MESH, 1.4}, {MESH, 12}, {LARGE, 1.4}, {LARGE, 12}};
@@ -231,7 +113,7 @@
     @Test(dataProvider = "sizesAndLimits")
     public void allEntriesTogetherKeepTheRateLimitThatAnEndpointNames(int entries, double perSecond) {
         long named = startLimited(entries, perSecond);
-        play(Duration.ofSeconds(9));
+        load.play(Duration.ofSeconds(9));
         assertWithin(perSecond, requestsOn(LIMITED), named);
     }
 
@@ -239,10 +121,10 @@
     @Test(dataProvider = "sizesAndLimits")
     public void anEndpointWithARateLimitGetsMostOfWhatItTakes(int entries, double perSecond) {
         startLimited(entries, perSecond);
-        play(Duration.ofSeconds(2));
-        long from = now();
-        play(Duration.ofSeconds(10));
-        long got = count(requestsOn(LIMITED), from, now());
+        load.play(Duration.ofSeconds(2));
+        long from = load.now();
+        load.play(Duration.ofSeconds(10));
+        long got = load.count(LIMITED, from, load.now());
         assertTrue(got >= 0.6 * perSecond * 10, "got " + got + " in 10 s");
     }
 
@@ -250,13 +132,13 @@
     @Test(dataProvider = "sizes")
     public void anEndpointWhoseRateLimitHasEndedIsUsedByAllAgain(int entries) {
         startLimited(entries, 1.4);
-        play(Duration.ofSeconds(5));
-        limits.clear();
-        play(Duration.ofSeconds(4));
-        long from = now();
-        play(Duration.ofSeconds(2));
-        long got = count(requestsOn(LIMITED), from, now());
-        long usual = count(requestsOn("engine-2"), from, now());
+        load.play(Duration.ofSeconds(5));
+        load.endLimits();
+        load.play(Duration.ofSeconds(4));
+        long from = load.now();
+        load.play(Duration.ofSeconds(2));
+        long got = load.count(LIMITED, from, load.now());
+        long usual = load.count("engine-2", from, load.now());
         assertTrue(got > usual / 2, got + " where another engine gets " + usual);
     }
 
@@ -264,15 +146,15 @@
     @Test(dataProvider = "sizes")
     public void thePartOfAnEntryThatDiesGoesToAnotherOne(int entries) {
         long named = startLimited(entries, 1.4);
-        play(Duration.ofSeconds(4));
-        senders.clear();
-        play(Duration.ofSeconds(2));
-        busiest().kill();
-        play(Duration.ofSeconds(5));
-        long from = now();
-        play(Duration.ofSeconds(5));
+        load.play(Duration.ofSeconds(4));
+        long last = load.now();
+        load.play(Duration.ofSeconds(2));
+        busiestSince(last).kill();
+        load.play(Duration.ofSeconds(5));
+        long from = load.now();
+        load.play(Duration.ofSeconds(5));
         assertWithin(1.4, requestsOn(LIMITED), named);
-        long got = count(requestsOn(LIMITED), from, now());
+        long got = load.count(LIMITED, from, load.now());
         assertTrue(got >= 3, "got " + got + " in 5 s");
     }
 
@@ -280,11 +162,11 @@
     @Test(dataProvider = "sizes")
     public void anEntryThatWakesAfterItsPartWentToAnotherOneSendsNoMoreThanItsPart(int entries) {
         long named = startLimited(entries, 1.4);
-        play(Duration.ofSeconds(3));
-        senders.clear();
-        play(Duration.ofSeconds(2));
-        busiest().pause(Duration.ofSeconds(5));
-        play(Duration.ofSeconds(9));
+        load.play(Duration.ofSeconds(3));
+        long last = load.now();
+        load.play(Duration.ofSeconds(2));
+        busiestSince(last).pause(Duration.ofSeconds(5));
+        load.play(Duration.ofSeconds(9));
         assertWithin(1.4, requestsOn(LIMITED), named);
     }
 
@@ -292,11 +174,11 @@
     @Test(dataProvider = "sizes")
     public void entriesThatAreCutOffFromTheOthersSpareAnEndpointWithARateLimit(int entries) {
         long named = startLimited(entries, 1.4);
-        play(Duration.ofSeconds(2));
+        load.play(Duration.ofSeconds(2));
         for (int index = 0; index < entries / 3; index++) {
-            fleet.bench.cutFromAll(nodes.get(index));
+            load.fleet.bench.cutFromAll(load.nodes.get(index));
         }
-        play(Duration.ofSeconds(10));
+        load.play(Duration.ofSeconds(10));
         assertWithin(1.4, requestsOn(LIMITED), named);
     }
 
@@ -304,11 +186,10 @@
     @Test(dataProvider = "sizes")
     public void anEntryThatHasJustStartedLearnsOfRateLimits(int entries) {
         long named = startLimited(entries, 1.4);
-        play(Duration.ofSeconds(3));
-        nodes.get(0).kill();
-        nodes.set(0, fleet.start("entry-0", HOME));
-        fleet.bench.runFor(Duration.ofMillis(500));
-        play(Duration.ofSeconds(8));
+        load.play(Duration.ofSeconds(3));
+        load.restart(load.nodes.get(0));
+        load.fleet.bench.runFor(Duration.ofMillis(500));
+        load.play(Duration.ofSeconds(8));
         assertWithin(1.4, requestsOn(LIMITED), named);
     }
 
@@ -316,11 +197,9 @@
     @Test
     public void aLeadThatHasStartedAgainLearnsOfRateLimitsFromItsFollowers() {
         long named = startLimited(LARGE, 1.4);
-        play(Duration.ofSeconds(5));
-        BenchNode lead = node(fleet.leadsKnownTo(nodes.get(0)).get(0));
-        lead.kill();
-        nodes.set(nodes.indexOf(lead), fleet.start(lead.entry().value(), HOME));
-        play(Duration.ofSeconds(6));
+        load.play(Duration.ofSeconds(5));
+        load.restart(load.node(load.fleet.leadsKnownTo(load.nodes.get(0)).get(0)));
+        load.play(Duration.ofSeconds(6));
         assertWithin(1.4, requestsOn(LIMITED), named);
     }
 
@@ -328,9 +207,11 @@
     @Test
     public void entriesWithoutALeadSpareAnEndpointWithARateLimit() {
         long named = startLimited(LARGE, 1.4);
-        play(Duration.ofSeconds(3));
-        fleet.leadsKnownTo(nodes.get(0)).forEach(lead -> node(lead).kill());
-        play(Duration.ofSeconds(6));
+        load.play(Duration.ofSeconds(3));
+        load.fleet
+                .leadsKnownTo(load.nodes.get(0))
+                .forEach(lead -> load.node(lead).kill());
+        load.play(Duration.ofSeconds(6));
         assertWithin(1.4, requestsOn(LIMITED), named);
     }
 
@@ -338,13 +219,13 @@
     @Test
     public void aRateLimitEndsWithTheStartOfTheEndpointThatNamedIt() {
         startLimited(MESH, 1.4);
-        play(Duration.ofSeconds(3));
-        limits.clear();
-        fleet.restartEngine(LIMITED, 1);
-        fleet.bench.runFor(Duration.ofMillis(300));
-        long from = now();
-        play(Duration.ofSeconds(1));
-        long got = count(requestsOn(LIMITED), from, now());
+        load.play(Duration.ofSeconds(3));
+        load.endLimits();
+        load.fleet.restartEngine(LIMITED, 1);
+        load.fleet.bench.runFor(Duration.ofMillis(300));
+        long from = load.now();
+        load.play(Duration.ofSeconds(1));
+        long got = load.count(LIMITED, from, load.now());
         assertTrue(got > 10, "got " + got);
     }
 
@@ -352,10 +233,10 @@
     @Test(dataProvider = "sizes")
     public void aRateLimitThatSinksIsKeptFromThenOn(int entries) {
         startLimited(entries, 12);
-        play(Duration.ofSeconds(4));
-        limit(LIMITED, 1.4);
-        long named = now();
-        play(Duration.ofSeconds(6));
+        load.play(Duration.ofSeconds(4));
+        load.limit(LIMITED, 1.4);
+        long named = load.now();
+        load.play(Duration.ofSeconds(6));
         assertWithin(1.4, requestsOn(LIMITED), named);
     }
 
@@ -363,12 +244,12 @@
     @Test(dataProvider = "sizes")
     public void aQuarterOfThePoolMayNameRateLimitsAtOnce(int entries) {
         start(entries);
-        play(Duration.ofSeconds(1));
+        load.play(Duration.ofSeconds(1));
         for (int index = 0; index < ENGINES / 4; index++) {
-            limit("engine-" + index, 1.4 + index);
+            load.limit("engine-" + index, 1.4 + index);
         }
-        long named = now();
-        play(Duration.ofSeconds(8));
+        long named = load.now();
+        load.play(Duration.ofSeconds(8));
         for (int index = 0; index < ENGINES / 4; index++) {
             assertWithin(1.4 + index, requestsOn("engine-" + index), named);
         }
@@ -378,7 +259,7 @@
     @Test(dataProvider = "sizesAndLimits")
     public void callsForCacheEventsCountTowardsTheRateLimitOfAnEngine(int entries, double perSecond) {
         long named = startLimited(entries, perSecond);
-        play(Duration.ofSeconds(9));
+        load.play(Duration.ofSeconds(9));
         assertWithin(perSecond, arrivalsOn(LIMITED), named);
     }
 
@@ -386,10 +267,10 @@
     @Test(dataProvider = "sizes")
     public void newWeightsReachAnEngineWithARateLimitInTimeAndWithinIt(int entries) {
         long named = startLimited(entries, 1.4);
-        play(Duration.ofSeconds(4));
-        fleet.nameWeights(2);
-        play(VirtualFleet.OLD_WEIGHTS_ALLOWED);
-        assertTrue(fleet.allRun(2), "weights: " + fleet.weights);
+        load.play(Duration.ofSeconds(4));
+        load.fleet.nameWeights(2);
+        load.play(VirtualFleet.OLD_WEIGHTS_ALLOWED);
+        assertTrue(load.fleet.allRun(2), "weights: " + load.fleet.weights);
         assertWithin(1.4, arrivalsOn(LIMITED), named);
     }
 
@@ -397,58 +278,59 @@
     @Test
     public void cacheEventsAreFollowedAgainAfterTheRateLimitHasEnded() {
         startLimited(MESH, 1.4);
-        play(Duration.ofSeconds(5));
-        limits.clear();
-        play(Duration.ofSeconds(4));
-        long from = now();
-        fleet.bench.runFor(Duration.ofSeconds(2));
-        assertTrue(count(eventCalls.get(LIMITED), from, now()) > 4, "calls for events");
+        load.play(Duration.ofSeconds(5));
+        load.endLimits();
+        load.play(Duration.ofSeconds(4));
+        long from = load.now();
+        load.fleet.bench.runFor(Duration.ofSeconds(2));
+        assertTrue(callsBesideRequests(from) > 4, "calls for events");
     }
 
     // ---- All endpoints of a service have limits.
 
     private void limitAll(double perSecond) {
         for (int index = 0; index < ENGINES; index++) {
-            limit("engine-" + index, perSecond);
+            load.limit("engine-" + index, perSecond);
         }
     }
 
     private long placedInAll(long fromNanos) {
-        return requests.values().stream()
-                .mapToLong(times -> count(times, fromNanos, now()))
-                .sum();
+        return load.arrivals.stream()
+                .filter(arrival -> arrival.atNanos() >= fromNanos && arrival.atNanos() < load.now())
+                .count();
     }
 
     // Twenty times as many callers as can be served: the rest must not wait for what it can't get.
     @Test(dataProvider = "sizes")
     public void whatCannotBeServedWithinRateLimitsIsRefusedAtOnce(int entries) {
         start(entries);
-        play(Duration.ofSeconds(1));
+        load.play(Duration.ofSeconds(1));
         limitAll(1.4);
-        play(Duration.ofSeconds(4));
-        refusedMillis.clear();
-        long from = now();
-        play(Duration.ofSeconds(10));
+        load.play(Duration.ofSeconds(4));
+        load.refused.clear();
+        long from = load.now();
+        load.play(Duration.ofSeconds(10));
         assertTrue(placedInAll(from) >= 0.6 * ENGINES * 1.4 * 10, "placed " + placedInAll(from));
-        long late =
-                refusedMillis.stream().filter(millis -> millis > AT_ONCE_MILLIS).count();
-        assertTrue(refusedMillis.size() > 2_000, "refused " + refusedMillis.size());
-        assertTrue(late < refusedMillis.size() / 10, late + " of " + refusedMillis.size() + " refused late");
+        long late = load.refused.stream()
+                .filter(each -> each.waitedMillis() > AT_ONCE_MILLIS)
+                .count();
+        assertTrue(load.refused.size() > 2_000, "refused " + load.refused.size());
+        assertTrue(late < load.refused.size() / 10, late + " of " + load.refused.size() + " refused late");
     }
 
     // A third of what the limits allow. An entry without a part must not refuse what another one could serve.
     @Test(dataProvider = "sizes")
     public void fewRequestsAreServedThoughAllEndpointsHaveRateLimits(int entries) {
         start(entries);
-        play(Duration.ofSeconds(1));
+        load.play(Duration.ofSeconds(1));
         limitAll(1.4);
-        play(Duration.ofSeconds(4));
-        fleet.bench.runFor(Duration.ofSeconds(2));
-        refusedMillis.clear();
-        long from = now();
-        apart = Duration.ofMillis(200);
-        play(Duration.ofSeconds(20));
+        load.play(Duration.ofSeconds(4));
+        load.fleet.bench.runFor(Duration.ofSeconds(2));
+        load.refused.clear();
+        long from = load.now();
+        load.callEvery(Duration.ofMillis(200));
+        load.play(Duration.ofSeconds(20));
         long placed = placedInAll(from);
-        assertTrue(placed >= 95, "placed " + placed + ", refused " + refusedMillis.size());
+        assertTrue(placed >= 95, "placed " + placed + ", refused " + load.refused.size());
     }
 }
--- a/src/test/java/org/yuccagw/daemon/VirtualLoad.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualLoad.java
@@ -20,6 +20,7 @@
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.notice.EndpointNotice;
 import org.yuccagw.core.notice.NoticeHeard;
+import org.yuccagw.core.notice.RateLimit;
 import org.yuccagw.core.placing.AttemptBegun;
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.AttemptEnded.End;
@@ -29,8 +30,8 @@
 import org.yuccagw.standins.platform.PlatformDocuments;
 
 /**
- * Callers of a {@link VirtualFleet} whose engines say of themselves that they leave, or turn requests away for a while.
- * A request that was turned away is sent again, like that of a caller's entry.
+ * Callers of a {@link VirtualFleet} whose engines say of themselves that they leave, name rate limits, or turn requests
+ * away for a while. A request that was turned away is sent again, like that of a caller's entry.
  */
 final class VirtualLoad {
     private static final Duration ANSWER = Duration.ofMillis(500);
@@ -50,6 +51,7 @@
     int repeats;
     private final Set<String> leaving = new HashSet<>();
     private final Map<String, Duration> turningAway = new LinkedHashMap<>();
+    private final Map<String, RateLimit> limits = new HashMap<>();
     private final Map<Heard, Long> heardLeavingNanos = new HashMap<>();
     private Optional<EntryId> onlyTurnedAway = Optional.empty();
     private Duration apart = Duration.ofMillis(3);
@@ -114,6 +116,16 @@
         leaving.add(engine);
     }
 
+    /** From now on its answers name a rate limit. */
+    void limit(String engine, double perSecond) {
+        limits.put(engine, RateLimit.of(perSecond).orElseThrow());
+    }
+
+    /** From now on no engine names a rate limit. */
+    void endLimits() {
+        limits.clear();
+    }
+
     /** From now on it turns away what arrives, and wants nothing for so long. */
     void turnAway(String engine, Duration backOff) {
         turningAway.put(engine, backOff);
@@ -205,11 +217,15 @@
 
     private void onHead(Call call, PlaceDecision.Placed placed) {
         String engine = placed.endpoint().id().value();
+        EndpointIncarnation start = placed.endpoint().incarnation();
         if (leaving.contains(engine)) {
-            EndpointIncarnation start = placed.endpoint().incarnation();
             heardLeavingNanos.putIfAbsent(new Heard(call.node.entry(), start), now());
             call.node.offer(new NoticeHeard(start, EndpointNotice.ofLeaving(), false));
         }
+        Optional<RateLimit> limit = Optional.ofNullable(limits.get(engine));
+        if (limit.isPresent() || placed.rateLimited()) {
+            call.node.offer(new NoticeHeard(start, EndpointNotice.ofRateLimit(limit), placed.rateLimited()));
+        }
         call.node.offer(new AttemptBegun(placed.ticket()));
     }
 
