Tell of silent endpoints in the log and in a metric

A stream that was cut because its endpoint was silent could be told from one whose endpoint failed only by the lines before it: longest_gap_ms ends with the last event and the outcome names the refusal. New: endpoint-silent, silent_ms in ended, yuccagw_endpoint_silences_total by what became of it. No decision is changed.

--- a/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
@@ -26,6 +26,7 @@
 import org.yuccagw.core.forward.ForwardMachine;
 import org.yuccagw.core.forward.ForwardMachine.TimerKind;
 import org.yuccagw.core.forward.ForwardRequest;
+import org.yuccagw.core.forward.SilenceOutcome;
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.notice.NoticeReceived;
 import org.yuccagw.core.placing.AnswerPace;
@@ -221,6 +222,11 @@
         services.control().offer(received);
     }
 
+    @Override
+    public void reportSilence(SilenceOutcome outcome) {
+        services.metrics().recordSilence(request.service(), outcome.code());
+    }
+
     @Override
     public void explain(String decision, String detail) {
         services.decisions()
@@ -237,6 +243,7 @@
                 .with("route", request.route().name())
                 .with("outcome", outcome)
                 .with("first_byte_ms", firstByteMillis)
+                .with("silent_ms", machine.silence().toMillis())
                 .with("total_ms", (now - arrivedNanos) / 1_000_000);
         services.decisions()
                 .write(machine.pace().map(pace -> withPace(line, pace)).orElse(line));
--- a/src/main/java/org/yuccagw/adapters/telemetry/Metrics.java
+++ b/src/main/java/org/yuccagw/adapters/telemetry/Metrics.java
@@ -49,6 +49,11 @@
             .classicUpperBounds(FIRST_TOKEN_BOUNDS_SECONDS)
             .classicOnly()
             .register(registry);
+    private final Counter silences = Counter.builder()
+            .name("yuccagw_endpoint_silences_total")
+            .help("Attempts whose endpoint was silent for longer than expected, by service and what became of them")
+            .labelNames("service", "outcome")
+            .register(registry);
     private final Counter promptTokens = Counter.builder()
             .name("yuccagw_prompt_tokens_total")
             .help("Prompt tokens by service and whether the engine reused or recomputed them")
@@ -100,6 +105,11 @@
         longestGap.labelValues(service.value()).observe(gap.toNanos() / (double) TimeUnit.SECONDS.toNanos(1));
     }
 
+    /** Counts an attempt whose endpoint was silent for longer than expected. */
+    public void recordSilence(ServiceName service, String outcome) {
+        silences.labelValues(service.value(), outcome).inc();
+    }
+
     /** Counts the prompt tokens of an answered request by whether the engine reused or recomputed them. */
     public void recordPromptTokens(ServiceName service, long reused, long recomputed) {
         promptTokens.labelValues(service.value(), "reused").inc(reused);
--- a/src/main/java/org/yuccagw/core/forward/ForwardEffects.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardEffects.java
@@ -76,6 +76,9 @@
     /** Reports the notice of an endpoint in the head of its answer. */
     void report(NoticeReceived received);
 
+    /** Reports what became of an attempt whose endpoint was silent. */
+    void reportSilence(SilenceOutcome outcome);
+
     /** Logs a decision about this request. */
     void explain(String decision, String detail);
 
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -92,6 +92,8 @@
     private EndpointId lastEndpoint;
     private boolean legRunCounted;
     private long progressNanos;
+    private long lastReceivedNanos;
+    private boolean silent;
     private PaceRecorder pace;
 
     private enum State {
@@ -118,6 +120,7 @@
         this.effects = effects;
         Duration timeout = Comparators.min(request.callerTimeout(), route.timeout());
         this.deadlineNanos = effects.nowNanos() + timeout.toNanos();
+        this.lastReceivedNanos = effects.nowNanos();
         this.eventFramer = new EventFramer(request.afterEvent());
     }
 
@@ -140,6 +143,11 @@
         return Optional.ofNullable(pace).flatMap(PaceRecorder::pace);
     }
 
+    /** Returns the time since the last bytes of an endpoint, or since the send if there were none. */
+    public Duration silence() {
+        return Duration.ofNanos(effects.nowNanos() - lastReceivedNanos);
+    }
+
     /** Called with the result of a placement request. A placement that is no longer needed is released. */
     public void onPlacementDecision(PlacementDecision decision) {
         if (state != State.PLACING) {
@@ -160,6 +168,7 @@
         if (isStale(ofLeg)) {
             return;
         }
+        lastReceivedNanos = effects.nowNanos();
         reportNotice(head);
         if (head.notRun() || head.isMisdirected()) {
             handleNotRun(head);
@@ -188,6 +197,7 @@
         if (isStale(ofLeg) || state != State.STREAMING) {
             return;
         }
+        lastReceivedNanos = effects.nowNanos();
         if (route.streamed()) {
             pace.recordEvent(effects.nowNanos());
         }
@@ -247,7 +257,7 @@
             return;
         } else if (kind == TimerKind.HEAD && state == State.SENDING && !heldForRetry) {
             countRun();
-            handleLegFailure(End.SILENT, "no answer began in time");
+            handleSilence("no answer began in time");
         } else if (kind == TimerKind.GAP && state == State.STREAMING) {
             checkGap();
         }
@@ -289,6 +299,8 @@
         legRunCounted = false;
         state = State.SENDING;
         answerHead = null;
+        endSilence(SilenceOutcome.REPLACED);
+        lastReceivedNanos = effects.nowNanos();
         pace = PaceRecorder.start(effects.nowNanos());
         effects.send(leg, chosen, remainingTime, eventFramer.lastId(), needsNewConnection());
         if (route.repeatable()) {
@@ -511,12 +523,25 @@
         Duration pause = Duration.ofNanos(effects.nowNanos() - progressNanos);
         Duration remainingPause = silenceTimeout().minus(pause);
         if (remainingPause.isNegative() || remainingPause.isZero()) {
-            handleLegFailure(End.SILENT, "the stream paused for " + pause.toMillis() + " ms");
+            handleSilence("the stream paused for " + pause.toMillis() + " ms");
         } else {
             effects.schedule(TimerKind.GAP, leg, remainingPause);
         }
     }
 
+    private void handleSilence(String detail) {
+        effects.explain("endpoint-silent", detail + " at " + placed.endpoint().id());
+        silent = true;
+        handleLegFailure(End.SILENT, detail);
+    }
+
+    private void endSilence(SilenceOutcome outcome) {
+        if (silent) {
+            silent = false;
+            effects.reportSilence(outcome);
+        }
+    }
+
     private Duration silenceTimeout() {
         return Comparators.max(route.maxGap().multipliedBy(SILENCE_TIMEOUT_GAPS), MIN_SILENCE_TIMEOUT);
     }
@@ -556,6 +581,7 @@
 
     private void finish(String outcome) {
         state = State.OVER;
+        endSilence(SilenceOutcome.UNANSWERED);
         effects.ended(outcome);
     }
 
--- a/src/test/java/org/yuccagw/core/forward/RecordedForwardEffects.java
+++ b/src/test/java/org/yuccagw/core/forward/RecordedForwardEffects.java
@@ -23,6 +23,7 @@
     final List<String> lines = new ArrayList<>();
     final StringBuilder callerBody = new StringBuilder();
     final List<AttemptEnded.End> attempts = new ArrayList<>();
+    final List<SilenceOutcome> silences = new ArrayList<>();
     long nowNanos;
     ErrorKind error;
     int ends;
@@ -112,6 +113,11 @@
         notices.add(received);
     }
 
+    @Override
+    public void reportSilence(SilenceOutcome outcome) {
+        silences.add(outcome);
+    }
+
     @Override
     public void explain(String decision, String detail) {}
 
