--- a/src/test/java/org/yuccagw/daemon/GatewayPathTest.java
+++ b/src/test/java/org/yuccagw/daemon/GatewayPathTest.java
@@ -137,6 +137,21 @@
         assertEquals(answer.text(), "id: 1\ndata: word1\n\nid: 2\ndata: word2\n\nid: 3\ndata: word3\n\n");
     }
 
+    // Guards against cutting the stream of an endpoint that falls silent for a second and goes on.
+    @Test
+    public void aStreamOfAnEndpointThatFallsSilentForASecondArrivesCompletely() throws Exception {
+        HttpResponse answer = post("/stream/pausing-stream");
+        assertEquals(answer.text(), "id: 1\ndata: word1\n\nid: 2\ndata: word2\n\nid: 3\ndata: word3\n\n");
+    }
+
+    // Guards against an error for a request whose endpoint answers late while no other one is available.
+    @Test
+    public void anAnswerThatComesLateIsForwarded() throws Exception {
+        HttpResponse answer = post("/again/late");
+        assertEquals(answer.status(), 200);
+        assertEquals(answer.text(), "late");
+    }
+
     @Test
     public void anAnswerThatEndsWithItsConnectionIsComplete() throws Exception {
         assertEquals(post("/once/unframed").text(), "until the end");
--- a/src/test/java/org/yuccagw/daemon/ScriptedEndpoint.java
+++ b/src/test/java/org/yuccagw/daemon/ScriptedEndpoint.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -22,6 +23,12 @@
  * that it can send invalid answers.
  */
 public final class ScriptedEndpoint implements AutoCloseable {
+    /** Three times the longest gap that the routes of the tests allow, and some more. */
+    private static final Duration STREAM_PAUSE = Duration.ofMillis(1_200);
+
+    /** Longer than the time after which a repeatable request without an answer is retried. */
+    private static final Duration ANSWER_DELAY = Duration.ofMillis(900);
+
     private static final String NOT_RUN = "HTTP/1.1 503 Unavailable\r\nYuccagw-Not-Executed: 1\r\n";
 
     private final ServerSocket server;
@@ -143,19 +150,31 @@
                 String whole = head(id) + "Content-Length: 5\r\n\r\nfirst";
                 write(out, whole + whole.replace("first", "extra"));
             }
-            case "stream" -> {
-                write(out, head(id) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-                for (int event = 1; event <= 3; event++) {
-                    String text = "id: " + event + "\ndata: word" + event + "\n\n";
-                    write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
-                }
-                write(out, "0\r\n\r\n");
+            case "pausing-stream" -> writeStream(out, id, STREAM_PAUSE);
+            case "late" -> {
+                Thread.sleep(ANSWER_DELAY.toMillis());
+                write(out, head(id) + "Content-Length: 4\r\n\r\nlate");
             }
+            case "stream" -> writeStream(out, id, Duration.ZERO);
             default -> write(out, head(id) + "Content-Length: 4\r\nX-Own: kept\r\n\r\nbody");
         }
         return true;
     }
 
+    /** Writes a stream of three events with a pause after the first one. */
+    private static void writeStream(OutputStream out, String id, Duration pause)
+            throws IOException, InterruptedException {
+        write(out, head(id) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int event = 1; event <= 3; event++) {
+            String text = "id: " + event + "\ndata: word" + event + "\n\n";
+            write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+            if (event == 1) {
+                Thread.sleep(pause.toMillis());
+            }
+        }
+        write(out, "0\r\n\r\n");
+    }
+
     /** Returns once the peer has closed the connection, by an end of stream or by a reset. */
     private static void awaitDisconnect(BufferedReader reader) {
         try {
