Keep a silent endpoint's attempt until another one takes its place

Callers saw their connection closed in the middle of an answer, or 502, while the endpoint was at work on their request: it had sent nothing for three times the allowed gap (a stream) or for some targets (before the head), and another endpoint was refused, mostly because the retry budget was spent.

Cause: the attempt was abandoned first and the other endpoint requested afterwards; when that was refused, unreachable or turned the request away, nothing was left.

Change: silence ends no attempt. Another endpoint is requested while the answer is still read. What comes first decides: bytes of the silent endpoint (the other placement or attempt is given up), the head of the other one's answer, or 150 ms after that one has the request, since two engines mustn't work on one stream for long. If the other endpoint is refused, can't be reached or turns away, the silent attempt goes on until the deadline. The same holds for an error answer that is held during a retry: it is forwarded if the other endpoint fails. A request has at most one placement request in progress.

ForwardMachineTest.aStreamThatPausesForTooLongIsContinuedElsewhere asserted that the attempt ends at the silence. It now asserts that it ends 150 ms after the other endpoint has received the request, and that the stream goes on there.

--- a/src/main/java/org/yuccagw/adapters/http/HttpCall.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpCall.java
@@ -114,6 +114,7 @@
         phase = Phase.AWAIT;
         lastByteNanos = System.nanoTime();
         checkSilence();
+        listener.onConnected();
         connection.sendRequest(toClientRequest(), new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
--- a/src/main/java/org/yuccagw/adapters/http/HttpResponseListener.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpResponseListener.java
@@ -19,6 +19,9 @@
         ANSWER
     }
 
+    /** Called when the connection is established, so that the server may receive the request from now on. */
+    default void onConnected() {}
+
     /** Called when the status line and the headers have been received. */
     void onHead(int status, HeaderMap headers);
 
--- a/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
@@ -9,6 +9,8 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -53,9 +55,8 @@
     private final DisconnectDetector disconnectDetector;
     private final long arrivedNanos = System.nanoTime();
     private final Map<TimerKind, XnioExecutor.Key> timers = new EnumMap<>(TimerKind.class);
+    private final Map<Long, Attempt> attempts = new HashMap<>();
     private long firstByteNanos;
-    private Attempt current;
-    private boolean pausedByMachine;
 
     private ServingRun(
             ServingServices services,
@@ -136,27 +137,31 @@
                 CONNECT_TIMEOUT,
                 silenceTimeout,
                 newConnection);
-        current = new Attempt(leg, placed.endpoint().id());
-        current.call = services.endpointClient().stream(httpRequest, thread, current);
+        Attempt attempt = new Attempt(leg, placed.endpoint().id());
+        attempts.put(leg, attempt);
+        attempt.call = services.endpointClient().stream(httpRequest, thread, attempt);
     }
 
     @Override
     public void abandon(long leg) {
-        if (current != null && current.leg == leg && current.call != null) {
-            current.call.cancel();
+        Attempt attempt = attempts.remove(leg);
+        if (attempt != null && attempt.call != null) {
+            attempt.call.cancel();
         }
     }
 
     @Override
     public void pauseReading(long leg) {
-        current.call.pause();
-        pausedByMachine = true;
+        Attempt attempt = attempts.get(leg);
+        attempt.pausedByMachine = true;
+        attempt.call.pause();
     }
 
     @Override
     public void resumeReading(long leg) {
-        pausedByMachine = false;
-        current.call.resume();
+        Attempt attempt = attempts.get(leg);
+        attempt.pausedByMachine = false;
+        attempt.call.resume();
     }
 
     @Override
@@ -170,9 +175,10 @@
 
     @Override
     public void answerHead(long leg) {
-        HeaderMap headers = services.protocol().answerHeaders(current.headers);
+        Attempt attempt = attempts.get(leg);
+        HeaderMap headers = services.protocol().answerHeaders(attempt.headers);
         firstByteNanos = System.nanoTime();
-        response.start(current.status, headers);
+        response.start(attempt.status, headers);
     }
 
     @Override
@@ -243,10 +249,13 @@
                 .with("route", request.route().name())
                 .with("outcome", outcome)
                 .with("first_byte_ms", firstByteMillis)
-                .with("silent_ms", machine.silence().toMillis())
+                .with("silent_ms", machine.statistics().silence().toMillis())
                 .with("total_ms", (now - arrivedNanos) / 1_000_000);
         services.decisions()
-                .write(machine.pace().map(pace -> withPace(line, pace)).orElse(line));
+                .write(machine.statistics()
+                        .pace()
+                        .map(pace -> withPace(line, pace))
+                        .orElse(line));
         services.metrics()
                 .recordRequestEnd(request.service(), request.route().kind().name(), outcome);
         onEnded.run();
@@ -254,7 +263,9 @@
 
     private Decision withPace(Decision line, AnswerPace pace) {
         services.metrics().recordLongestGap(request.service(), Duration.ofMillis(pace.longestGapMillis()));
-        return line.with("endpoint", current.endpoint)
+        return line.with(
+                        "endpoint",
+                        machine.statistics().endpoint().map(EndpointId::value).orElse(""))
                 .with("events", pace.events())
                 .with("first_event_ms", pace.firstEventMillis())
                 .with("mean_gap_ms", pace.meanGapMillis())
@@ -272,16 +283,20 @@
 
     @Override
     public void pause() {
-        if (current != null && current.call != null && !pausedByMachine) {
-            current.call.pause();
-        }
+        forwardedCalls().forEach(HttpCall::pause);
     }
 
     @Override
     public void resume() {
-        if (current != null && current.call != null && !pausedByMachine) {
-            current.call.resume();
-        }
+        forwardedCalls().forEach(HttpCall::resume);
+    }
+
+    /** Returns the calls whose reading depends on the caller only. */
+    private List<HttpCall> forwardedCalls() {
+        return attempts.values().stream()
+                .filter(attempt -> attempt.call != null && !attempt.pausedByMachine)
+                .map(attempt -> attempt.call)
+                .toList();
     }
 
     @Override
@@ -294,6 +309,7 @@
         private final long leg;
         private final EndpointId endpoint;
         private HttpCall call;
+        private boolean pausedByMachine;
         private int status;
         private HeaderMap headers;
 
@@ -302,6 +318,11 @@
             this.endpoint = endpoint;
         }
 
+        @Override
+        public void onConnected() {
+            machine.onDelivery(leg);
+        }
+
         @Override
         public void onHead(int receivedStatus, HeaderMap receivedHeaders) {
             status = receivedStatus;
--- a/src/main/java/org/yuccagw/core/deployment/Route.java
+++ b/src/main/java/org/yuccagw/core/deployment/Route.java
@@ -37,7 +37,12 @@
 
     /** Returns whether a request may be retried although it may have run before. */
     public boolean repeatable() {
-        return kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAM && resumable);
+        return kind == RouteKind.IDEMPOTENT || isResumableStream();
+    }
+
+    /** Returns whether an answer is a stream that may continue at another endpoint after its last event. */
+    public boolean isResumableStream() {
+        return streamed() && resumable;
     }
 
     public boolean streamed() {
--- /dev/null
+++ b/src/main/java/org/yuccagw/core/forward/AttemptHistory.java
@@ -0,0 +1,92 @@
+package org.yuccagw.core.forward;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import org.yuccagw.core.deployment.Route;
+import org.yuccagw.core.id.EndpointId;
+
+/** How often a request was sent and may have run, and which endpoints have failed it. */
+final class AttemptHistory {
+    /**
+     * A send that cannot have run costs an endpoint almost nothing. If this many sends of a request have failed, no
+     * endpoint is expected to accept it.
+     */
+    private static final int MAX_SENDS = 4;
+
+    private final Route route;
+    private final Set<EndpointId> excluded = new LinkedHashSet<>();
+    private final Set<Long> runLegs = new HashSet<>();
+    private int sends;
+    private String lastFailure = "";
+    private String lastEndpoint = "none";
+
+    private AttemptHistory(Route route) {
+        this.route = route;
+    }
+
+    static AttemptHistory of(Route route) {
+        return new AttemptHistory(route);
+    }
+
+    /** Returns the number of the leg that is sent next. */
+    long recordSend() {
+        sends++;
+        return sends;
+    }
+
+    /**
+     * Returns whether the latest send needs a new connection. A reused connection may lead to an endpoint that is no
+     * longer reachable, while a failed connection attempt reveals that immediately. For streams this is worth a new
+     * connection each.
+     */
+    boolean needsNewConnection() {
+        return !route.repeatable() || route.streamed() || sends > 1;
+    }
+
+    /** Records that the request may have run on the leg. */
+    void recordRun(Leg leg) {
+        runLegs.add(leg.number());
+    }
+
+    boolean mayHaveRun() {
+        return !runLegs.isEmpty();
+    }
+
+    boolean maySendAgain() {
+        return sends < MAX_SENDS;
+    }
+
+    /** Returns whether the route permits that the request runs on another endpoint. */
+    boolean mayRunAgain() {
+        return route.repeatable() && runLegs.size() < route.attemptLimit() && maySendAgain();
+    }
+
+    /** Records why the request may have to leave its endpoint. */
+    void recordFailure(Leg leg, String detail) {
+        lastFailure = detail;
+        lastEndpoint = leg.endpoint().value();
+    }
+
+    String lastFailure() {
+        return lastFailure;
+    }
+
+    /** Returns the endpoint of the last failure, for error messages. */
+    String lastEndpoint() {
+        return lastEndpoint;
+    }
+
+    void exclude(EndpointId endpoint) {
+        excluded.add(endpoint);
+    }
+
+    boolean isExcluded(EndpointId endpoint) {
+        return excluded.contains(endpoint);
+    }
+
+    ImmutableSet<EndpointId> excluded() {
+        return ImmutableSet.copyOf(excluded);
+    }
+}
--- a/src/main/java/org/yuccagw/core/forward/EndpointAnswerHead.java
+++ b/src/main/java/org/yuccagw/core/forward/EndpointAnswerHead.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalLong;
 import org.yuccagw.core.notice.EndpointNotice;
+import org.yuccagw.core.placing.AttemptEnded.End;
 
 /**
  * The properties of the head of an answer that decide how the answer is handled.
@@ -55,6 +56,14 @@
         return status == MISDIRECTED;
     }
 
+    /** Returns how the attempt ended if its endpoint did not run the request. */
+    End notRunEnd() {
+        if (!isMisdirected()) {
+            return End.SHED;
+        }
+        return fromOtherEndpoint ? End.WRONG_ENDPOINT : End.WRONG_VERSION;
+    }
+
     /** Returns whether the status would imply to a caller that the request has not run. */
     boolean impliesNotRun() {
         return status == 429 || status == 503 || status == 408 || status == MISDIRECTED;
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -1,21 +1,12 @@
 package org.yuccagw.core.forward;
 
-import com.google.common.collect.Comparators;
-import com.google.common.collect.ImmutableSet;
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.yuccagw.core.deployment.Route;
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
-import org.yuccagw.core.id.EndpointId;
-import org.yuccagw.core.id.EndpointIncarnation;
-import org.yuccagw.core.notice.EndpointNotice;
-import org.yuccagw.core.notice.NoticeReceived;
-import org.yuccagw.core.placing.AnswerPace;
 import org.yuccagw.core.placing.AttemptBegun;
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.AttemptEnded.End;
@@ -35,74 +26,38 @@
  *       or no connection was established. It is sent over a new connection, because if a reused connection turns out to
  *       be closed, it is unknown whether the request was read.
  *   <li>A status that implies "not run" is sent to the caller only if no attempt may have run.
- *   <li>Each send of the request is a leg with a number. Events of any leg but the current one are ignored.
+ *   <li>Each send of the request is a leg with a number. There is one current leg, whose answer is forwarded, and at
+ *       most one replacement. Events of any other leg are ignored.
+ *   <li>Silence ends no leg. A leg that is silent, or whose error answer is held, is given up when its replacement
+ *       answers, or at the latest {@link #MAX_OVERLAP} after the replacement was delivered. While there is none, it
+ *       stays the current leg until the deadline.
  *   <li>A resumed stream continues after the last complete event that was forwarded, with the same weight version.
  * </ul>
  *
- * <p>Example: the connection of a resumable stream breaks after event 12. The failed attempt is reported, and another
- * endpoint with the same weight version is requested. The request is sent there with the instruction to continue after
- * event 12. The caller receives event 13 with a delay, as part of the answer that it is already reading.
+ * <p>Example: a resumable stream pauses after event 12. Another endpoint with the same weight version is requested, and
+ * the request is sent there with the instruction to continue after event 12. If event 13 arrives from the first
+ * endpoint before the second one answers, the second attempt is given up, otherwise the first one. The caller receives
+ * event 13 with a delay, as part of the answer that it is already reading.
  */
 public final class ForwardMachine {
-    /**
-     * A send that cannot have run costs an endpoint almost nothing. If this many sends of a request have failed, no
-     * endpoint is expected to accept it.
-     */
-    private static final int MAX_SENDS = 4;
-
-    /** An attempt with less time than this is not worth starting, since it cannot succeed. */
-    private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(20);
-
-    /** Multiple of the first-byte target after which a repeatable request without an answer is retried elsewhere. */
-    private static final int HEAD_TIMEOUT_TARGETS = 2;
-
-    /**
-     * The same multiple for streams. It is higher because a retry discards the prefill of the first engine, and under
-     * load the next engine starts it again behind other requests. Callers wait for four times the target.
-     */
-    private static final int STREAM_HEAD_TIMEOUT_TARGETS = 3;
-
-    /** Multiple of the predicted time to the first byte after which the same retry happens. */
-    private static final int HEAD_TIMEOUT_PREDICTIONS = 3;
-
-    /** Multiple of the longest allowed gap between events after which a resumable stream is continued elsewhere. */
-    private static final int SILENCE_TIMEOUT_GAPS = 3;
-
-    private static final Duration MIN_SILENCE_TIMEOUT = Duration.ofMillis(350);
+    /** Two engines that work on one request for longer do the work twice. An endpoint that rejects does so at once. */
+    private static final Duration MAX_OVERLAP = Duration.ofMillis(150);
 
     private final ForwardRequest request;
     private final Route route;
     private final ForwardEffects effects;
-    private final long deadlineNanos;
-    private final Set<EndpointId> excluded = new LinkedHashSet<>();
+    private final RequestDeadline deadline;
+    private final SilenceWatch silenceWatch;
+    private final AttemptHistory history;
     private final EventFramer eventFramer;
+    private final AnswerEnd answerEnd;
+    private final PlacementInquiry inquiry;
+    private final AnswerStatistics statistics;
+    private final LegPair legs = new LegPair();
 
-    private State state = State.NEW;
-    private PlacementDecision.Placed placed;
-    private EndpointAnswerHead answerHead;
     private OptionalLong pinnedVersion = OptionalLong.empty();
-    private long leg;
-    private int sends;
-    private int runs;
-    private boolean mayHaveRun;
     private boolean headSent;
-    private boolean heldForRetry;
-    private boolean endedWhileHeld;
-    private String lastFailure = "";
-    private EndpointId lastEndpoint;
-    private boolean legRunCounted;
-    private long progressNanos;
-    private long lastReceivedNanos;
-    private boolean silent;
-    private PaceRecorder pace;
-
-    private enum State {
-        NEW,
-        PLACING,
-        SENDING,
-        STREAMING,
-        OVER
-    }
+    private boolean holdingError;
 
     /** The purposes of timers. */
     public enum TimerKind {
@@ -111,16 +66,21 @@
         /** The timeout for the start of the answer to a repeatable request. */
         HEAD,
         /** The timeout for the next event of a resumable stream. */
-        GAP
+        GAP,
+        /** The time for which a silent leg is kept beside its replacement. */
+        OVERLAP
     }
 
     private ForwardMachine(ForwardRequest request, ForwardEffects effects) {
         this.request = request;
         this.route = request.route();
         this.effects = effects;
-        Duration timeout = Comparators.min(request.callerTimeout(), route.timeout());
-        this.deadlineNanos = effects.nowNanos() + timeout.toNanos();
-        this.lastReceivedNanos = effects.nowNanos();
+        this.deadline = RequestDeadline.of(request, effects);
+        this.silenceWatch = SilenceWatch.of(route, effects);
+        this.answerEnd = AnswerEnd.of(effects);
+        this.history = AttemptHistory.of(route);
+        this.inquiry = PlacementInquiry.of(effects, history);
+        this.statistics = new AnswerStatistics(effects);
         this.eventFramer = new EventFramer(request.afterEvent());
     }
 
@@ -130,106 +90,108 @@
 
     /** Starts the deadline timer and requests the first placement. */
     public void begin() {
-        effects.schedule(TimerKind.DEADLINE, 0, remaining());
+        effects.schedule(TimerKind.DEADLINE, 0, deadline.remaining());
         requestPlacement(Kind.FIRST);
     }
 
     public boolean isOver() {
-        return state == State.OVER;
-    }
-
-    /** Returns the times between the events of the latest attempt; empty if it has received none. */
-    public Optional<AnswerPace> pace() {
-        return Optional.ofNullable(pace).flatMap(PaceRecorder::pace);
+        return answerEnd.isOver();
     }
 
-    /** Returns the time since the last bytes of an endpoint, or since the send if there were none. */
-    public Duration silence() {
-        return Duration.ofNanos(effects.nowNanos() - lastReceivedNanos);
+    /** Returns what the answer looked like until now. */
+    public AnswerStatistics statistics() {
+        return statistics;
     }
 
     /** Called with the result of a placement request. A placement that is no longer needed is released. */
     public void onPlacementDecision(PlacementDecision decision) {
-        if (state != State.PLACING) {
-            if (decision instanceof PlacementDecision.Placed late) {
-                effects.report(new AttemptEnded(late.ticket(), End.LEFT));
+        inquiry.accept(decision, pinnedVersion, deadline.remaining()).ifPresent(accepted -> {
+            if (accepted instanceof PlacementDecision.Placed chosen) {
+                send(chosen);
+            } else if (accepted instanceof PlacementDecision.Refused refused) {
+                handleRefusal(refused.error());
             }
-            return;
-        }
-        if (decision instanceof PlacementDecision.Placed chosen) {
-            send(chosen);
-        } else if (decision instanceof PlacementDecision.Refused refused) {
-            handleRefusal(refused.error());
+        });
+    }
+
+    /** Called when the connection of a leg is established. */
+    public void onDelivery(long ofLeg) {
+        legs.find(ofLeg).ifPresent(Leg::recordDelivery);
+        if (legs.isReplacement(ofLeg) && !holdingError) {
+            effects.schedule(TimerKind.OVERLAP, ofLeg, MAX_OVERLAP);
         }
     }
 
     /** Called when the head of the answer was received on a leg. */
     public void onHead(long ofLeg, EndpointAnswerHead head) {
-        if (isStale(ofLeg)) {
+        Optional<Leg> found = legs.find(ofLeg);
+        if (found.isEmpty()) {
             return;
         }
-        lastReceivedNanos = effects.nowNanos();
-        reportNotice(head);
+        Leg leg = found.get();
+        statistics.recordReceived();
+        leg.noticeIn(head).ifPresent(effects::report);
         if (head.notRun() || head.isMisdirected()) {
-            handleNotRun(head);
+            handleNotRun(leg, head);
             return;
         }
-        countRun();
-        if (!head.isGenuine()) {
-            handleLegFailure(End.BROKEN, "status " + head.status() + " is no answer to this request");
+        history.recordRun(leg);
+        Optional<LegFailure> failure = headSent ? LegFailure.ofResumed(head, pinnedVersion) : LegFailure.ofFirst(head);
+        if (failure.isPresent()) {
+            handleLegFailure(leg, failure.get().end(), failure.get().detail());
             return;
         }
-        answerHead = head;
+        endSilence(leg, SilenceOutcome.CONTINUED);
+        leg.recordProgress(effects.nowNanos());
+        leg.recordHead(head);
         if (route.streamed()) {
-            effects.report(new AttemptBegun(placed.ticket()));
+            effects.report(new AttemptBegun(leg.placed().ticket()));
         }
-        if (headSent) {
-            handleResumedHead(head);
-        } else if (head.isFault() && mayRunAgain() && hasTimeForRetry()) {
-            retryBeforeForwarding();
-        } else {
-            forwardAnswer(head);
+        if (legs.isReplacement(ofLeg)) {
+            promoteReplacement();
         }
+        acceptHead(leg, head);
     }
 
     /** Called when bytes of the answer body were received on a leg. */
     public void onBytes(long ofLeg, ByteBuffer bytes) {
-        if (isStale(ofLeg) || state != State.STREAMING) {
+        Optional<Leg> found = legs.current(ofLeg);
+        if (found.isEmpty() || !headSent || holdingError) {
             return;
         }
-        lastReceivedNanos = effects.nowNanos();
+        Leg leg = found.get();
+        statistics.recordReceived();
         if (route.streamed()) {
-            pace.recordEvent(effects.nowNanos());
+            leg.pace().recordEvent(effects.nowNanos());
         }
-        if (!framesEvents()) {
+        if (!route.isResumableStream()) {
             effects.answerBytes(bytes);
             return;
         }
         ByteBuffer completed = eventFramer.accept(bytes);
         if (eventFramer.isTooLarge()) {
-            handleLegFailure(End.BROKEN, "an event has no end");
+            handleLegFailure(leg, End.BROKEN, "an event has no end");
         } else if (completed.hasRemaining()) {
             effects.answerBytes(completed);
-            progressNanos = effects.nowNanos();
+            handleProgress(leg);
         }
     }
 
     /** Called when the answer on a leg is complete. */
     public void onEnd(long ofLeg) {
-        if (isStale(ofLeg)) {
-            return;
-        }
-        if (heldForRetry) {
-            endedWhileHeld = true;
-            return;
-        }
-        if (framesEvents() && eventFramer.isInsideEvent()) {
-            handleLegFailure(End.BROKEN, "the stream ended inside an event");
-            return;
+        legs.current(ofLeg).ifPresent(this::handleEnd);
+    }
+
+    private void handleEnd(Leg leg) {
+        if (holdingError) {
+            leg.recordComplete();
+        } else if (route.isResumableStream() && eventFramer.isInsideEvent()) {
+            handleLegFailure(leg, End.BROKEN, "the stream ended inside an event");
+        } else {
+            stopSeeking();
+            endCurrent(leg.isFault() ? End.FAULT : End.ANSWERED);
+            answerEnd.complete(leg.head().map(EndpointAnswerHead::status).orElse(0));
         }
-        endAttempt(answerHead != null && answerHead.isFault() ? End.FAULT : End.ANSWERED);
-        effects.answerEnd();
-        finish("answered " + (answerHead == null ? 0 : answerHead.status()));
     }
 
     /**
@@ -238,188 +200,247 @@
      * @param end kind of failure, UNREACHED only if no byte of the request was sent
      */
     public void onFailure(long ofLeg, End end, String detail) {
-        if (!isStale(ofLeg)) {
+        legs.find(ofLeg).ifPresent(leg -> {
             if (end.mayHaveRun()) {
-                countRun();
+                history.recordRun(leg);
             }
-            handleLegFailure(end, detail);
-        }
+            handleLegFailure(leg, end, detail);
+        });
     }
 
     /** Called when a timer that was set by {@link ForwardEffects#schedule} expires. */
     public void onTimer(TimerKind kind, long ofLeg) {
-        if (state == State.OVER) {
+        if (isOver()) {
             return;
         }
-        if (kind == TimerKind.DEADLINE) {
-            handleDeadline();
-        } else if (ofLeg != leg) {
-            return;
-        } else if (kind == TimerKind.HEAD && state == State.SENDING && !heldForRetry) {
-            countRun();
-            handleSilence("no answer began in time");
-        } else if (kind == TimerKind.GAP && state == State.STREAMING) {
-            checkGap();
+        switch (kind) {
+            case DEADLINE -> handleDeadline();
+            case HEAD ->
+                legs.current(ofLeg)
+                        .filter(leg -> leg.head().isEmpty())
+                        .ifPresent(leg -> handleSilence(leg, "no answer began"));
+            case GAP ->
+                legs.current(ofLeg)
+                        .filter(silenceWatch::isSilent)
+                        .ifPresent(leg -> handleSilence(leg, "the stream paused"));
+            case OVERLAP -> endOverlap(ofLeg);
+            default -> throw new AssertionError(kind);
         }
     }
 
-    /** Called when the caller disconnected. The running attempt is abandoned immediately. */
+    /** Called when the caller disconnected. All attempts are abandoned immediately. */
     public void onCallerDisconnected() {
-        if (state == State.OVER) {
-            return;
+        if (!isOver()) {
+            abandonAll();
+            answerEnd.callerLeft();
         }
-        abandonLeg(End.LEFT);
-        finish("caller left");
     }
 
     // ---- Placement and sending
 
     private void requestPlacement(Kind kind) {
-        state = State.PLACING;
-        effects.requestPlacement(ImmutableSet.copyOf(excluded), kind, pinnedVersion, remaining());
+        inquiry.request(kind, pinnedVersion, deadline.remaining());
     }
 
     private void send(PlacementDecision.Placed chosen) {
-        Duration remainingTime = remaining();
-        if (heldForRetry) {
-            // Another endpoint was found, so the held error answer is discarded.
-            heldForRetry = false;
-            endedWhileHeld = false;
-            effects.abandon(leg);
-            endAttempt(End.FAULT);
-        }
-        placed = chosen;
-        if (remainingTime.compareTo(MIN_ATTEMPT_TIME) < 0) {
-            endAttempt(End.LEFT);
-            handleDeadline();
+        if (!deadline.permitsAttempt()) {
+            inquiry.release(chosen);
+            legs.current().ifPresentOrElse(leg -> keepCurrent(), this::handleDeadline);
             return;
         }
-        leg++;
-        sends++;
-        legRunCounted = false;
-        state = State.SENDING;
-        answerHead = null;
-        endSilence(SilenceOutcome.REPLACED);
-        lastReceivedNanos = effects.nowNanos();
-        pace = PaceRecorder.start(effects.nowNanos());
-        effects.send(leg, chosen, remainingTime, eventFramer.lastId(), needsNewConnection());
-        if (route.repeatable()) {
-            effects.schedule(TimerKind.HEAD, leg, headTimeout(chosen));
+        Leg leg = Leg.of(history.recordSend(), chosen, effects.nowNanos());
+        legs.add(leg);
+        statistics.recordReceived();
+        effects.send(leg.number(), chosen, deadline.remaining(), eventFramer.lastId(), history.needsNewConnection());
+        legs.current(leg.number()).ifPresent(silenceWatch::watch);
+    }
+
+    private void handleRefusal(YuccagwException error) {
+        if (legs.current().isPresent()) {
+            keepCurrent();
+        } else {
+            giveUp("no endpoint to go on with: " + error.getMessage(), error);
         }
     }
 
-    /**
-     * Returns whether the request needs a new connection. A reused connection may lead to an endpoint that is no longer
-     * reachable, while a failed connection attempt reveals that immediately. For streams this is worth a new connection
-     * each.
-     */
-    private boolean needsNewConnection() {
-        return !route.repeatable() || route.streamed() || sends > 1;
+    // ---- Replacement of a leg
+
+    /** Handles a leg without progress. It stays the current one, since its endpoint may still go on. */
+    private void handleSilence(Leg leg, String detail) {
+        leg.recordSilence();
+        String pause = detail + " for " + silenceWatch.pauseOf(leg).toMillis() + " ms";
+        effects.explain("endpoint-silent", pause + " at " + leg.endpoint());
+        history.recordRun(leg);
+        history.recordFailure(leg, pause);
+        history.exclude(leg.endpoint());
+        if (!isSeekingReplacement() && mayRetry()) {
+            requestPlacement(Kind.REPEAT);
+        }
+    }
+
+    private void handleProgress(Leg leg) {
+        boolean wasSilent = leg.isSilent();
+        endSilence(leg, SilenceOutcome.CONTINUED);
+        leg.recordProgress(effects.nowNanos());
+        stopSeeking();
+        if (wasSilent) {
+            silenceWatch.watch(leg);
+        }
+    }
+
+    private void endSilence(Leg leg, SilenceOutcome outcome) {
+        if (leg.isSilent()) {
+            effects.reportSilence(outcome);
+        }
     }
 
-    private Duration headTimeout(PlacementDecision.Placed chosen) {
-        Duration targetTimeout =
-                route.target().multipliedBy(route.streamed() ? STREAM_HEAD_TIMEOUT_TARGETS : HEAD_TIMEOUT_TARGETS);
-        Duration predictionTimeout = Duration.ofMillis(chosen.firstByteMillis() * HEAD_TIMEOUT_PREDICTIONS);
-        return Comparators.max(Comparators.max(targetTimeout, predictionTimeout), MIN_SILENCE_TIMEOUT);
+    private boolean isSeekingReplacement() {
+        return legs.replacement().isPresent() || inquiry.isWanted();
     }
 
-    private void handleRefusal(YuccagwException error) {
-        if (heldForRetry) {
-            forwardHeldAnswer();
-        } else if (headSent) {
-            abort("no endpoint to go on with: " + error.getMessage());
-        } else if (mayHaveRun) {
-            fail(ErrorKind.ENDPOINT_FAILED.raise(endpointName(), lastFailure));
+    private void stopSeeking() {
+        inquiry.cancel();
+        legs.replacement().ifPresent(unused -> {
+            if (unused.isDelivered()) {
+                history.recordRun(unused);
+            }
+            effects.abandon(unused.number());
+            effects.report(unused.ended(End.LEFT));
+        });
+        legs.removeReplacement();
+    }
+
+    /** Gives up the current leg, now that its replacement answers or was delivered long enough ago. */
+    private void promoteReplacement() {
+        Leg previous = legs.current().orElseThrow();
+        effects.explain(headSent ? "resume-elsewhere" : "try-elsewhere", history.lastFailure());
+        effects.abandon(previous.number());
+        endSilence(previous, SilenceOutcome.REPLACED);
+        endCurrent(holdingError ? End.FAULT : End.SILENT);
+        holdingError = false;
+        eventFramer.discardPartial();
+    }
+
+    private void endOverlap(long ofLeg) {
+        if (legs.isReplacement(ofLeg) && !holdingError) {
+            promoteReplacement();
+            silenceWatch.watch(legs.current().orElseThrow());
+        }
+    }
+
+    /** Ends a replacement that failed and requests another one if there may be one. */
+    private void endReplacement(AttemptEnded ended) {
+        effects.report(ended);
+        legs.removeReplacement();
+        if (mayRetry()) {
+            requestPlacement(ended.end() == End.UNREACHED ? Kind.UNSENT : Kind.REPEAT);
         } else {
-            fail(error);
+            keepCurrent();
         }
     }
 
+    /** Continues with the current leg, since there is no replacement for it at present. */
+    private void keepCurrent() {
+        if (holdingError) {
+            forwardHeldError();
+        } else {
+            silenceWatch.watch(legs.current().orElseThrow());
+        }
+    }
+
+    /** Returns whether the current leg has ended but a replacement for it is there or being sought. */
+    private boolean continueWithReplacement() {
+        legs.current().ifPresent(silenceWatch::watch);
+        return legs.current().isPresent() || inquiry.isWanted();
+    }
+
     // ---- Answers
 
-    private void forwardAnswer(EndpointAnswerHead head) {
+    private void acceptHead(Leg leg, EndpointAnswerHead head) {
+        if (headSent) {
+            stopSeeking();
+            silenceWatch.watch(leg);
+        } else if (head.isFault() && (isSeekingReplacement() || mayRetry())) {
+            holdError(leg, head);
+        } else {
+            stopSeeking();
+            forwardAnswer(leg, head);
+        }
+    }
+
+    private void forwardAnswer(Leg leg, EndpointAnswerHead head) {
         boolean unprovenNotRun = head.impliesNotRun();
         if (unprovenNotRun) {
             // The status would imply "not run" although the endpoint did not state it.
-            effects.abandon(leg);
-            endAttempt(End.FAULT);
-            fail(ErrorKind.ENDPOINT_FAILED.raise(endpointName(), "status " + head.status()));
+            effects.abandon(leg.number());
+            history.recordFailure(leg, "status " + head.status());
+            endCurrent(End.FAULT);
+            answerEnd.fail(endpointFailed());
             return;
         }
-        state = State.STREAMING;
         headSent = true;
         pinnedVersion = head.version();
-        effects.answerHead(leg);
-        scheduleGap();
+        effects.answerHead(leg.number());
+        silenceWatch.watch(leg);
     }
 
-    private void handleResumedHead(EndpointAnswerHead head) {
-        if (!head.isSuccess()) {
-            handleLegFailure(End.FAULT, "status " + head.status() + " to a resumed stream");
-            return;
-        }
-        if (pinnedVersion.isPresent() && !head.version().equals(pinnedVersion)) {
-            handleLegFailure(End.WRONG_VERSION, "the resumed stream has other weights");
-            return;
+    /** Holds the error answer and requests another endpoint. If there is none, the error answer is forwarded. */
+    private void holdError(Leg leg, EndpointAnswerHead head) {
+        effects.pauseReading(leg.number());
+        holdingError = true;
+        history.exclude(leg.endpoint());
+        history.recordFailure(leg, "status " + head.status());
+        if (!isSeekingReplacement()) {
+            requestPlacement(Kind.REPEAT);
         }
-        state = State.STREAMING;
-        scheduleGap();
     }
 
-    /** Holds the error answer and requests another endpoint. If there is none, the error answer is forwarded. */
-    private void retryBeforeForwarding() {
-        effects.pauseReading(leg);
-        heldForRetry = true;
-        excluded.add(placed.endpoint().id());
-        lastFailure = "status " + answerHead.status();
-        effects.explain("try-elsewhere", lastFailure);
-        requestPlacement(Kind.REPEAT);
-    }
-
-    private void forwardHeldAnswer() {
-        heldForRetry = false;
-        EndpointAnswerHead heldHead = answerHead;
-        state = State.SENDING;
-        forwardAnswer(heldHead);
-        if (state == State.STREAMING) {
-            effects.resumeReading(leg);
-            if (endedWhileHeld) {
-                onEnd(leg);
+    private void forwardHeldError() {
+        holdingError = false;
+        Leg leg = legs.current().orElseThrow();
+        forwardAnswer(leg, leg.head().orElseThrow());
+        if (!isOver()) {
+            effects.resumeReading(leg.number());
+            if (leg.isComplete()) {
+                handleEnd(leg);
             }
         }
     }
 
-    private void handleNotRun(EndpointAnswerHead head) {
-        effects.abandon(leg);
-        End end = head.isMisdirected() ? (head.fromOtherEndpoint() ? End.WRONG_ENDPOINT : End.WRONG_VERSION) : End.SHED;
-        endAttempt(end, end == End.WRONG_ENDPOINT ? OptionalLong.empty() : head.version());
-        lastFailure = "status " + head.status() + ", not run";
+    private void handleNotRun(Leg leg, EndpointAnswerHead head) {
+        effects.abandon(leg.number());
+        End end = head.notRunEnd();
+        AttemptEnded ended = leg.ended(end, end == End.WRONG_ENDPOINT ? OptionalLong.empty() : head.version());
+        history.recordFailure(leg, "status " + head.status() + ", not run");
         if (end != End.WRONG_VERSION) {
-            excluded.add(lastEndpoint);
+            history.exclude(leg.endpoint());
+        }
+        if (legs.isReplacement(leg.number())) {
+            endReplacement(ended);
+            return;
+        }
+        effects.report(ended);
+        legs.removeCurrent();
+        if (!continueWithReplacement()) {
+            retryAfterNotRun(Kind.REPEAT);
         }
-        retryAfterNotRun(true);
     }
 
-    private void retryAfterNotRun(boolean reachedEndpoint) {
-        if (sends < MAX_SENDS && hasTimeForRetry()) {
-            effects.explain("try-elsewhere", lastFailure);
-            requestPlacement(reachedEndpoint ? Kind.REPEAT : Kind.UNSENT);
-        } else if (headSent) {
-            abort(lastFailure);
-        } else if (mayHaveRun) {
-            fail(ErrorKind.ENDPOINT_FAILED.raise(endpointName(), lastFailure));
+    private void retryAfterNotRun(Kind kind) {
+        if (history.maySendAgain() && deadline.permitsAttempt()) {
+            effects.explain("try-elsewhere", history.lastFailure());
+            requestPlacement(kind);
         } else {
-            fail(ErrorKind.NO_ENDPOINT.raise(request.service()));
+            giveUp(history.lastFailure(), ErrorKind.NO_ENDPOINT.raise(request.service()));
         }
     }
 
     /**
-     * Handles the failure of the current leg. The first case that applies decides:
+     * Handles the failure of a leg. The first case that applies decides:
      *
      * <ol>
-     *   <li>An error answer is held for the caller: its body can no longer be read, so this failure is reported instead
-     *       if there is no other endpoint.
+     *   <li>It is the replacement: another one is requested, or the current leg is kept.
+     *   <li>There is a replacement, or one is being sought: continue with that.
      *   <li>Nothing was sent: retry on another endpoint, even if the request is not repeatable.
      *   <li>The answer has started and the stream is resumable: continue on another endpoint after the last complete
      *       event.
@@ -429,167 +450,80 @@
      *   <li>Otherwise: answer that the request may have run and that its answer is lost.
      * </ol>
      */
-    private void handleLegFailure(End end, String detail) {
-        effects.abandon(leg);
-        lastFailure = detail;
-        if (heldForRetry) {
-            heldForRetry = false;
-            endAttempt(End.FAULT);
+    private void handleLegFailure(Leg leg, End end, String detail) {
+        effects.abandon(leg.number());
+        history.recordFailure(leg, detail);
+        history.exclude(leg.endpoint());
+        if (legs.isReplacement(leg.number())) {
+            endReplacement(leg.ended(end));
             return;
         }
-        endAttempt(end);
-        excluded.add(lastEndpoint);
-        if (end == End.UNREACHED) {
-            retryAfterNotRun(false);
+        endCurrent(holdingError ? End.FAULT : end);
+        holdingError = false;
+        eventFramer.discardPartial();
+        if (continueWithReplacement()) {
             return;
         }
-        if (headSent) {
-            eventFramer.discardPartial();
-            resumeOrAbort(detail);
-        } else if (mayRunAgain() && hasTimeForRetry()) {
-            effects.explain("try-elsewhere", detail);
+        if (end == End.UNREACHED) {
+            retryAfterNotRun(Kind.UNSENT);
+        } else if (mayRetry()) {
+            effects.explain(headSent ? "resume-elsewhere" : "try-elsewhere", detail);
             requestPlacement(Kind.REPEAT);
         } else {
-            fail(ErrorKind.ENDPOINT_FAILED.raise(endpointName(), detail));
+            giveUp(detail, endpointFailed());
         }
     }
 
-    private void resumeOrAbort(String detail) {
-        if (framesEvents() && mayRunAgain() && hasTimeForRetry()) {
-            effects.explain("resume-elsewhere", detail + ", after event " + eventFramer.lastId());
-            requestPlacement(Kind.REPEAT);
+    /**
+     * Ends the request without an answer of an endpoint.
+     *
+     * @param detail why, if an answer has started
+     * @param ifNotRun the error if no attempt may have run
+     */
+    private void giveUp(String detail, YuccagwException ifNotRun) {
+        if (headSent) {
+            answerEnd.abort(detail);
         } else {
-            abort(detail);
+            answerEnd.fail(history.mayHaveRun() ? endpointFailed() : ifNotRun);
         }
     }
 
     private void handleDeadline() {
-        mayHaveRun |= state == State.SENDING;
-        abandonLeg(End.LEFT);
+        boolean mayHaveRun = history.mayHaveRun() || legs.current().isPresent();
+        abandonAll();
         if (headSent) {
-            abort("the time of the request is over");
+            answerEnd.abort("the time of the request is over");
         } else if (mayHaveRun) {
-            fail(ErrorKind.DEADLINE_PASSED.raise(
-                    Comparators.min(request.callerTimeout(), route.timeout()).toMillis()));
+            answerEnd.fail(deadline.passed());
         } else {
-            fail(ErrorKind.NO_ENDPOINT.raise(request.service()));
+            answerEnd.fail(ErrorKind.NO_ENDPOINT.raise(request.service()));
         }
     }
 
     // ---- Helpers
 
-    private void reportNotice(EndpointAnswerHead head) {
-        EndpointNotice notice = head.notice();
-        boolean limitStated = notice.rateLimit().isPresent() || head.isGenuine();
-        boolean limitKnownAtPlacement = placed.rateLimited() && limitStated;
-        if (head.isOfExpectedEndpoint() && (notice.hasContent() || limitKnownAtPlacement)) {
-            EndpointIncarnation endpoint = placed.endpoint().incarnation();
-            effects.report(new NoticeReceived(endpoint, notice, limitKnownAtPlacement));
-        }
-    }
-
-    private boolean mayRunAgain() {
-        return route.repeatable() && runs < route.attemptLimit() && sends < MAX_SENDS;
-    }
-
-    private boolean hasTimeForRetry() {
-        return remaining().compareTo(MIN_ATTEMPT_TIME) > 0;
-    }
-
-    private boolean framesEvents() {
-        return route.streamed() && route.resumable();
-    }
-
-    /** Counts the current leg once as an attempt that may have run. */
-    private void countRun() {
-        mayHaveRun = true;
-        if (!legRunCounted) {
-            legRunCounted = true;
-            runs++;
-        }
-    }
-
-    private void scheduleGap() {
-        progressNanos = effects.nowNanos();
-        if (framesEvents()) {
-            effects.schedule(TimerKind.GAP, leg, silenceTimeout());
-        }
-    }
-
-    /**
-     * Checks the time since the last event. There is one gap timer per leg, which is set again for the remaining time.
-     */
-    private void checkGap() {
-        Duration pause = Duration.ofNanos(effects.nowNanos() - progressNanos);
-        Duration remainingPause = silenceTimeout().minus(pause);
-        if (remainingPause.isNegative() || remainingPause.isZero()) {
-            handleSilence("the stream paused for " + pause.toMillis() + " ms");
-        } else {
-            effects.schedule(TimerKind.GAP, leg, remainingPause);
-        }
-    }
-
-    private void handleSilence(String detail) {
-        effects.explain("endpoint-silent", detail + " at " + placed.endpoint().id());
-        silent = true;
-        handleLegFailure(End.SILENT, detail);
-    }
-
-    private void endSilence(SilenceOutcome outcome) {
-        if (silent) {
-            silent = false;
-            effects.reportSilence(outcome);
-        }
-    }
-
-    private Duration silenceTimeout() {
-        return Comparators.max(route.maxGap().multipliedBy(SILENCE_TIMEOUT_GAPS), MIN_SILENCE_TIMEOUT);
-    }
-
-    private void abandonLeg(End end) {
-        if (state == State.SENDING || state == State.STREAMING || heldForRetry) {
-            effects.abandon(leg);
-            endAttempt(end);
-        }
-    }
-
-    private void endAttempt(End end) {
-        endAttempt(end, answerHead == null ? OptionalLong.empty() : answerHead.version());
-    }
-
-    private void endAttempt(End end, OptionalLong version) {
-        if (placed != null) {
-            effects.report(new AttemptEnded(placed.ticket(), end, version, pace()));
-            lastEndpoint = placed.endpoint().id();
-            placed = null;
-        }
-    }
-
-    private String endpointName() {
-        return lastEndpoint == null ? "none" : lastEndpoint.value();
-    }
-
-    private void abort(String detail) {
-        effects.abortAnswer();
-        finish("cut: " + detail);
-    }
-
-    private void fail(YuccagwException error) {
-        effects.answerError(error);
-        finish(error.kind().code());
+    /** Returns whether the request may run on another endpoint, after the events that were forwarded. */
+    private boolean mayRetry() {
+        return history.mayRunAgain() && deadline.permitsAttempt() && (!headSent || route.isResumableStream());
     }
 
-    private void finish(String outcome) {
-        state = State.OVER;
-        endSilence(SilenceOutcome.UNANSWERED);
-        effects.ended(outcome);
+    private void abandonAll() {
+        stopSeeking();
+        legs.current().ifPresent(leg -> {
+            effects.abandon(leg.number());
+            endSilence(leg, SilenceOutcome.UNANSWERED);
+            endCurrent(leg.isSilent() ? End.SILENT : End.LEFT);
+        });
     }
 
-    private boolean isStale(long ofLeg) {
-        return ofLeg != leg || state == State.OVER || (state == State.PLACING && !heldForRetry);
+    private void endCurrent(End end) {
+        Leg leg = legs.current().orElseThrow();
+        effects.report(leg.ended(end));
+        statistics.recordEnd(leg);
+        legs.removeCurrent();
     }
 
-    private Duration remaining() {
-        return Duration.ofNanos(Math.max(0, deadlineNanos - effects.nowNanos()));
+    private YuccagwException endpointFailed() {
+        return ErrorKind.ENDPOINT_FAILED.raise(history.lastEndpoint(), history.lastFailure());
     }
 }
--- /dev/null
+++ b/src/main/java/org/yuccagw/core/forward/PlacementInquiry.java
@@ -0,0 +1,71 @@
+package org.yuccagw.core.forward;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.yuccagw.core.placing.AttemptEnded;
+import org.yuccagw.core.placing.AttemptEnded.End;
+import org.yuccagw.core.placing.PlacementDecision;
+import org.yuccagw.core.placing.PlacementRequest.Kind;
+
+/**
+ * The placement request of one machine, which has at most one in progress.
+ *
+ * <p>A placement can't be cancelled while it is being decided. So a decision may arrive that is no longer wanted, or
+ * that was asked for before other endpoints failed. Such a placement is released.
+ */
+final class PlacementInquiry {
+    private final ForwardEffects effects;
+    private final AttemptHistory history;
+    private boolean pending;
+    private boolean wanted;
+    private boolean outdated;
+
+    private PlacementInquiry(ForwardEffects effects, AttemptHistory history) {
+        this.effects = effects;
+        this.history = history;
+    }
+
+    static PlacementInquiry of(ForwardEffects effects, AttemptHistory history) {
+        return new PlacementInquiry(effects, history);
+    }
+
+    /** Requests an endpoint. While a decision is pending, the request follows once that has arrived. */
+    void request(Kind kind, OptionalLong pinnedVersion, Duration remaining) {
+        wanted = true;
+        outdated = pending;
+        if (!pending) {
+            pending = true;
+            effects.requestPlacement(history.excluded(), kind, pinnedVersion, remaining);
+        }
+    }
+
+    /** The decision in progress, if there is one, isn't wanted any more. */
+    void cancel() {
+        wanted = false;
+    }
+
+    boolean isWanted() {
+        return wanted;
+    }
+
+    /** Returns the decision that has arrived if it is wanted. Otherwise its placement is released. */
+    Optional<PlacementDecision> accept(PlacementDecision decision, OptionalLong pinnedVersion, Duration remaining) {
+        pending = false;
+        if (wanted && !outdated) {
+            wanted = false;
+            return Optional.of(decision);
+        }
+        release(decision);
+        if (wanted) {
+            request(Kind.REPEAT, pinnedVersion, remaining);
+        }
+        return Optional.empty();
+    }
+
+    void release(PlacementDecision decision) {
+        if (decision instanceof PlacementDecision.Placed unused) {
+            effects.report(new AttemptEnded(unused.ticket(), End.LEFT));
+        }
+    }
+}
--- a/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
+++ b/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
@@ -351,8 +351,16 @@
         machine.onBytes(1, bytes("id: 1\ndata: a\n\n"));
         effects.advance(Duration.ofMillis(700));
         machine.onTimer(TimerKind.GAP, 1);
-        assertEquals(effects.attempts, ImmutableList.of(End.SILENT));
         assertTrue(effects.lines.contains("place REPEAT without [e1] version 1"));
+        machine.onPlacementDecision(placed("e2"));
+        machine.onDelivery(2);
+        machine.onTimer(TimerKind.OVERLAP, 2);
+        assertEquals(effects.attempts, ImmutableList.of(End.SILENT));
+        assertTrue(effects.lines.contains("abandon leg 1"), effects.lines.toString());
+        machine.onHead(2, ok());
+        machine.onBytes(2, bytes("id: 2\ndata: b\n\n"));
+        machine.onEnd(2);
+        assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     }
 
     @Test
@@ -477,6 +485,64 @@
         assertEquals(effects.attempts, ImmutableList.of(End.SILENT, End.ANSWERED));
     }
 
+    // Guards against work at two endpoints for a caller that has left.
+    @Test
+    public void bothAttemptsOfACallerThatDisconnectedAreAbandoned() {
+        ForwardMachine machine = begin(RouteKind.STREAM, true, 2);
+        machine.onPlacementDecision(placed("e1"));
+        machine.onHead(1, ok());
+        passSilenceTimeout(machine);
+        machine.onPlacementDecision(placed("e2"));
+        machine.onCallerDisconnected();
+        assertTrue(effects.lines.contains("abandon leg 1"), effects.lines.toString());
+        assertTrue(effects.lines.contains("abandon leg 2"), effects.lines.toString());
+        assertEquals(effects.attempts, ImmutableList.of(End.LEFT, End.SILENT));
+    }
+
+    // Guards against a stream that ends because its endpoint breaks off while the other one is on its way.
+    @Test
+    public void aSilentStreamWhoseEndpointFailsContinuesOnTheOtherEndpoint() {
+        ForwardMachine machine = begin(RouteKind.STREAM, true, 2);
+        machine.onPlacementDecision(placed("e1"));
+        machine.onHead(1, ok());
+        machine.onBytes(1, bytes("id: 1\ndata: a\n\n"));
+        passSilenceTimeout(machine);
+        machine.onFailure(1, End.BROKEN, "reset");
+        machine.onPlacementDecision(placed("e2"));
+        machine.onHead(2, ok());
+        machine.onBytes(2, bytes("id: 2\ndata: b\n\n"));
+        machine.onEnd(2);
+        assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        assertEquals(
+                effects.lines.stream().filter(line -> line.startsWith("place")).count(), 2);
+    }
+
+    // Guards against replacing an error answer of an endpoint by an error of the entry.
+    @Test
+    public void anErrorAnswerIsForwardedIfTheOtherEndpointFails() {
+        ForwardMachine machine = begin(RouteKind.IDEMPOTENT, false, 2);
+        machine.onPlacementDecision(placed("e1"));
+        machine.onHead(1, answer(500, true, true));
+        machine.onPlacementDecision(placed("e2"));
+        machine.onFailure(2, End.BROKEN, "reset");
+        machine.onBytes(1, bytes("why"));
+        machine.onEnd(1);
+        assertEquals(effects.callerBody.toString(), "why");
+        assertEquals(effects.attempts, ImmutableList.of(End.BROKEN, End.FAULT));
+    }
+
+    @Test
+    public void whatBecameOfASilentEndpointIsReportedOnce() {
+        ForwardMachine machine = begin(RouteKind.STREAM, true, 2);
+        machine.onPlacementDecision(placed("e1"));
+        machine.onHead(1, ok());
+        passSilenceTimeout(machine);
+        machine.onBytes(1, bytes("id: 1\ndata: a\n\n"));
+        machine.onBytes(1, bytes("id: 2\ndata: b\n\n"));
+        machine.onEnd(1);
+        assertEquals(effects.silences, ImmutableList.of(SilenceOutcome.CONTINUED));
+    }
+
     // ---- Deadlines and disconnected callers
 
     @Test
