--- a/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
+++ b/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
@@ -5,47 +5,23 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.OptionalLong;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
-import org.yuccagw.core.deployment.PermittedRegions;
-import org.yuccagw.core.deployment.Route;
 import org.yuccagw.core.deployment.RouteKind;
-import org.yuccagw.core.deployment.ServiceShare;
 import org.yuccagw.core.error.ErrorKind;
-import org.yuccagw.core.fleet.ListedEndpoint;
 import org.yuccagw.core.forward.ForwardMachine.TimerKind;
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EndpointIncarnation;
-import org.yuccagw.core.id.FailureDomain;
-import org.yuccagw.core.id.NetworkAddress;
-import org.yuccagw.core.id.RequestId;
-import org.yuccagw.core.id.ServiceName;
 import org.yuccagw.core.notice.EndpointNotice;
 import org.yuccagw.core.notice.NoticeReceived;
 import org.yuccagw.core.notice.RateLimit;
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.placing.PlacementDecision;
 
-public class ForwardMachineTest {
-    private static final ServiceName SERVICE = ServiceName.of("service");
-    private static final long FIRST_VERSION = 1;
+public class ForwardMachineTest extends ForwardScenario {
     private static final EndpointIncarnation FIRST_INCARNATION = EndpointIncarnation.of(EndpointId.of("e1"), 1);
 
-    private RecordedForwardEffects effects;
-    private long tickets;
-
-    @BeforeMethod
-    public void createEffects() {
-        effects = new RecordedForwardEffects();
-        tickets = 0;
-    }
-
     // ---- Answers without failures
 
     @Test
@@ -375,174 +351,6 @@
         assertTrue(effects.attempts.isEmpty());
     }
 
-    // ---- Silent endpoints
-
-    // Guards against aborting a stream that is only paused because no other endpoint is available.
-    @Test
-    public void aSilentStreamGoesOnIfNoOtherEndpointIsAvailable() {
-        ForwardMachine machine = begin(RouteKind.STREAM, true, 2);
-        machine.onPlacementDecision(placed("e1"));
-        machine.onHead(1, ok());
-        machine.onBytes(1, bytes("id: 1\ndata: a\n\n"));
-        passSilenceTimeout(machine);
-        machine.onPlacementDecision(refused());
-        machine.onBytes(1, bytes("id: 2\ndata: b\n\n"));
-        machine.onEnd(1);
-        assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
-        assertEquals(effects.attempts, ImmutableList.of(End.ANSWERED));
-        assertFalse(effects.lines.contains("cut"), effects.lines.toString());
-    }
-
-    // Guards against aborting a paused stream because its attempts are used up.
-    @Test
-    public void aSilentStreamGoesOnIfNoAttemptIsLeft() {
-        ForwardMachine machine = begin(RouteKind.STREAM, true, 1);
-        machine.onPlacementDecision(placed("e1"));
-        machine.onHead(1, ok());
-        passSilenceTimeout(machine);
-        machine.onBytes(1, bytes("id: 1\ndata: a\n\n"));
-        machine.onEnd(1);
-        assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\n");
-        assertEquals(effects.attempts, ImmutableList.of(End.ANSWERED));
-    }
-
-    // Guards against answering with an error while the endpoint may still answer.
-    @Test
-    public void aSilentRequestIsAnsweredByItsEndpointIfNoOtherEndpointIsAvailable() {
-        ForwardMachine machine = begin(RouteKind.IDEMPOTENT, false, 2);
-        machine.onPlacementDecision(placed("e1"));
-        effects.advance(Duration.ofMillis(400));
-        machine.onTimer(TimerKind.HEAD, 1);
-        machine.onPlacementDecision(refused());
-        machine.onHead(1, ok());
-        machine.onBytes(1, bytes("late"));
-        machine.onEnd(1);
-        assertEquals(effects.callerBody.toString(), "late");
-        assertEquals(effects.error, null);
-    }
-
-    // Guards against leaving an endpoint that continues while another one is being sought.
-    @Test
-    public void aSilentStreamThatContinuesStaysOnItsEndpoint() {
-        ForwardMachine machine = begin(RouteKind.STREAM, true, 2);
-        machine.onPlacementDecision(placed("e1"));
-        machine.onHead(1, ok());
-        passSilenceTimeout(machine);
-        machine.onBytes(1, bytes("id: 1\ndata: a\n\n"));
-        machine.onPlacementDecision(placed("e2"));
-        machine.onEnd(1);
-        assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\n");
-        assertEquals(effects.attempts, ImmutableList.of(End.LEFT, End.ANSWERED));
-        assertEquals(sentLegs(), 1);
-    }
-
-    // Guards against giving up a paused stream for an endpoint that does not accept it.
-    @Test
-    public void aSilentStreamGoesOnIfTheOtherEndpointRejectsIt() {
-        ForwardMachine machine = begin(RouteKind.STREAM, true, 2);
-        machine.onPlacementDecision(placed("e1"));
-        machine.onHead(1, ok());
-        passSilenceTimeout(machine);
-        machine.onPlacementDecision(placed("e2"));
-        machine.onHead(2, notRun(503));
-        machine.onPlacementDecision(refused());
-        machine.onBytes(1, bytes("id: 1\ndata: a\n\n"));
-        machine.onEnd(1);
-        assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\n");
-        assertEquals(effects.attempts, ImmutableList.of(End.SHED, End.ANSWERED));
-    }
-
-    // Guards against giving up a paused stream for an endpoint that can't be reached.
-    @Test
-    public void aSilentStreamGoesOnIfTheOtherEndpointIsNotReached() {
-        ForwardMachine machine = begin(RouteKind.STREAM, true, 2);
-        machine.onPlacementDecision(placed("e1"));
-        machine.onHead(1, ok());
-        passSilenceTimeout(machine);
-        machine.onPlacementDecision(placed("e2"));
-        machine.onFailure(2, End.UNREACHED, "refused");
-        machine.onPlacementDecision(refused());
-        machine.onBytes(1, bytes("id: 1\ndata: a\n\n"));
-        machine.onEnd(1);
-        assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\n");
-    }
-
-    @Test
-    public void aSilentStreamIsGivenUpOnceAnotherEndpointContinuesIt() {
-        ForwardMachine machine = begin(RouteKind.STREAM, true, 2);
-        machine.onPlacementDecision(placed("e1"));
-        machine.onHead(1, ok());
-        machine.onBytes(1, bytes("id: 1\ndata: a\n\nid: 2\nda"));
-        passSilenceTimeout(machine);
-        machine.onPlacementDecision(placed("e2"));
-        assertFalse(effects.lines.contains("abandon leg 1"), effects.lines.toString());
-        machine.onHead(2, ok());
-        assertTrue(effects.lines.contains("abandon leg 1"), effects.lines.toString());
-        machine.onBytes(1, bytes("ta: late\n\n"));
-        machine.onBytes(2, bytes("id: 2\ndata: b\n\n"));
-        machine.onEnd(2);
-        assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
-        assertEquals(effects.attempts, ImmutableList.of(End.SILENT, End.ANSWERED));
-    }
-
-    // Guards against work at two endpoints for a caller that has left.
-    @Test
-    public void bothAttemptsOfACallerThatDisconnectedAreAbandoned() {
-        ForwardMachine machine = begin(RouteKind.STREAM, true, 2);
-        machine.onPlacementDecision(placed("e1"));
-        machine.onHead(1, ok());
-        passSilenceTimeout(machine);
-        machine.onPlacementDecision(placed("e2"));
-        machine.onCallerDisconnected();
-        assertTrue(effects.lines.contains("abandon leg 1"), effects.lines.toString());
-        assertTrue(effects.lines.contains("abandon leg 2"), effects.lines.toString());
-        assertEquals(effects.attempts, ImmutableList.of(End.LEFT, End.SILENT));
-    }
-
-    // Guards against a stream that ends because its endpoint breaks off while the other one is on its way.
-    @Test
-    public void aSilentStreamWhoseEndpointFailsContinuesOnTheOtherEndpoint() {
-        ForwardMachine machine = begin(RouteKind.STREAM, true, 2);
-        machine.onPlacementDecision(placed("e1"));
-        machine.onHead(1, ok());
-        machine.onBytes(1, bytes("id: 1\ndata: a\n\n"));
-        passSilenceTimeout(machine);
-        machine.onFailure(1, End.BROKEN, "reset");
-        machine.onPlacementDecision(placed("e2"));
-        machine.onHead(2, ok());
-        machine.onBytes(2, bytes("id: 2\ndata: b\n\n"));
-        machine.onEnd(2);
-        assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
-        assertEquals(
-                effects.lines.stream().filter(line -> line.startsWith("place")).count(), 2);
-    }
-
-    // Guards against replacing an error answer of an endpoint by an error of the entry.
-    @Test
-    public void anErrorAnswerIsForwardedIfTheOtherEndpointFails() {
-        ForwardMachine machine = begin(RouteKind.IDEMPOTENT, false, 2);
-        machine.onPlacementDecision(placed("e1"));
-        machine.onHead(1, answer(500, true, true));
-        machine.onPlacementDecision(placed("e2"));
-        machine.onFailure(2, End.BROKEN, "reset");
-        machine.onBytes(1, bytes("why"));
-        machine.onEnd(1);
-        assertEquals(effects.callerBody.toString(), "why");
-        assertEquals(effects.attempts, ImmutableList.of(End.BROKEN, End.FAULT));
-    }
-
-    @Test
-    public void whatBecameOfASilentEndpointIsReportedOnce() {
-        ForwardMachine machine = begin(RouteKind.STREAM, true, 2);
-        machine.onPlacementDecision(placed("e1"));
-        machine.onHead(1, ok());
-        passSilenceTimeout(machine);
-        machine.onBytes(1, bytes("id: 1\ndata: a\n\n"));
-        machine.onBytes(1, bytes("id: 2\ndata: b\n\n"));
-        machine.onEnd(1);
-        assertEquals(effects.silences, ImmutableList.of(SilenceOutcome.CONTINUED));
-    }
-
     // ---- Deadlines and disconnected callers
 
     @Test
@@ -588,109 +396,4 @@
         machine.onTimer(TimerKind.HEAD, 1);
         assertTrue(effects.lines.contains("place REPEAT without [e1]"), effects.lines.toString());
     }
-
-    // ---- Helpers
-
-    private ForwardMachine begin(RouteKind kind, boolean resumable, int attempts) {
-        Route route = new Route(
-                "route",
-                "a.example",
-                "/",
-                kind,
-                Duration.ofMillis(800),
-                Duration.ofMillis(150),
-                Duration.ofMillis(200),
-                1,
-                ImmutableList.of(new ServiceShare(SERVICE, 1)),
-                attempts,
-                false,
-                false,
-                resumable,
-                PermittedRegions.ANYWHERE);
-        ForwardRequest request = new ForwardRequest(
-                RequestId.of("r1"),
-                route,
-                SERVICE,
-                Optional.empty(),
-                Optional.empty(),
-                Duration.ofMillis(1500),
-                "fingerprint",
-                ForwardRequest.FROM_START);
-        ForwardMachine machine = ForwardMachine.of(request, effects);
-        machine.begin();
-        return machine;
-    }
-
-    /** Passes the time after which the current stream counts as silent. */
-    private void passSilenceTimeout(ForwardMachine machine) {
-        effects.advance(Duration.ofMillis(700));
-        machine.onTimer(TimerKind.GAP, 1);
-    }
-
-    private long sentLegs() {
-        return effects.lines.stream()
-                .filter(line -> line.startsWith("send leg"))
-                .count();
-    }
-
-    private static PlacementDecision refused() {
-        return new PlacementDecision.Refused(ErrorKind.RETRY_BUDGET_SPENT.raise(SERVICE));
-    }
-
-    private PlacementDecision placed(String endpoint) {
-        return placed(endpoint, false);
-    }
-
-    private PlacementDecision placed(String endpoint, boolean rateLimited) {
-        ListedEndpoint listed = new ListedEndpoint(
-                EndpointIncarnation.of(EndpointId.of(endpoint), 1),
-                SERVICE,
-                NetworkAddress.of("127.0.0.1", 1),
-                FailureDomain.of("a"),
-                4,
-                false,
-                0,
-                ImmutableMap.of());
-        return new PlacementDecision.Placed(
-                ++tickets, listed, OptionalLong.empty(), Optional.empty(), Optional.empty(), 1, 40, rateLimited);
-    }
-
-    private static EndpointAnswerHead ok() {
-        return answer(200, true, true);
-    }
-
-    private static EndpointAnswerHead answer(int status, boolean forThisRequest, boolean sealed) {
-        return new EndpointAnswerHead(
-                status,
-                forThisRequest,
-                sealed,
-                false,
-                false,
-                false,
-                true,
-                OptionalLong.of(FIRST_VERSION),
-                EndpointNotice.NONE);
-    }
-
-    private static EndpointAnswerHead withNotice(EndpointAnswerHead head, EndpointNotice notice) {
-        return new EndpointAnswerHead(
-                head.status(),
-                head.forThisRequest(),
-                head.sealed(),
-                head.notRun(),
-                head.fromOtherEndpoint(),
-                head.encoded(),
-                head.framed(),
-                head.version(),
-                notice);
-    }
-
-    private static EndpointAnswerHead notRun(int status) {
-        return new EndpointAnswerHead(
-                status, true, false, true, false, false, true, OptionalLong.empty(), EndpointNotice.NONE);
-    }
-
-    private static ByteBuffer bytes(String text) {
-        return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
-    }
 }
