Don't take a caller that reads slowly for a silent endpoint

A caller that doesn't keep up pauses the reading from its endpoint. The time without reading counted as silence of the endpoint, so the stream was sent to another one as well, whose answer wasn't held back.

Test: SilentEndpointTest.aStreamThatIsNotReadIsNotSilent, which fails without the check ("expected [1] but found [2]" placement requests) and passes with it.

--- a/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
@@ -57,6 +57,7 @@
     private final Map<TimerKind, XnioExecutor.Key> timers = new EnumMap<>(TimerKind.class);
     private final Map<Long, Attempt> attempts = new HashMap<>();
     private long firstByteNanos;
+    private boolean readingPaused;
 
     private ServingRun(
             ServingServices services,
@@ -140,6 +141,9 @@
         Attempt attempt = new Attempt(leg, placed.endpoint().id());
         attempts.put(leg, attempt);
         attempt.call = services.endpointClient().stream(httpRequest, thread, attempt);
+        if (readingPaused) {
+            attempt.call.pause();
+        }
     }
 
     @Override
@@ -283,11 +287,15 @@
 
     @Override
     public void pause() {
+        readingPaused = true;
+        machine.onReadingPaused();
         forwardedCalls().forEach(HttpCall::pause);
     }
 
     @Override
     public void resume() {
+        readingPaused = false;
+        machine.onReadingResumed();
         forwardedCalls().forEach(HttpCall::resume);
     }
 
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -228,6 +228,16 @@
         }
     }
 
+    /** Called when reading from endpoints pauses because the caller doesn't keep up. */
+    public void onReadingPaused() {
+        silenceWatch.pauseReading();
+    }
+
+    /** Called when endpoints are read again. */
+    public void onReadingResumed() {
+        silenceWatch.resumeReading(legs.current());
+    }
+
     /** Called when the caller disconnected. All attempts are abandoned immediately. */
     public void onCallerDisconnected() {
         if (!isOver()) {
--- a/src/main/java/org/yuccagw/core/forward/SilenceWatch.java
+++ b/src/main/java/org/yuccagw/core/forward/SilenceWatch.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.Comparators;
 import java.time.Duration;
+import java.util.Optional;
 import org.yuccagw.core.deployment.Route;
 import org.yuccagw.core.forward.ForwardMachine.TimerKind;
 import org.yuccagw.core.placing.PlacementDecision;
@@ -30,6 +31,7 @@
 
     private final Route route;
     private final ForwardEffects effects;
+    private boolean readingPaused;
 
     private SilenceWatch(Route route, ForwardEffects effects) {
         this.route = route;
@@ -49,8 +51,23 @@
         }
     }
 
+    /** Records that the caller doesn't keep up, so that nothing is read from endpoints. */
+    void pauseReading() {
+        readingPaused = true;
+    }
+
+    /** Records that endpoints are read again. The time without reading doesn't count as silence. */
+    void resumeReading(Optional<Leg> leg) {
+        readingPaused = false;
+        leg.ifPresent(resumed -> resumed.recordProgress(effects.nowNanos()));
+    }
+
     /** Returns whether a stream is silent. If it isn't yet, its timer is set again for the remaining time. */
     boolean isSilent(Leg stream) {
+        if (readingPaused) {
+            watch(stream);
+            return false;
+        }
         Duration remaining = gapTimeout().minus(pauseOf(stream));
         if (remaining.isNegative() || remaining.isZero()) {
             return true;
--- a/src/test/java/org/yuccagw/core/forward/SilentEndpointTest.java
+++ b/src/test/java/org/yuccagw/core/forward/SilentEndpointTest.java
@@ -167,6 +167,20 @@
         assertEquals(effects.attempts, ImmutableList.of(End.BROKEN, End.FAULT));
     }
 
+    // Guards against taking a caller that reads slowly for an endpoint that is silent.
+    @Test
+    public void aStreamThatIsNotReadIsNotSilent() {
+        ForwardMachine machine = begin(RouteKind.STREAM, true, 2);
+        machine.onPlacementDecision(placed("e1"));
+        machine.onHead(1, ok());
+        machine.onReadingPaused();
+        passSilenceTimeout(machine);
+        machine.onReadingResumed();
+        machine.onTimer(TimerKind.GAP, 1);
+        assertEquals(
+                effects.lines.stream().filter(line -> line.startsWith("place")).count(), 1);
+    }
+
     @Test
     public void whatBecameOfASilentEndpointIsReportedOnce() {
         ForwardMachine machine = begin(RouteKind.STREAM, true, 2);
