Test in virtual time what callers get while endpoints pause

Callers of streams got cut answers while their engine had only paused. No test drove request machines of a whole fleet against endpoints that pause, so nothing showed when an entry gives up an answer before another endpoint has it.

--- a/src/main/java/org/yuccagw/standins/platform/PlatformDocuments.java
+++ b/src/main/java/org/yuccagw/standins/platform/PlatformDocuments.java
@@ -51,6 +51,12 @@
         return this;
     }
 
+    /** Sets the longest pause between events for which a stream of the last route is on time. */
+    public PlatformDocuments eventGap(int millis) {
+        last("routes").put("gapAimMs", millis);
+        return this;
+    }
+
     /** Restricts the requests of the last route to regions. */
     public PlatformDocuments allowedRegions(String... regions) {
         ArrayNode allowedRegions = last("routes").putArray("allowedRegions");
--- /dev/null
+++ b/src/test/java/org/yuccagw/daemon/PausingEndpoint.java
@@ -0,0 +1,267 @@
+package org.yuccagw.daemon;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import org.yuccagw.bench.control.VirtualTime;
+
+/**
+ * An endpoint in virtual time that answers each request with numbered events at a fixed pace. Its process can be
+ * suspended, after which it continues with all its requests, and killed. A suspended endpoint still accepts
+ * connections. A single connection can fall silent for good while the endpoint continues to work on the request.
+ */
+final class PausingEndpoint {
+    static final Duration CONNECT_TIME = Duration.ofMillis(1);
+    private static final Duration HEAD_TIME = Duration.ofMillis(40);
+    private static final Duration WITHIN_EVENT = Duration.ofMillis(10);
+    private static final Duration BETWEEN_EVENTS = Duration.ofMillis(20);
+    private static final Duration BEFORE_END = Duration.ofMillis(60);
+
+    private final VirtualTime time;
+    private final String id;
+    private final List<Run> active = new ArrayList<>();
+    private final Map<Position, Integer> delayed = new EnumMap<>(Position.class);
+    private long suspendedUntilNanos;
+    private boolean dead;
+
+    PausingEndpoint(VirtualTime time, String id) {
+        this.time = time;
+        this.id = id;
+    }
+
+    /** The position in an answer at which a pause of the endpoint delays it. */
+    enum Position {
+        BEFORE_HEAD,
+        WITHIN_EVENT,
+        BETWEEN_EVENTS,
+        BEFORE_END
+    }
+
+    /** The receiver of the answer to one request. */
+    interface AnswerListener {
+        void onConnected();
+
+        void onUnreached();
+
+        void onHead();
+
+        void onBytes(ByteBuffer bytes);
+
+        void onEnd();
+
+        void onBroken();
+    }
+
+    /** Returns the text of an event. */
+    static String event(int number) {
+        return "id: " + number + "\ndata: part " + number + "\n\n";
+    }
+
+    String id() {
+        return id;
+    }
+
+    boolean isDead() {
+        return dead;
+    }
+
+    /** Returns how many answers were delayed at the position by a pause. */
+    int delayedAt(Position position) {
+        return delayed.getOrDefault(position, 0);
+    }
+
+    /** Suspends the process from now on for the given time. */
+    void suspend(Duration pause) {
+        suspendedUntilNanos = Math.max(suspendedUntilNanos, time.nowNanos() + pause.toNanos());
+    }
+
+    /** Kills the process: all its connections break, and no new one is established. */
+    void kill() {
+        dead = true;
+        for (Run run : List.copyOf(active)) {
+            run.finish();
+            time.after(Duration.ZERO, run::reportBroken);
+        }
+    }
+
+    /**
+     * Connects and sends a request for an answer.
+     *
+     * @param afterEvent number of the event after which the answer starts, -1 for the whole answer
+     * @param events number of events of the whole answer
+     */
+    Run send(long afterEvent, int events, AnswerListener listener) {
+        Run run = new Run((int) afterEvent + 1, events, listener);
+        time.after(CONNECT_TIME, run::connect);
+        return run;
+    }
+
+    /** A request at this endpoint and its answer. */
+    final class Run {
+        private final int events;
+        private final AnswerListener listener;
+        private int nextEvent;
+        private boolean headSent;
+        private boolean insideEvent;
+        private boolean connected;
+        private boolean finished;
+        private boolean complete;
+        private boolean abandoned;
+        private boolean silent;
+        private int eventsUntilSilence = Integer.MAX_VALUE;
+        private long arrivedNanos;
+        private long finishedNanos;
+
+        private Run(int firstEvent, int events, AnswerListener listener) {
+            this.nextEvent = firstEvent;
+            this.events = events;
+            this.listener = listener;
+        }
+
+        PausingEndpoint endpoint() {
+            return PausingEndpoint.this;
+        }
+
+        /** Lets the connection fall silent for good before the event with this index, -1 for before the head. */
+        void fallSilentBefore(int eventCount) {
+            eventsUntilSilence = eventCount;
+        }
+
+        /** Closes the connection, which the endpoint notices at once. */
+        void abandon() {
+            abandoned = true;
+            if (!finished) {
+                finish();
+            }
+        }
+
+        boolean hasArrived() {
+            return connected;
+        }
+
+        boolean isFinished() {
+            return finished;
+        }
+
+        boolean isAbandoned() {
+            return abandoned;
+        }
+
+        /** Returns whether the endpoint sent the whole answer. */
+        boolean isComplete() {
+            return complete;
+        }
+
+        /** Returns whether the answer of this endpoint can still reach the entry, or could if it hadn't left. */
+        boolean couldAnswer() {
+            return connected && !dead && !complete && !silent;
+        }
+
+        long arrivedNanos() {
+            return arrivedNanos;
+        }
+
+        /** Returns the time at which the endpoint stopped work on the request, or now if it hasn't. */
+        long finishedNanos() {
+            return finished ? finishedNanos : time.nowNanos();
+        }
+
+        private void connect() {
+            if (abandoned) {
+                return;
+            }
+            if (dead) {
+                finish();
+                listener.onUnreached();
+                return;
+            }
+            connected = true;
+            arrivedNanos = time.nowNanos();
+            active.add(this);
+            listener.onConnected();
+            scheduleStep(HEAD_TIME);
+        }
+
+        private void finish() {
+            finished = true;
+            finishedNanos = time.nowNanos();
+            active.remove(this);
+        }
+
+        private void scheduleStep(Duration delay) {
+            time.after(delay, this::step);
+        }
+
+        private void step() {
+            if (finished) {
+                return;
+            }
+            if (suspendedUntilNanos > time.nowNanos()) {
+                delayed.merge(position(), 1, Integer::sum);
+                time.at(suspendedUntilNanos, this::step);
+                return;
+            }
+            if (!headSent) {
+                sendHead();
+            } else if (nextEvent >= events) {
+                sendEnd();
+            } else {
+                sendHalfEvent();
+            }
+        }
+
+        private Position position() {
+            if (!headSent) {
+                return Position.BEFORE_HEAD;
+            }
+            if (nextEvent >= events) {
+                return Position.BEFORE_END;
+            }
+            return insideEvent ? Position.WITHIN_EVENT : Position.BETWEEN_EVENTS;
+        }
+
+        private void sendHead() {
+            headSent = true;
+            silent |= eventsUntilSilence < 0;
+            scheduleStep(nextEvent < events ? BETWEEN_EVENTS : BEFORE_END);
+            if (!silent) {
+                listener.onHead();
+            }
+        }
+
+        private void sendHalfEvent() {
+            silent |= nextEvent >= eventsUntilSilence;
+            byte[] whole = event(nextEvent).getBytes(StandardCharsets.UTF_8);
+            int half = whole.length / 2;
+            ByteBuffer bytes =
+                    insideEvent ? ByteBuffer.wrap(whole, half, whole.length - half) : ByteBuffer.wrap(whole, 0, half);
+            if (insideEvent) {
+                nextEvent++;
+            }
+            insideEvent = !insideEvent;
+            scheduleStep(insideEvent ? WITHIN_EVENT : nextEvent < events ? BETWEEN_EVENTS : BEFORE_END);
+            if (!silent) {
+                listener.onBytes(bytes);
+            }
+        }
+
+        private void sendEnd() {
+            silent |= nextEvent >= eventsUntilSilence;
+            complete = true;
+            finish();
+            if (!silent) {
+                listener.onEnd();
+            }
+        }
+
+        private void reportBroken() {
+            if (!abandoned && !silent) {
+                listener.onBroken();
+            }
+        }
+    }
+}
