--- a/src/test/java/org/yuccagw/daemon/VirtualCaller.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualCaller.java
@@ -20,6 +20,7 @@
 import org.yuccagw.core.forward.ForwardEffects;
 import org.yuccagw.core.forward.ForwardMachine;
 import org.yuccagw.core.forward.ForwardRequest;
+import org.yuccagw.core.forward.SilenceOutcome;
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.notice.EndpointNotice;
 import org.yuccagw.core.notice.NoticeReceived;
@@ -266,6 +267,7 @@
         if (leg == 1) {
             silentBeforeEvent.ifPresent(sent.run::fallSilentBefore);
         }
+        machine.onDelivery(leg);
     }
 
     @Override
@@ -361,6 +363,11 @@
         node.offer(notice);
     }
 
+    @Override
+    public void reportSilence(SilenceOutcome outcome) {
+        note("silence " + outcome);
+    }
+
     @Override
     public void explain(String decision, String detail) {
         note(decision + " (" + detail + ")");
