--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -53,7 +53,7 @@
     private final AnswerEnd answerEnd;
     private final PlacementInquiry inquiry;
     private final AnswerStatistics statistics;
-    private final LegPair legs = new LegPair();
+    private final LegPair legs;
 
     private OptionalLong pinnedVersion = OptionalLong.empty();
     private boolean headSent;
@@ -81,6 +81,7 @@
         this.history = AttemptHistory.of(route);
         this.inquiry = PlacementInquiry.of(effects, history);
         this.statistics = new AnswerStatistics(effects);
+        this.legs = LegPair.of(effects, history, statistics);
         this.eventFramer = new EventFramer(request.afterEvent());
     }
 
@@ -141,7 +142,7 @@
             handleLegFailure(leg, failure.get().end(), failure.get().detail());
             return;
         }
-        endSilence(leg, SilenceOutcome.CONTINUED);
+        legs.endSilence(leg, SilenceOutcome.CONTINUED);
         leg.recordProgress(effects.nowNanos());
         leg.recordHead(head);
         if (route.streamed()) {
@@ -189,7 +190,7 @@
             handleLegFailure(leg, End.BROKEN, "the stream ended inside an event");
         } else {
             stopSeeking();
-            endCurrent(leg.isFault() ? End.FAULT : End.ANSWERED);
+            legs.endCurrent(leg.isFault() ? End.FAULT : End.ANSWERED);
             answerEnd.complete(leg.head().map(EndpointAnswerHead::status).orElse(0));
         }
     }
@@ -290,7 +291,7 @@
 
     private void handleProgress(Leg leg) {
         boolean wasSilent = leg.isSilent();
-        endSilence(leg, SilenceOutcome.CONTINUED);
+        legs.endSilence(leg, SilenceOutcome.CONTINUED);
         leg.recordProgress(effects.nowNanos());
         stopSeeking();
         if (wasSilent) {
@@ -298,26 +299,13 @@
         }
     }
 
-    private void endSilence(Leg leg, SilenceOutcome outcome) {
-        if (leg.isSilent()) {
-            effects.reportSilence(outcome);
-        }
-    }
-
     private boolean isSeekingReplacement() {
         return legs.replacement().isPresent() || inquiry.isWanted();
     }
 
     private void stopSeeking() {
         inquiry.cancel();
-        legs.replacement().ifPresent(unused -> {
-            if (unused.isDelivered()) {
-                history.recordRun(unused);
-            }
-            effects.abandon(unused.number());
-            effects.report(unused.ended(End.LEFT));
-        });
-        legs.removeReplacement();
+        legs.abandonReplacement();
     }
 
     /** Gives up the current leg, now that its replacement answers or was delivered long enough ago. */
@@ -325,8 +313,8 @@
         Leg previous = legs.current().orElseThrow();
         effects.explain(headSent ? "resume-elsewhere" : "try-elsewhere", history.lastFailure());
         effects.abandon(previous.number());
-        endSilence(previous, SilenceOutcome.REPLACED);
-        endCurrent(holdingError ? End.FAULT : End.SILENT);
+        legs.endSilence(previous, SilenceOutcome.REPLACED);
+        legs.endCurrent(holdingError ? End.FAULT : End.SILENT);
         holdingError = false;
         eventFramer.discardPartial();
     }
@@ -340,8 +328,7 @@
 
     /** Ends a replacement that failed and requests another one if there may be one. */
     private void endReplacement(AttemptEnded ended) {
-        effects.report(ended);
-        legs.removeReplacement();
+        legs.endReplacement(ended);
         if (mayRetry()) {
             requestPlacement(ended.end() == End.UNREACHED ? Kind.UNSENT : Kind.REPEAT);
         } else {
@@ -384,7 +371,7 @@
             // The status would imply "not run" although the endpoint did not state it.
             effects.abandon(leg.number());
             history.recordFailure(leg, "status " + head.status());
-            endCurrent(End.FAULT);
+            legs.endCurrent(End.FAULT);
             answerEnd.fail(endpointFailed());
             return;
         }
@@ -429,8 +416,7 @@
             endReplacement(ended);
             return;
         }
-        effects.report(ended);
-        legs.removeCurrent();
+        legs.endCurrent(ended);
         if (!continueWithReplacement()) {
             retryAfterNotRun(Kind.REPEAT);
         }
@@ -468,7 +454,7 @@
             endReplacement(leg.ended(end));
             return;
         }
-        endCurrent(holdingError ? End.FAULT : end);
+        legs.endCurrent(holdingError ? End.FAULT : end);
         holdingError = false;
         eventFramer.discardPartial();
         if (continueWithReplacement()) {
@@ -518,19 +504,8 @@
     }
 
     private void abandonAll() {
-        stopSeeking();
-        legs.current().ifPresent(leg -> {
-            effects.abandon(leg.number());
-            endSilence(leg, SilenceOutcome.UNANSWERED);
-            endCurrent(leg.isSilent() ? End.SILENT : End.LEFT);
-        });
-    }
-
-    private void endCurrent(End end) {
-        Leg leg = legs.current().orElseThrow();
-        effects.report(leg.ended(end));
-        statistics.recordEnd(leg);
-        legs.removeCurrent();
+        inquiry.cancel();
+        legs.abandonAll();
     }
 
     private YuccagwException endpointFailed() {
--- a/src/main/java/org/yuccagw/core/forward/LegPair.java
+++ b/src/main/java/org/yuccagw/core/forward/LegPair.java
@@ -1,15 +1,30 @@
 package org.yuccagw.core.forward;
 
 import java.util.Optional;
+import org.yuccagw.core.placing.AttemptEnded;
+import org.yuccagw.core.placing.AttemptEnded.End;
 
 /**
  * The legs of a request that are in progress: the current one, whose answer is forwarded, and at most one replacement,
- * which exists only beside a current one.
+ * which exists only beside a current one. The end of each leg is reported exactly once.
  */
 final class LegPair {
+    private final ForwardEffects effects;
+    private final AttemptHistory history;
+    private final AnswerStatistics statistics;
     private Optional<Leg> current = Optional.empty();
     private Optional<Leg> replacement = Optional.empty();
 
+    private LegPair(ForwardEffects effects, AttemptHistory history, AnswerStatistics statistics) {
+        this.effects = effects;
+        this.history = history;
+        this.statistics = statistics;
+    }
+
+    static LegPair of(ForwardEffects effects, AttemptHistory history, AnswerStatistics statistics) {
+        return new LegPair(effects, history, statistics);
+    }
+
     Optional<Leg> current() {
         return current;
     }
@@ -41,13 +56,50 @@
         }
     }
 
-    /** Removes the current leg, whose place the replacement takes if there is one. */
-    void removeCurrent() {
+    /** Ends the current leg, whose place the replacement takes if there is one. */
+    void endCurrent(End end) {
+        Leg ended = current.orElseThrow();
+        endCurrent(ended.ended(end));
+        statistics.recordEnd(ended);
+    }
+
+    /** Ends the current leg without an answer, with the given report. */
+    void endCurrent(AttemptEnded ended) {
+        effects.report(ended);
         current = replacement;
         replacement = Optional.empty();
     }
 
-    void removeReplacement() {
+    void endReplacement(AttemptEnded ended) {
+        effects.report(ended);
         replacement = Optional.empty();
     }
+
+    /** Abandons the replacement, if there is one, since the current leg goes on or the request has ended. */
+    void abandonReplacement() {
+        replacement.ifPresent(unused -> {
+            if (unused.isDelivered()) {
+                history.recordRun(unused);
+            }
+            effects.abandon(unused.number());
+            endReplacement(unused.ended(End.LEFT));
+        });
+    }
+
+    /** Abandons all legs, since the request has ended. */
+    void abandonAll() {
+        abandonReplacement();
+        current.ifPresent(leg -> {
+            effects.abandon(leg.number());
+            endSilence(leg, SilenceOutcome.UNANSWERED);
+            endCurrent(leg.isSilent() ? End.SILENT : End.LEFT);
+        });
+    }
+
+    /** Reports what became of a leg if it was silent. */
+    void endSilence(Leg leg, SilenceOutcome outcome) {
+        if (leg.isSilent()) {
+            effects.reportSilence(outcome);
+        }
+    }
 }
