Let the test that reads a store's events wait long for them, and test the limit of the wait by itself

What was seen: StoreClientTest#eventsContainPartsEpochAndClock failed beside builds: Unanswered after 1.23 s. Only the failed cast was shown, not the reason of the missing answer.

Cause, in the test: it polls with a wait of 200 ms, so the client gives up after 800 ms of silence (200 ms and its margin of 600 ms), while client and stand-in in the same JVM load their classes with this first answer. The test wants to know what the answer contains, but depended on the time in which it was ready. The client did what it has to do.

Change: the test polls with a wait of 60 s, as long as its own limit, and still checks that the header names the wait of the call; a missing answer is shown with its reason. What the short wait tested in passing, that a poll ends at its limit, now has a test: a store that doesn't answer is reported as such.

--- a/src/test/java/org/yuccagw/platform/StoreClientTest.java
+++ b/src/test/java/org/yuccagw/platform/StoreClientTest.java
@@ -36,6 +36,8 @@
 public class StoreClientTest {
     private static final long TIMEOUT_SECONDS = 60;
     private static final int CONFLICT = 409;
+    private static final Duration SHORT_POLL_WAIT = Duration.ofMillis(200);
+    private static final Duration LONG_POLL_WAIT = Duration.ofSeconds(TIMEOUT_SECONDS);
 
     private final LinkedBlockingQueue<ControlEvent> answers = new LinkedBlockingQueue<>();
     private final Map<PartName, Integer> storedParts = new LinkedHashMap<>();
@@ -74,8 +76,9 @@
 
     @Test
     public void eventsContainPartsEpochAndClock() throws Exception {
-        StoreAnswer.Changes changes =
-                (StoreAnswer.Changes) perform(new StoreCall.PollChanges(store, 118, Duration.ofMillis(200)));
+        ControlEvent answer = perform(new StoreCall.PollChanges(store, 118, LONG_POLL_WAIT));
+        assertTrue(answer instanceof StoreAnswer.Changes, "answer: " + answer);
+        StoreAnswer.Changes changes = (StoreAnswer.Changes) answer;
         assertEquals(changes.epoch(), 7);
         assertEquals(changes.next(), 120);
         assertEquals(changes.clockMillis(), 55_000);
@@ -85,6 +88,14 @@
                         new Change(true, "s.2", "bb", 410, "model"), new Change(false, "s.1", "dd", 0, "model")));
     }
 
+    // Guards against following a store no further after one of its answers was lost.
+    @Test
+    public void aPollThatIsNotAnsweredWithinItsWaitIsReportedAsSuch() throws Exception {
+        server.injectFaults(new ServiceFaults(false, true, 0));
+        ControlEvent answer = perform(new StoreCall.PollChanges(store, 118, SHORT_POLL_WAIT));
+        assertTrue(answer instanceof StoreAnswer.Unanswered, "answer: " + answer);
+    }
+
     @Test
     public void theContentsOfAStoreAreItsCompleteAndItsPartialParts() throws Exception {
         StoreAnswer.Inspected inspected = (StoreAnswer.Inspected) perform(new StoreCall.Inspect(store));
@@ -135,7 +146,7 @@
 
     private void replyWithEvents(StandInCall call) {
         assertEquals(call.parameter("since").orElseThrow(), "118");
-        assertEquals(call.header("Wait-Ms"), "200");
+        assertEquals(call.header("Wait-Ms"), Long.toString(LONG_POLL_WAIT.toMillis()));
         ObjectNode body = StandInJson.object();
         body.put("bootEpoch", epoch).put("nextToken", 120).put("lost", false).put("clock_ms", 55_000);
         ArrayNode events = body.putArray("events");
