Split PlacementComponent by job

Nothing that callers see changes. The class had 642 lines and did everything from the queue to what the end of an attempt says of its endpoint, so a change of one of them had to be read against all others.

Now: PlacementComponent takes the events and answers other components (280 lines), WaitingRequests lets requests wait and offers them again, PlacementStep places one request or refuses it, EndpointChoice chooses its endpoint, RunningAttempts holds the attempts and the work that they count, AttemptOutcomes learns from their ends, Refusals refuses with a time to return, RetryBudget holds the shares of the retry budgets. The longest of them has 136 lines. The order of random numbers and of messages is kept.

--- /dev/null
+++ b/src/main/java/org/yuccagw/core/placing/PlacementStep.java
@@ -0,0 +1,136 @@
+package org.yuccagw.core.placing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.yuccagw.core.control.ControlContext;
+import org.yuccagw.core.id.EndpointIncarnation;
+import org.yuccagw.core.notice.NoticesComponent;
+import org.yuccagw.core.placing.EndpointSelector.Selection;
+import org.yuccagw.core.placing.RequestQueue.QueuedRequest;
+import org.yuccagw.core.ratelimit.EndpointConstraints;
+import org.yuccagw.core.ratelimit.RateLimitsComponent;
+import org.yuccagw.core.stores.CachePlan;
+import org.yuccagw.core.stores.CacheSalt;
+
+/** Places one request on an endpoint with free capacity, or refuses it if no endpoint could answer it in time. */
+final class PlacementStep {
+    private final Candidates candidates;
+    private final EndpointChoice choice;
+    private final RunningAttempts attempts;
+    private final CachePlanner cachePlanner;
+    private final RateLimitsComponent rateLimits;
+    private final NoticesComponent notices;
+    private final RequestQueue queue;
+    private final Refusals refusals;
+    private final PlacementComponent.DecisionHandler decisionHandler;
+    private ControlContext context;
+
+    private PlacementStep(
+            Candidates candidates,
+            EndpointChoice choice,
+            RunningAttempts attempts,
+            CachePlanner cachePlanner,
+            EndpointConstraints constraints,
+            RequestQueue queue,
+            Refusals refusals,
+            PlacementComponent.DecisionHandler decisionHandler) {
+        this.candidates = candidates;
+        this.choice = choice;
+        this.attempts = attempts;
+        this.cachePlanner = cachePlanner;
+        this.rateLimits = constraints.rateLimits();
+        this.notices = constraints.notices();
+        this.queue = queue;
+        this.refusals = refusals;
+        this.decisionHandler = decisionHandler;
+    }
+
+    /**
+     * Creates the step of one entry.
+     *
+     * @param attempts receives the attempts that are placed
+     * @param constraints the limits and back-offs that endpoints requested
+     * @param queue counts what workspaces use of their shares
+     * @param decisionHandler receives the placements
+     */
+    static PlacementStep of(
+            Candidates candidates,
+            EndpointChoice choice,
+            RunningAttempts attempts,
+            CachePlanner cachePlanner,
+            EndpointConstraints constraints,
+            RequestQueue queue,
+            Refusals refusals,
+            PlacementComponent.DecisionHandler decisionHandler) {
+        return new PlacementStep(
+                candidates, choice, attempts, cachePlanner, constraints, queue, refusals, decisionHandler);
+    }
+
+    void start(ControlContext controlContext) {
+        context = controlContext;
+    }
+
+    /** Places or refuses the request. Returns false if no endpoint can accept it now. */
+    boolean tryPlace(QueuedRequest queued) {
+        PlacementRequest request = queued.request();
+        List<EndpointState> eligible = candidates.forRequest(request);
+        if (eligible.isEmpty()) {
+            return refuseIfRejectedForTooLong(queued);
+        }
+        long leftMillis = request.leftMillis() - queued.waitedMillis(context.nowNanos());
+        Optional<Selection> selection = choice.select(queued, eligible);
+        if (selection.isEmpty()) {
+            return false;
+        }
+        if (selection.get().firstByteMillis() > leftMillis) {
+            long missingMillis = (long) selection.get().firstByteMillis() - leftMillis;
+            refusals.refuseOverloaded(request, missingMillis, "wait too long");
+            return true;
+        }
+        place(queued, selection.get());
+        return true;
+    }
+
+    /**
+     * Guards against callers that wait for their whole timeout although it is known that no endpoint accepts their
+     * requests.
+     */
+    private boolean refuseIfRejectedForTooLong(QueuedRequest queued) {
+        long millis = candidates.remainingRejectionTime(queued.request()).toMillis();
+        boolean tooLong = millis > (queued.untilNanos() - context.nowNanos()) / 1_000_000 && millis > 0;
+        if (tooLong) {
+            refusals.refuseOverloaded(queued.request(), millis, "endpoints turn away");
+        }
+        return tooLong;
+    }
+
+    private void place(QueuedRequest queued, Selection best) {
+        PlacementRequest request = queued.request();
+        EndpointState endpoint = best.endpoint();
+        EndpointIncarnation incarnation = endpoint.listed().incarnation();
+        queue.recordPlaced(queued);
+        rateLimits.recordRequest(incarnation);
+        notices.recordPlacement(incarnation);
+        long ticket = attempts.add(request, best);
+        OptionalLong version = request.prompt().isPresent()
+                ? endpoint.versionOf(request.prompt().get().model())
+                : OptionalLong.empty();
+        Optional<String> salt = request.prompt()
+                .map(prompt -> CacheSalt.of(request.workspace(), request.permittedRegions(), version.orElse(0)));
+        Optional<CachePlan> cache = cachePlanner.plan(request, endpoint, version, salt, context.nowNanos());
+        boolean rateLimited = rateLimits.isLimited(incarnation);
+        context.perform(PlacementLog.placed(queued, best, version, salt.orElse(""), context.nowNanos())
+                .with("rate_limited", rateLimited));
+        PlacementDecision.Placed placed = new PlacementDecision.Placed(
+                ticket,
+                endpoint.listed(),
+                version,
+                salt,
+                cache,
+                queued.priority().urgency(),
+                (long) best.firstByteMillis(),
+                rateLimited);
+        decisionHandler.onDecision(request, placed);
+    }
+}
