Consume the retry budget only for retries that are sent

Callers saw: under overload streams that needed another endpoint were refused with "retry budget spent" although hardly any retry had been sent.

Cause: a retry consumed this entry's share of the budget when it arrived, and kept it when it was refused or its wait expired.

Change: a retry is refused at its arrival if the budget permits none, and consumes one when it is placed. Retries that wait together are checked again then, so that they don't exceed the budget together. The limits of an endpoint are counted by Candidates, which checks them, so that PlacementStep has no more than eight collaborators.

--- a/src/main/java/org/yuccagw/core/placing/Candidates.java
+++ b/src/main/java/org/yuccagw/core/placing/Candidates.java
@@ -20,6 +20,7 @@
 import org.yuccagw.core.fleet.ListedEndpoint;
 import org.yuccagw.core.follow.NamedWeightsComponent;
 import org.yuccagw.core.id.EndpointId;
+import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.ServiceName;
@@ -126,6 +127,17 @@
         return best.isEmpty() && !availableSoon ? unreached : best;
     }
 
+    /** Records that a request is sent to the endpoint now, which counts against the constraints that it requested. */
+    void recordPlaced(EndpointState endpoint) {
+        EndpointIncarnation incarnation = endpoint.listed().incarnation();
+        rateLimits.recordRequest(incarnation);
+        notices.recordPlacement(incarnation);
+    }
+
+    boolean isRateLimited(EndpointState endpoint) {
+        return rateLimits.isLimited(endpoint.listed().incarnation());
+    }
+
     /**
      * Returns whether waiting can't help: every usable endpoint has already failed this request or lies outside its
      * allowed regions.
--- a/src/main/java/org/yuccagw/core/placing/PlacementComponent.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementComponent.java
@@ -83,7 +83,7 @@
         attempts = RunningAttempts.of(pacing, outcomes, notices, fleet);
         refusals = Refusals.of(candidates, queue, forecast, decisionHandler);
         step = PlacementStep.of(
-                candidates, choice, attempts, cachePlanner, constraints, queue, refusals, decisionHandler);
+                candidates, choice, attempts, cachePlanner, queue, retryBudget, refusals, decisionHandler);
         waiting = WaitingRequests.of(queue, candidates, forecast, choice, step, refusals, decisionHandler);
     }
 
@@ -257,7 +257,7 @@
         int failures = suspects.count(request.fingerprint(), now);
         if (failures >= SuspectRequests.MAX_FAILURES) {
             refusals.refuseSuspect(request, failures);
-        } else if (!retryBudget.tryConsume(request, now)) {
+        } else if (!retryBudget.permits(request, now)) {
             refusals.refuseRetry(request);
         } else {
             QueuedRequest arrived = RequestQueue.of(request, now);
--- a/src/main/java/org/yuccagw/core/placing/PlacementStep.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementStep.java
@@ -4,12 +4,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.yuccagw.core.control.ControlContext;
-import org.yuccagw.core.id.EndpointIncarnation;
-import org.yuccagw.core.notice.NoticesComponent;
 import org.yuccagw.core.placing.EndpointSelector.Selection;
 import org.yuccagw.core.placing.RequestQueue.QueuedRequest;
-import org.yuccagw.core.ratelimit.EndpointConstraints;
-import org.yuccagw.core.ratelimit.RateLimitsComponent;
 import org.yuccagw.core.stores.CachePlan;
 import org.yuccagw.core.stores.CacheSalt;
 
@@ -19,9 +15,8 @@
     private final EndpointChoice choice;
     private final RunningAttempts attempts;
     private final CachePlanner cachePlanner;
-    private final RateLimitsComponent rateLimits;
-    private final NoticesComponent notices;
     private final RequestQueue queue;
+    private final RetryBudget retryBudget;
     private final Refusals refusals;
     private final PlacementComponent.DecisionHandler decisionHandler;
     private ControlContext context;
@@ -31,17 +26,16 @@
             EndpointChoice choice,
             RunningAttempts attempts,
             CachePlanner cachePlanner,
-            EndpointConstraints constraints,
             RequestQueue queue,
+            RetryBudget retryBudget,
             Refusals refusals,
             PlacementComponent.DecisionHandler decisionHandler) {
         this.candidates = candidates;
         this.choice = choice;
         this.attempts = attempts;
         this.cachePlanner = cachePlanner;
-        this.rateLimits = constraints.rateLimits();
-        this.notices = constraints.notices();
         this.queue = queue;
+        this.retryBudget = retryBudget;
         this.refusals = refusals;
         this.decisionHandler = decisionHandler;
     }
@@ -50,8 +44,8 @@
      * Creates the step of one entry.
      *
      * @param attempts receives the attempts that are placed
-     * @param constraints the limits and back-offs that endpoints requested
      * @param queue counts what workspaces use of their shares
+     * @param retryBudget permits the retries, of which each that is placed consumes one
      * @param decisionHandler receives the placements
      */
     static PlacementStep of(
@@ -59,12 +53,12 @@
             EndpointChoice choice,
             RunningAttempts attempts,
             CachePlanner cachePlanner,
-            EndpointConstraints constraints,
             RequestQueue queue,
+            RetryBudget retryBudget,
             Refusals refusals,
             PlacementComponent.DecisionHandler decisionHandler) {
         return new PlacementStep(
-                candidates, choice, attempts, cachePlanner, constraints, queue, refusals, decisionHandler);
+                candidates, choice, attempts, cachePlanner, queue, retryBudget, refusals, decisionHandler);
     }
 
     void start(ControlContext controlContext) {
@@ -88,6 +82,10 @@
             refusals.refuseOverloaded(request, missingMillis, "wait too long");
             return true;
         }
+        if (!retryBudget.tryConsume(request, context.nowNanos())) {
+            refusals.refuseRetry(request);
+            return true;
+        }
         place(queued, selection.get());
         return true;
     }
@@ -108,10 +106,8 @@
     private void place(QueuedRequest queued, Selection best) {
         PlacementRequest request = queued.request();
         EndpointState endpoint = best.endpoint();
-        EndpointIncarnation incarnation = endpoint.listed().incarnation();
         queue.recordPlaced(queued);
-        rateLimits.recordRequest(incarnation);
-        notices.recordPlacement(incarnation);
+        candidates.recordPlaced(endpoint);
         long ticket = attempts.add(request, best);
         OptionalLong version = request.prompt().isPresent()
                 ? endpoint.versionOf(request.prompt().get().model())
@@ -119,7 +115,7 @@
         Optional<String> salt = request.prompt()
                 .map(prompt -> CacheSalt.of(request.workspace(), request.permittedRegions(), version.orElse(0)));
         Optional<CachePlan> cache = cachePlanner.plan(request, endpoint, version, salt, context.nowNanos());
-        boolean rateLimited = rateLimits.isLimited(incarnation);
+        boolean rateLimited = candidates.isRateLimited(endpoint);
         context.perform(PlacementLog.placed(queued, best, version, salt.orElse(""), context.nowNanos())
                 .with("rate_limited", rateLimited));
         PlacementDecision.Placed placed = new PlacementDecision.Placed(
--- a/src/main/java/org/yuccagw/core/placing/RetryAllowance.java
+++ b/src/main/java/org/yuccagw/core/placing/RetryAllowance.java
@@ -39,22 +39,36 @@
     }
 
     /**
-     * Consumes one retry if this entry's share of the budget permits it.
+     * Returns whether this entry's share of the budget permits one more retry now.
+     *
+     * @param entries number of entries among which the slack is divided
+     */
+    boolean permitsRetry(long nowNanos, int entries) {
+        removeExpired(nowNanos);
+        double allowed = SAFETY_FACTOR * (ratio * sum(requests) + slack / Math.max(1, entries));
+        return sum(retries) + 1 <= allowed;
+    }
+
+    /**
+     * Consumes one retry, which is sent now, if this entry's share of the budget permits it.
      *
      * @param entries number of entries among which the slack is divided
      * @return whether the retry may be sent
      */
     boolean tryConsume(long nowNanos, int entries) {
-        int slot = currentSlot(nowNanos);
-        double allowed = SAFETY_FACTOR * (ratio * sum(requests) + slack / Math.max(1, entries));
-        if (sum(retries) + 1 > allowed) {
-            return false;
+        boolean permitted = permitsRetry(nowNanos, entries);
+        if (permitted) {
+            retries[currentSlot(nowNanos)]++;
         }
-        retries[slot]++;
-        return true;
+        return permitted;
     }
 
     private int currentSlot(long nowNanos) {
+        removeExpired(nowNanos);
+        return (int) Math.floorMod(newestBucket, (long) BUCKETS);
+    }
+
+    private void removeExpired(long nowNanos) {
         long bucket = Math.floorDiv(nowNanos, bucketNanos);
         long elapsedBuckets = Math.min(BUCKETS, bucket - newestBucket);
         for (long step = 1; step <= elapsedBuckets; step++) {
@@ -63,7 +77,6 @@
             retries[clearedSlot] = 0;
         }
         newestBucket = Math.max(newestBucket, bucket);
-        return (int) Math.floorMod(newestBucket, (long) BUCKETS);
     }
 
     private static long sum(long[] counts) {
--- a/src/main/java/org/yuccagw/core/placing/RetryBudget.java
+++ b/src/main/java/org/yuccagw/core/placing/RetryBudget.java
@@ -33,7 +33,15 @@
         }
     }
 
-    /** Consumes one retry if the request is one. Returns false if this entry's share of the budget is spent. */
+    /** Returns whether the request may be sent now: it is no retry, or this entry's share of the budget permits one. */
+    boolean permits(PlacementRequest request, long nowNanos) {
+        return !request.isRetry() || allowanceOf(request.service()).permitsRetry(nowNanos, shareCount.getAsInt());
+    }
+
+    /**
+     * Consumes one retry if the request, which is sent now, is one. Returns false if it may not be sent, since this
+     * entry's share of the budget is spent.
+     */
     boolean tryConsume(PlacementRequest request, long nowNanos) {
         return !request.isRetry() || allowanceOf(request.service()).tryConsume(nowNanos, shareCount.getAsInt());
     }
--- a/src/test/java/org/yuccagw/core/placing/RetryAllowanceTest.java
+++ b/src/test/java/org/yuccagw/core/placing/RetryAllowanceTest.java
@@ -48,6 +48,18 @@
         assertTrue(allowance.tryConsume(WINDOW.toNanos() + WINDOW.toNanos() / 5, ENTRIES));
     }
 
+    @Test
+    public void toAskWhetherARetryIsPermittedConsumesNothing() {
+        RetryAllowance allowance = RetryAllowance.of(0, 56, WINDOW);
+        for (int asked = 0; asked < 100; asked++) {
+            assertTrue(allowance.permitsRetry(0, ENTRIES));
+        }
+        while (allowance.permitsRetry(0, ENTRIES)) {
+            assertTrue(allowance.tryConsume(0, ENTRIES));
+        }
+        assertFalse(allowance.tryConsume(0, ENTRIES));
+    }
+
     // Two connections broke for unrelated reasons while the same harmless request ran, with an answer in between.
     @Test
     public void aCompleteAnswerClearsTheFailuresOfARequest() {
