Keep a request's place at a silent lead until its caller has a decision

What callers saw: a retry whose lead paused for more than 30 ms was refused although the lead was about to place it, and a request that waits for cold engines lost the placement of its lead, which was returned unused. Cause: the entry took 30 ms of silence, or a wait of 0.6 of the time left, for the end of the lead. It gave up the place in the lead's queue first and decided itself afterwards; if that was a refusal, nothing was left. The first placement is used, the other one returned once. A refusal waits for the lead for 250 ms (at most 0.12 of the time left), about what a refusal and a new connection cost a caller, so a dead lead holds a refusal no longer; as long as for any queued request if the lead reports that it has queued it; no longer once the lead is lost. The retry budget is consumed as before: by each of the two that decides, from its own share, so it is never exceeded.

--- a/src/main/java/org/yuccagw/core/placing/PlacementClient.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementClient.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.placing;
 
+import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.HashMap;
@@ -14,6 +15,7 @@
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.control.PeerReceived;
+import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.fleet.ListedEndpoint;
 import org.yuccagw.core.id.EndpointId;
@@ -36,17 +38,23 @@
  *   <li>In a mesh, and at the first lead itself, everything is decided locally. The exception: if only other entries of
  *       the mesh may send to the endpoints, since all of these have rate limits, one of those entries is queried like a
  *       lead.
- *   <li>A lead that doesn't answer within {@link #LEAD_TIMEOUT} isn't queried for {@link #LEAD_SUSPENSION}. The request
- *       is decided locally by the last heartbeats, and a placement that the lead sends later is returned to it.
+ *   <li>A lead that doesn't answer within {@link #LEAD_TIMEOUT} is passed over: it isn't queried for {@link
+ *       #LEAD_SUSPENSION}, and this entry decides too, by the last heartbeats. Silence doesn't mean that the lead has
+ *       failed, so the request keeps its place there. The first placement is used and another one is returned.
+ *   <li>While the lead may still place the request, a refusal by this entry is held for {@link #MAX_REFUSAL_HOLD}, or
+ *       as long as in case 4 if the lead reports meanwhile that it has queued the request. A request that no endpoint
+ *       can serve is refused at once.
  *   <li>A lead that queues a request reports so and then has until {@link #SHARE_OF_TIME_LEFT} of the request's
- *       remaining time has passed.
- *   <li>When a lead fails, requests that wait there are decided anew. Attempts that run on its decisions count as work
- *       of this entry from then on, so that the next heartbeat reports them to the next lead.
+ *       remaining time has passed. Then it is passed over.
+ *   <li>When a lead fails, requests that wait there are decided by this entry, and refusals are held for it no longer.
+ *       Attempts that run on its decisions count as work of this entry from then on, so that the next heartbeat reports
+ *       them to the next lead.
  *   <li>If the lead selects an endpoint that this entry knows to be leaving, the placement is returned and the request
  *       is decided locally, because what an entry knows itself takes precedence.
  * </ol>
  *
- * <p>Invariant: every placement by a lead is returned exactly once, or ends with this process or with the lead.
+ * <p>Invariants: a caller is sent one decision. Every placement by a lead is returned exactly once, or ends with this
+ * process or with the lead.
  */
 public final class PlacementClient implements ControlComponent {
     /**
@@ -63,6 +71,19 @@
 
     private static final double SHARE_OF_TIME_LEFT = 0.6;
 
+    /**
+     * Longest time that a refusal waits for a lead that was passed over. A refused caller loses about as much by its
+     * round trip and a new connection, so a lead that really has failed costs it no more than a refusal does.
+     */
+    static final Duration MAX_REFUSAL_HOLD = Duration.ofMillis(250);
+
+    /** Limits the same time for requests with little time left. */
+    private static final double REFUSAL_HOLD_SHARE_OF_TIME_LEFT = 0.12;
+
+    /** Refusals of requests that no endpoint can serve, whoever decides. */
+    private static final ImmutableSet<ErrorKind> FINAL_REFUSALS =
+            ImmutableSet.of(ErrorKind.NO_ENDPOINT, ErrorKind.SUSPECT_REQUEST);
+
     /**
      * Leads don't share which endpoints a single entry couldn't reach, so that entry excludes the endpoint for this
      * time.
@@ -73,27 +94,13 @@
     private final Function<EndpointIncarnation, Optional<ListedEndpoint>> usable;
     private final Supplier<List<EndpointId>> excluded;
     private final NoticesComponent notices;
-    private final Map<Long, PendingRequest> pending = new HashMap<>();
+    private final Map<Long, DelegatedRequest> pending = new HashMap<>();
     private final Map<Long, RemoteAttempt> remoteAttempts = new HashMap<>();
     private final Map<EntryId, Long> suspendedUntilNanos = new HashMap<>();
     private final Map<EndpointId, Long> unreachedUntilNanos = new HashMap<>();
     private ControlContext context;
     private long nextNumber = 1;
 
-    /** A request that was sent to a lead for placement. */
-    private static final class PendingRequest {
-        private final PlacementRequest request;
-        private final EntryId lead;
-        private final long sentNanos;
-        private ControlContext.Timer timer;
-
-        private PendingRequest(PlacementRequest request, EntryId lead, long sentNanos) {
-            this.request = request;
-            this.lead = lead;
-            this.sentNanos = sentNanos;
-        }
-    }
-
     /** An attempt that was placed by a lead. */
     private static final class RemoteAttempt {
         private final EntryId lead;
@@ -147,6 +154,8 @@
             onRequested(request);
         } else if (event instanceof PeerReceived received && received.message() instanceof PlacementMessage message) {
             receive(received.from(), message);
+        } else if (event instanceof RivalDecision.Decided decided) {
+            onDecidedLocally(decided);
         } else if (event instanceof AttemptBegun begun) {
             onBegun(begun);
         } else if (event instanceof AttemptEnded ended) {
@@ -165,10 +174,10 @@
             return;
         }
         long number = nextNumber++;
-        PendingRequest pendingRequest = new PendingRequest(request, lead.get(), context.nowNanos());
-        pending.put(number, pendingRequest);
+        DelegatedRequest delegated = new DelegatedRequest(request, lead.get(), context.nowNanos());
+        pending.put(number, delegated);
         context.send(lead.get(), messageOf(number, request));
-        pendingRequest.timer = context.after(LEAD_TIMEOUT, () -> abandonLead(number, "silent"));
+        delegated.setTimer(context.after(LEAD_TIMEOUT, () -> passOver(delegated, number, "silent")));
     }
 
     /** Returns the first lead that may be queried; empty if this entry precedes it or there is none. */
@@ -209,28 +218,88 @@
                 .build();
     }
 
-    private void abandonLead(long number, String reason) {
-        PendingRequest pendingRequest = pending.remove(number);
-        if (pendingRequest == null) {
+    /** Lets this entry decide too, while the request keeps its place at the lead. */
+    private void passOver(DelegatedRequest delegated, long number, String reason) {
+        long now = context.nowNanos();
+        suspendedUntilNanos.put(delegated.lead(), now + LEAD_SUSPENSION.toNanos());
+        PlacementRequest remaining = delegated.request().afterWaiting(delegated.waitedMillis(now));
+        delegated.cancelTimer();
+        delegated.passOver(now + maxRefusalHold(remaining).toNanos());
+        logPassedOver(delegated, reason);
+        context.raise(new RivalDecision.Requested(number, remaining));
+    }
+
+    private static Duration maxRefusalHold(PlacementRequest request) {
+        Duration share = Duration.ofMillis((long) (request.leftMillis() * REFUSAL_HOLD_SHARE_OF_TIME_LEFT));
+        return Comparators.min(MAX_REFUSAL_HOLD, share);
+    }
+
+    /** Decides a request that the lead won't decide any more. */
+    private void decideLocally(DelegatedRequest delegated, String reason) {
+        logPassedOver(delegated, reason);
+        long waitedMillis = delegated.waitedMillis(context.nowNanos());
+        context.raise(new LocalPlacementRequested(delegated.request().afterWaiting(waitedMillis)));
+    }
+
+    private void logPassedOver(DelegatedRequest delegated, String reason) {
+        context.perform(logLine("lead-passed-over", delegated).with("reason", reason));
+    }
+
+    private Decision logLine(String event, DelegatedRequest delegated) {
+        return Decision.of(event)
+                .with("request", delegated.request().request())
+                .with("lead", delegated.lead())
+                .with("waited_ms", delegated.waitedMillis(context.nowNanos()));
+    }
+
+    // Decisions of this entry about requests that are also at a lead
+
+    private void onDecidedLocally(RivalDecision.Decided decided) {
+        long number = decided.number();
+        Optional<DelegatedRequest> delegated = Optional.ofNullable(pending.get(number));
+        if (decided.decision() instanceof PlacementDecision.Placed placed) {
+            if (delegated.isEmpty()) {
+                context.raise(new AttemptEnded(placed.ticket(), AttemptEnded.End.LEFT));
+                return;
+            }
+            removePending(number);
+            notices.recordRequest(placed.endpoint().incarnation());
+            reply(delegated.get(), placed);
+        } else if (decided.decision() instanceof PlacementDecision.Refused refused) {
+            delegated.ifPresent(known -> onRefusedLocally(known, number, refused));
+        }
+    }
+
+    private void onRefusedLocally(DelegatedRequest delegated, long number, PlacementDecision.Refused refused) {
+        if (FINAL_REFUSALS.contains(refused.error().kind())) {
+            removePending(number);
+            reply(delegated, refused);
             return;
         }
-        pendingRequest.timer.cancel();
-        suspendedUntilNanos.put(pendingRequest.lead, context.nowNanos() + LEAD_SUSPENSION.toNanos());
-        decideLocally(pendingRequest, reason);
+        delegated.holdLocalRefusal(refused.error(), context.nowNanos());
+        refuseOrHold(delegated, number);
     }
 
-    private void decideLocally(PendingRequest pendingRequest, String reason) {
-        long waitedMillis = waitedMillis(pendingRequest);
-        context.perform(Decision.of("lead-passed-over")
-                .with("request", pendingRequest.request.request())
-                .with("lead", pendingRequest.lead)
-                .with("reason", reason)
-                .with("waited_ms", waitedMillis));
-        context.raise(new LocalPlacementRequested(pendingRequest.request.afterWaiting(waitedMillis)));
+    /** Sends the refusal if both have decided or the lead's time is over; otherwise waits for the rest of that time. */
+    private void refuseOrHold(DelegatedRequest delegated, long number) {
+        Optional<YuccagwException> refusal = delegated.decidedRefusal(context.nowNanos());
+        if (refusal.isEmpty()) {
+            return;
+        }
+        Duration hold = delegated.remainingHold(context.nowNanos());
+        if (hold.isZero()) {
+            removePending(number);
+            reply(delegated, new PlacementDecision.Refused(refusal.get()));
+            return;
+        }
+        context.perform(logLine("refusal-held", delegated)
+                .with("reason", refusal.get().kind())
+                .with("hold_ms", hold.toMillis()));
+        delegated.setTimer(context.after(hold, () -> refuseOrHold(delegated, number)));
     }
 
-    private long waitedMillis(PendingRequest pendingRequest) {
-        return (context.nowNanos() - pendingRequest.sentNanos) / 1_000_000;
+    private void reply(DelegatedRequest delegated, PlacementDecision decision) {
+        context.reply(() -> delegated.request().reply().accept(decision));
     }
 
     // Answers of leads
@@ -239,70 +308,86 @@
         if (message instanceof PlacementMessage.Placed placed) {
             onPlaced(from, placed);
         } else if (message instanceof PlacementMessage.Waiting) {
-            onWaiting(message.number());
+            find(message).ifPresent(delegated -> onWaiting(delegated, message.number()));
         } else if (message instanceof PlacementMessage.Refused refused) {
-            removePending(refused.number()).ifPresent(pendingRequest -> onRefused(pendingRequest, refused));
+            find(message).ifPresent(delegated -> onRefused(delegated, refused));
         } else if (message instanceof PlacementMessage.Undecided) {
-            removePending(message.number()).ifPresent(pendingRequest -> decideLocally(pendingRequest, "undecided"));
+            find(message).ifPresent(delegated -> onNothingFromLead(delegated, message.number(), "undecided"));
         }
     }
 
-    private Optional<PendingRequest> removePending(long number) {
-        Optional<PendingRequest> pendingRequest = Optional.ofNullable(pending.remove(number));
-        pendingRequest.ifPresent(known -> known.timer.cancel());
-        return pendingRequest;
+    private Optional<DelegatedRequest> find(PlacementMessage message) {
+        return Optional.ofNullable(pending.get(message.number()));
     }
 
-    private void onWaiting(long number) {
-        PendingRequest pendingRequest = pending.get(number);
-        if (pendingRequest == null) {
-            return;
+    private void removePending(long number) {
+        Optional.ofNullable(pending.remove(number)).ifPresent(DelegatedRequest::cancelTimer);
+    }
+
+    private void onWaiting(DelegatedRequest delegated, long number) {
+        long now = context.nowNanos();
+        long leftMillis = delegated.request().leftMillis() - delegated.waitedMillis(now);
+        Duration maxWait = Duration.ofMillis((long) (Math.max(0, leftMillis) * SHARE_OF_TIME_LEFT));
+        if (delegated.isPassedOver()) {
+            delegated.extendLeadDeadline(now + maxWait.toNanos());
+            refuseOrHold(delegated, number);
+        } else {
+            delegated.setTimer(context.after(maxWait, () -> passOver(delegated, number, "waited too long")));
         }
-        pendingRequest.timer.cancel();
-        Duration maxWait = Duration.ofMillis((long) (pendingRequest.request.leftMillis() * SHARE_OF_TIME_LEFT));
-        pendingRequest.timer = context.after(maxWait, () -> abandonLead(number, "waited too long"));
     }
 
-    private void onRefused(PendingRequest pendingRequest, PlacementMessage.Refused refused) {
+    private void onRefused(DelegatedRequest delegated, PlacementMessage.Refused refused) {
         YuccagwException error = refused.kind().fromAnswer(refused.message());
         YuccagwException errorWithRetry =
                 refused.retryAfter().map(error::withRetryAfter).orElse(error);
-        context.perform(Decision.of("refused")
-                .with("request", pendingRequest.request.request())
-                .with("route", pendingRequest.request.route().name())
-                .with("lead", pendingRequest.lead)
-                .with("reason", refused.kind())
-                .with("waited_ms", waitedMillis(pendingRequest)));
-        context.reply(() -> pendingRequest.request.reply().accept(new PlacementDecision.Refused(errorWithRetry)));
+        context.perform(logLine("refused", delegated)
+                .with("route", delegated.request().route().name())
+                .with("reason", refused.kind()));
+        if (delegated.isPassedOver() && !FINAL_REFUSALS.contains(refused.kind())) {
+            delegated.holdRefusalOfLead(errorWithRetry, context.nowNanos());
+            refuseOrHold(delegated, refused.number());
+        } else {
+            removePending(refused.number());
+            reply(delegated, new PlacementDecision.Refused(errorWithRetry));
+        }
+    }
+
+    /** Handles the end of the lead's part without a usable decision. */
+    private void onNothingFromLead(DelegatedRequest delegated, long number, String reason) {
+        if (delegated.isPassedOver()) {
+            delegated.giveUpLead();
+            refuseOrHold(delegated, number);
+        } else {
+            removePending(number);
+            decideLocally(delegated, reason);
+        }
     }
 
     private void onPlaced(EntryId from, PlacementMessage.Placed placed) {
-        Optional<PendingRequest> pendingRequest = removePending(placed.number());
+        Optional<DelegatedRequest> delegated = find(placed);
         Optional<ListedEndpoint> endpoint = usable.apply(placed.endpoint());
-        if (pendingRequest.isEmpty() || endpoint.isEmpty()) {
+        if (delegated.isEmpty() || endpoint.isEmpty()) {
             returnPlacement(from, placed.number());
-            pendingRequest.ifPresent(unplaced -> decideLocally(unplaced, "endpoint not usable"));
+            delegated.ifPresent(unplaced -> onNothingFromLead(unplaced, placed.number(), "endpoint not usable"));
             return;
         }
+        removePending(placed.number());
         long ticket = ticketOf(placed.number());
         Work work = Work.ofOne(placed.tokens(), placed.unreadTokens());
         remoteAttempts.put(ticket, new RemoteAttempt(from, placed.endpoint(), work));
-        context.perform(Decision.of("placed-by-lead")
-                .with("request", pendingRequest.get().request.request())
-                .with("lead", from)
-                .with("endpoint", placed.endpoint())
-                .with("waited_ms", waitedMillis(pendingRequest.get())));
-        PlacementDecision decision = new PlacementDecision.Placed(
-                ticket,
-                endpoint.get(),
-                placed.version(),
-                placed.salt(),
-                placed.cache(),
-                placed.urgency(),
-                placed.firstByteMillis(),
-                placed.rateLimited());
+        context.perform(logLine("placed-by-lead", delegated.get()).with("endpoint", placed.endpoint()));
         notices.recordRequest(placed.endpoint());
-        context.reply(() -> pendingRequest.get().request.reply().accept(decision));
+        reply(
+                delegated.get(),
+                new PlacementDecision.Placed(
+                        ticket,
+                        endpoint.get(),
+                        placed.version(),
+                        placed.salt(),
+                        placed.cache(),
+                        placed.urgency(),
+                        placed.firstByteMillis(),
+                        placed.rateLimited()));
     }
 
     private void returnPlacement(EntryId lead, long number) {
@@ -349,12 +434,20 @@
         }
     }
 
+    private void giveUpLostLead(DelegatedRequest delegated, long number) {
+        if (!delegated.isPassedOver()) {
+            passOver(delegated, number, "lead lost");
+        }
+        delegated.giveUpLead();
+        refuseOrHold(delegated, number);
+    }
+
     private void onPeerLost(EntryId entry) {
         List<Long> unanswered = pending.entrySet().stream()
-                .filter(each -> each.getValue().lead.equals(entry))
+                .filter(each -> each.getValue().lead().equals(entry))
                 .map(Map.Entry::getKey)
                 .toList();
-        unanswered.forEach(number -> abandonLead(number, "lead lost"));
+        unanswered.forEach(number -> giveUpLostLead(pending.get(number), number));
         for (RemoteAttempt attempt : remoteAttempts.values()) {
             if (attempt.lead.equals(entry) && !attempt.countedLocally) {
                 attempt.countedLocally = true;
--- a/src/main/java/org/yuccagw/core/placing/PlacementResponder.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementResponder.java
@@ -25,7 +25,8 @@
 
 /**
  * Places requests for other entries. Passes their requests to the placement of this entry as if its own callers had
- * sent them, and sends the decisions back.
+ * sent them, and sends the decisions back. Decisions on this entry's own requests go to their callers, or to {@link
+ * PlacementClient} if a lead may still decide them too.
  *
  * <p>Any entry does this for any other one that queries it. No guarantee depends on which entry decides: the entry that
  * forwards a request knows whether it ran and whether it may run again.
@@ -46,6 +47,7 @@
     private final LongFunction<Work> workOf;
     private final NoticesComponent notices;
     private final IdentityHashMap<PlacementRequest, Origin> origins = new IdentityHashMap<>();
+    private final IdentityHashMap<PlacementRequest, Long> rivalNumbers = new IdentityHashMap<>();
     private final Map<EntryId, Map<Long, RemotePlacement>> placements = new HashMap<>();
     private final Map<EndpointIncarnation, UnreachedReport> unreachedReports = new HashMap<>();
     private Optional<Deployment> deployment = Optional.empty();
@@ -82,6 +84,9 @@
     public void handle(ControlEvent event, ControlContext ignored) {
         if (event instanceof PeerReceived received && received.message() instanceof PlacementMessage message) {
             receive(received.from(), message);
+        } else if (event instanceof RivalDecision.Requested requested) {
+            rivalNumbers.put(requested.request(), requested.number());
+            context.raise(new LocalPlacementRequested(requested.request()));
         } else if (event instanceof ConfigurationComponent.Applied applied) {
             deployment = Optional.of(applied.deployment());
         } else if (event instanceof PeersComponent.PeerLost lost) {
@@ -139,7 +144,10 @@
     @Override
     public void onDecision(PlacementRequest request, PlacementDecision decision) {
         Origin origin = origins.remove(request);
-        if (origin == null) {
+        Long rivalNumber = rivalNumbers.remove(request);
+        if (rivalNumber != null) {
+            context.raise(new RivalDecision.Decided(rivalNumber, decision));
+        } else if (origin == null) {
             if (decision instanceof PlacementDecision.Placed placed) {
                 notices.recordRequest(placed.endpoint().incarnation());
             }
--- a/src/test/java/org/yuccagw/daemon/VirtualFleet.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualFleet.java
@@ -261,6 +261,14 @@
         offerRequest(node, "/model/x", PlacementRequest.Kind.REPEAT, fingerprint, Optional.of(prompt), excluded, reply);
     }
 
+    /** Requests the placement of a prompt that could not be sent to the excluded engines. */
+    void requestUnsentPlacement(
+            BenchNode node, int tokens, ImmutableSet<EndpointId> excluded, Consumer<PlacementDecision> reply) {
+        PromptShape prompt = new PromptShape(MODEL, tokens, 50, ImmutableList.of(new PromptPart("own", tokens)));
+        String fingerprint = "f" + nextRequest;
+        offerRequest(node, "/model/x", PlacementRequest.Kind.UNSENT, fingerprint, Optional.of(prompt), excluded, reply);
+    }
+
     private void offerRequest(
             BenchNode node,
             String path,
