Send bodies without a length in chunks, so that an aborted one never looks complete

Callers of an entry that was stopping got the beginning of an answer as a whole one: the engine broke off, the entry closed the caller's connection, and that close was the end of the body.

Cause: on a connection that isn't kept (the entry stops, or the caller asks for it) the HTTP server sends a body without a length up to the close. Only a reset or missing chunks tell a caller that an answer is incomplete.

Change: CallerResponse asks for chunks where the body has no length.

--- a/src/main/java/org/yuccagw/adapters/caller/CallerResponse.java
+++ b/src/main/java/org/yuccagw/adapters/caller/CallerResponse.java
@@ -2,7 +2,11 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import io.undertow.util.Protocols;
+import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -98,6 +102,9 @@
     }
 
     private void openChannel() {
+        if (needsChunks()) {
+            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+        }
         channel = exchange.getResponseChannel();
         if (channel == null) {
             onConnectionLost();
@@ -106,6 +113,19 @@
         channel.getWriteSetter().set(ignored -> drain());
     }
 
+    /**
+     * Returns whether the body has no length, so that only chunks show its end. Without them, the end of a body on a
+     * connection that isn't kept would be that of the connection, and an aborted answer would look complete.
+     */
+    private boolean needsChunks() {
+        boolean withoutBody = exchange.getRequestMethod().equals(Methods.HEAD)
+                || exchange.getStatusCode() == StatusCodes.NO_CONTENT
+                || exchange.getStatusCode() == StatusCodes.NOT_MODIFIED;
+        return !withoutBody
+                && exchange.getProtocol().equals(Protocols.HTTP_1_1)
+                && !exchange.getResponseHeaders().contains(Headers.CONTENT_LENGTH);
+    }
+
     void write(String text) {
         write(ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)));
     }
--- a/src/test/java/org/yuccagw/daemon/GatewayPathTest.java
+++ b/src/test/java/org/yuccagw/daemon/GatewayPathTest.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -187,6 +188,20 @@
         expectThrows(ExecutionException.class, () -> post("/once/torn"));
     }
 
+    // Guards against an aborted answer that looks complete because its connection is not kept anyway.
+    @Test
+    public void anAnswerThatBreaksOffLooksIncompleteOnAConnectionThatIsNotKept() throws Exception {
+        try (Socket socket =
+                new Socket(settings.callers().host(), settings.callers().port())) {
+            socket.setSoTimeout((int) TIMEOUT.toMillis());
+            write(socket, head("GET /once/torn-stream", "torn-1").replaceFirst("Host", "Connection: close\r\nHost"));
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue(answer.toLowerCase(Locale.ROOT).contains("transfer-encoding: chunked"), answer);
+            assertTrue(answer.contains("half"), answer);
+            assertFalse(answer.endsWith("0\r\n\r\n"), answer);
+        }
+    }
+
     @Test
     public void aRequestThatMayHaveRunIsNotSentTwice() throws Exception {
         assertEquals(post("/once/reset").status(), 502);
--- a/src/test/java/org/yuccagw/daemon/ScriptedEndpoint.java
+++ b/src/test/java/org/yuccagw/daemon/ScriptedEndpoint.java
@@ -153,6 +153,10 @@
                 write(out, head(id) + "Content-Length: 100\r\n\r\nhalf");
                 return false;
             }
+            case "torn-stream" -> {
+                write(out, head(id) + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+                return false;
+            }
             case "twice" -> {
                 String whole = head(id) + "Content-Length: 5\r\n\r\nfirst";
                 write(out, whole + whole.replace("first", "extra"));
