Count retries for a whole window wherever it begins

What services saw: more retries than the budget permits, if retries are wanted for longer than a window.

Cause: an entry counts retries in ten periods that together last as long as the window, of which the newest has only begun. A burst at the end of the oldest period was forgotten after nine tenths of the window, and the next burst was permitted within the same window.

Evidence, RetryAllowanceTest on the code before (8 entries, two requests a second at each, retries wanted all the time from 0.95 s on):

noWindowHoldsMoreRetriesThanTheBudgetWhereverItBegins: 96 retries of 88.0 in the window from 40 ms

Change: retries are counted for one period more than a window has; requests, which raise the budget, still for ten.

Result: the test passes. RetryAllowanceTest, RetryPlacementTest, GatewayCoreTest, LeadPlacementTest: 44 tests, no failure.

--- a/src/main/java/org/yuccagw/core/placing/RetryAllowance.java
+++ b/src/main/java/org/yuccagw/core/placing/RetryAllowance.java
@@ -15,7 +15,13 @@
  */
 final class RetryAllowance {
     private static final double SAFETY_FACTOR = 0.8;
-    private static final int BUCKETS = 10;
+    private static final int BUCKETS_PER_WINDOW = 10;
+
+    /**
+     * One more than a window has, since the oldest bucket lies partly within the window that ends now. Its retries
+     * count, so that no window holds more retries than are counted at its end; its requests don't.
+     */
+    private static final int BUCKETS = BUCKETS_PER_WINDOW + 1;
 
     private final double ratio;
     private final double slack;
@@ -27,7 +33,7 @@
     private RetryAllowance(double ratio, double slack, Duration window) {
         this.ratio = ratio;
         this.slack = slack;
-        this.bucketNanos = window.toNanos() / BUCKETS;
+        this.bucketNanos = window.toNanos() / BUCKETS_PER_WINDOW;
     }
 
     static RetryAllowance of(double ratio, double slack, Duration window) {
@@ -45,7 +51,9 @@
      */
     boolean permitsRetry(long nowNanos, int entries) {
         removeExpired(nowNanos);
-        double allowed = SAFETY_FACTOR * (ratio * sum(requests) + slack / Math.max(1, entries));
+        int oldestSlot = slotOf(newestBucket - BUCKETS_PER_WINDOW);
+        long countedRequests = sum(requests) - requests[oldestSlot];
+        double allowed = SAFETY_FACTOR * (ratio * countedRequests + slack / Math.max(1, entries));
         return sum(retries) + 1 <= allowed;
     }
 
@@ -65,20 +73,24 @@
 
     private int currentSlot(long nowNanos) {
         removeExpired(nowNanos);
-        return (int) Math.floorMod(newestBucket, (long) BUCKETS);
+        return slotOf(newestBucket);
     }
 
     private void removeExpired(long nowNanos) {
         long bucket = Math.floorDiv(nowNanos, bucketNanos);
         long elapsedBuckets = Math.min(BUCKETS, bucket - newestBucket);
         for (long step = 1; step <= elapsedBuckets; step++) {
-            int clearedSlot = (int) Math.floorMod(bucket - elapsedBuckets + step, (long) BUCKETS);
+            int clearedSlot = slotOf(bucket - elapsedBuckets + step);
             requests[clearedSlot] = 0;
             retries[clearedSlot] = 0;
         }
         newestBucket = Math.max(newestBucket, bucket);
     }
 
+    private static int slotOf(long bucket) {
+        return (int) Math.floorMod(bucket, (long) BUCKETS);
+    }
+
     private static long sum(long[] counts) {
         long sum = 0;
         for (long count : counts) {
--- a/src/test/java/org/yuccagw/core/placing/RetryAllowanceTest.java
+++ b/src/test/java/org/yuccagw/core/placing/RetryAllowanceTest.java
@@ -6,8 +6,11 @@
 
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.stream.Stream;
 import org.testng.annotations.Test;
 import org.yuccagw.core.deployment.PermittedRegions;
 import org.yuccagw.core.deployment.WorkspaceAccess;
@@ -60,6 +63,39 @@
         assertFalse(allowance.tryConsume(0, ENTRIES));
     }
 
+    // Guards against two bursts that lie in different periods of the count but in one window of the platform.
+    @Test
+    public void noWindowHoldsMoreRetriesThanTheBudgetWhereverItBegins() {
+        List<RetryAllowance> entries = Stream.generate(() -> RetryAllowance.of(0.2, 56, WINDOW))
+                .limit(ENTRIES)
+                .toList();
+        List<Long> requestMillis = new ArrayList<>();
+        List<Long> retryMillis = new ArrayList<>();
+        for (long millis = 0; millis < 60_000; millis += 10) {
+            for (RetryAllowance entry : entries) {
+                long nanos = Duration.ofMillis(millis).toNanos();
+                if (millis % 500 == 0) {
+                    entry.countRequest(nanos);
+                    requestMillis.add(millis);
+                }
+                if (millis >= 950 && entry.tryConsume(nanos, ENTRIES)) {
+                    retryMillis.add(millis);
+                }
+            }
+        }
+        for (long begin = 0; begin < 50_000; begin += 10) {
+            double budget = 0.2 * countWithinWindow(requestMillis, begin) + 56;
+            long retries = countWithinWindow(retryMillis, begin);
+            assertTrue(retries <= budget, retries + " retries of " + budget + " in the window from " + begin + " ms");
+        }
+    }
+
+    private static long countWithinWindow(List<Long> millis, long begin) {
+        return millis.stream()
+                .filter(each -> each >= begin && each < begin + WINDOW.toMillis())
+                .count();
+    }
+
     // Two connections broke for unrelated reasons while the same harmless request ran, with an answer in between.
     @Test
     public void aCompleteAnswerClearsTheFailuresOfARequest() {
