Tell an entry which of its placements a lead no longer counts

What callers saw: nothing directly; engines that work on the requests of an entry appear idle to the lead, which sends further prompts behind them. Cause: a lead that doesn't hear an entry for 1.6 s takes it for failed and ends all its placements. If only messages to the lead are lost, the entry notices nothing, its requests run on, and nobody counts them even after it is heard again. Evidence, on, messages of one entry to the lead cut for 2.5 s, 1.5 s later: requestsOfAnEntryThatTheLeadLostCountAgainOnceItIsHeard: expected [1] but found [0] Change: the lead sends a message for each placement that it drops, and the entry then counts it as its own work, as it already does when it loses the lead. Not sent to an entry that has restarted, whose numbers begin again; PeerLost tells the two apart. Not covered: for 3 s after an entry has excluded its first lead, that lead doesn't hear its load, which the second one does.

--- a/src/main/java/org/yuccagw/adapters/peer/PlacementCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/PlacementCodec.java
@@ -67,6 +67,8 @@
             wire.setBegun(true);
         } else if (placement instanceof PlacementMessage.Undecided) {
             wire.setUndecided(true);
+        } else if (placement instanceof PlacementMessage.Dropped) {
+            wire.setDropped(true);
         }
         envelope.setPlacement(wire);
         return true;
@@ -155,6 +157,7 @@
             case BEGUN -> Optional.of(new PlacementMessage.Begun(number));
             case ENDED -> Optional.of(decode(number, wire.getEnded()));
             case UNDECIDED -> Optional.of(new PlacementMessage.Undecided(number));
+            case DROPPED -> Optional.of(new PlacementMessage.Dropped(number));
             case STEP_NOT_SET -> Optional.empty();
         };
     }
--- a/src/main/java/org/yuccagw/core/peers/PeerTable.java
+++ b/src/main/java/org/yuccagw/core/peers/PeerTable.java
@@ -90,7 +90,7 @@
         }
         boolean restarted = contact.incarnation() != peer.contact().incarnation();
         if (restarted && peer.isAlive()) {
-            markLost(entry, peer);
+            markLost(entry, peer, true);
         }
         if (isNew || !contact.equals(peer.contact())) {
             peer.setContact(contact);
@@ -114,7 +114,7 @@
         find(entry).ifPresent(peer -> {
             peer.clearRosterListing();
             if (peer.isAlive() && !peer.hasLivenessEvidence(context.nowNanos())) {
-                markLost(entry, peer);
+                markLost(entry, peer, false);
             }
         });
     }
@@ -128,7 +128,7 @@
                 context.perform(Decision.of("peer-lost")
                         .with("peer", entry)
                         .with("silent_ms", peer.silentNanos(now) / 1_000_000));
-                markLost(entry, peer);
+                markLost(entry, peer, false);
             }
             if (!peer.isAlive() && !peer.isListed() && peer.silentNanos(now) > UNLISTED_RETENTION.toNanos()) {
                 removed.add(entry);
@@ -138,10 +138,10 @@
         return ImmutableSet.copyOf(removed);
     }
 
-    private void markLost(EntryId entry, Peer peer) {
+    private void markLost(EntryId entry, Peer peer, boolean restarted) {
         peer.markFailed();
         onChange.run();
-        context.raise(new PeersComponent.PeerLost(entry));
+        context.raise(new PeersComponent.PeerLost(entry, restarted));
     }
 
     /** Records that the registration of the entry was removed. */
--- a/src/main/java/org/yuccagw/core/peers/PeersComponent.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersComponent.java
@@ -156,8 +156,13 @@
     /** Raised when another entry sent its status. */
     public record PeerStatusReceived(EntryId entry, PeerStatus status) implements ControlEvent {}
 
-    /** Raised when there has been no evidence of another entry's liveness for too long, or the entry restarted. */
-    public record PeerLost(EntryId entry) implements ControlEvent {}
+    /**
+     * Raised when there has been no evidence of another entry's liveness for too long, or the entry restarted.
+     *
+     * @param restarted whether a later incarnation of the entry is alive; otherwise the process may still run and be
+     *     heard again
+     */
+    public record PeerLost(EntryId entry, boolean restarted) implements ControlEvent {}
 
     private PeersComponent(LocalState localState, List<NetworkAddress> seeds) {
         this.localState = localState;
--- a/src/main/java/org/yuccagw/core/placing/PlacementClient.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementClient.java
@@ -48,7 +48,7 @@
  *       remaining time has passed. Then it is passed over.
  *   <li>When a lead fails, requests that wait there are decided by this entry, and refusals are held for it no longer.
  *       Attempts that run on its decisions count as work of this entry from then on, so that the next heartbeat reports
- *       them to the next lead.
+ *       them to the next lead. So do those that the lead has dropped, because it hasn't heard this entry for too long.
  *   <li>If the lead selects an endpoint that this entry knows to be leaving, the placement is returned and the request
  *       is decided locally, because what an entry knows itself takes precedence.
  * </ol>
@@ -313,6 +313,8 @@
             find(message).ifPresent(delegated -> onRefused(delegated, refused));
         } else if (message instanceof PlacementMessage.Undecided) {
             find(message).ifPresent(delegated -> onNothingFromLead(delegated, message.number(), "undecided"));
+        } else if (message instanceof PlacementMessage.Dropped dropped) {
+            onDropped(from, dropped);
         }
     }
 
@@ -448,11 +450,22 @@
                 .map(Map.Entry::getKey)
                 .toList();
         unanswered.forEach(number -> giveUpLostLead(pending.get(number), number));
-        for (RemoteAttempt attempt : remoteAttempts.values()) {
-            if (attempt.lead.equals(entry) && !attempt.countedLocally) {
-                attempt.countedLocally = true;
-                context.raise(new WorkTransferred(attempt.endpoint, attempt.work, Work.NONE));
-            }
+        remoteAttempts.values().stream()
+                .filter(attempt -> attempt.lead.equals(entry))
+                .forEach(this::countLocally);
+    }
+
+    private void onDropped(EntryId from, PlacementMessage.Dropped dropped) {
+        RemoteAttempt attempt = remoteAttempts.get(ticketOf(dropped.number()));
+        if (attempt != null && attempt.lead.equals(from)) {
+            countLocally(attempt);
+        }
+    }
+
+    private void countLocally(RemoteAttempt attempt) {
+        if (!attempt.countedLocally) {
+            attempt.countedLocally = true;
+            context.raise(new WorkTransferred(attempt.endpoint, attempt.work, Work.NONE));
         }
     }
 }
--- a/src/main/java/org/yuccagw/core/placing/PlacementMessage.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementMessage.java
@@ -70,6 +70,12 @@
     /** The lead lacks the configuration to decide. */
     record Undecided(long number) implements PlacementMessage {}
 
+    /**
+     * The lead no longer counts the attempt, because it has not heard the entry for too long. An entry that still runs
+     * it counts it as its own work from now on.
+     */
+    record Dropped(long number) implements PlacementMessage {}
+
     /** The endpoint has started its answer. */
     record Begun(long number) implements PlacementMessage {}
 
--- a/src/main/java/org/yuccagw/core/placing/PlacementResponder.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementResponder.java
@@ -90,7 +90,7 @@
         } else if (event instanceof ConfigurationComponent.Applied applied) {
             deployment = Optional.of(applied.deployment());
         } else if (event instanceof PeersComponent.PeerLost lost) {
-            endPlacementsOf(lost.entry());
+            endPlacementsOf(lost);
         }
     }
 
@@ -214,11 +214,23 @@
         return confirmed ? End.UNREACHED : End.UNREACHED_BY_ONE;
     }
 
-    private void endPlacementsOf(EntryId entry) {
-        Map<Long, RemotePlacement> entryPlacements = placements.remove(entry);
-        if (entryPlacements != null) {
-            entryPlacements.values().forEach(this::endPlacement);
+    /**
+     * Ends the placements of an entry that was lost, and tells it so.
+     *
+     * <p>Guards against an entry that is only cut off or suspended: its requests run on while nobody counts them, so
+     * that further ones are sent to engines that are busy.
+     */
+    private void endPlacementsOf(PeersComponent.PeerLost lost) {
+        Map<Long, RemotePlacement> entryPlacements = placements.remove(lost.entry());
+        if (entryPlacements == null) {
+            return;
         }
+        entryPlacements.forEach((number, placement) -> {
+            endPlacement(placement);
+            if (!lost.restarted()) {
+                context.send(lost.entry(), new PlacementMessage.Dropped(number));
+            }
+        });
     }
 
     private void sweep() {
--- a/src/test/java/org/yuccagw/adapters/peer/PlacementCodecTest.java
+++ b/src/test/java/org/yuccagw/adapters/peer/PlacementCodecTest.java
@@ -45,6 +45,7 @@
             {new PlacementMessage.Waiting(5)},
             {new PlacementMessage.Undecided(6)},
             {new PlacementMessage.Begun(7)},
+            {new PlacementMessage.Dropped(10)},
             {
                 new PlacementMessage.Ended(
                         8, AttemptEnded.End.ANSWERED, OptionalLong.of(2), Optional.of(new AnswerPace(7, 80, 173, 410)))
--- a/src/test/java/org/yuccagw/daemon/LeadPlacementTest.java
+++ b/src/test/java/org/yuccagw/daemon/LeadPlacementTest.java
@@ -306,6 +306,55 @@
         assertTrue(refused.error().retryAfter().isPresent());
     }
 
+    // ---- Silence between a lead and entries whose requests it counts.
+
+    // An entry is suspended for longer than its failure takes to be detected, while the engine works on its request.
+    @Test
+    public void requestsOfASuspendedEntryCountAgainOnceItContinues() {
+        BenchNode entry = followers().get(0);
+        placed(fleet.placeLongPrompt(entry, LONG_PROMPT_TOKENS));
+        entry.pause(Duration.ofSeconds(3));
+        fleet.bench.runFor(Duration.ofMillis(4_300));
+        assertEquals(requestsOnAllEngines(lead(0)), 1);
+    }
+
+    // Messages of one entry to its lead are lost for longer than its failure takes to be detected.
+    @Test
+    public void requestsOfAnEntryThatTheLeadLostCountAgainOnceItIsHeard() {
+        BenchNode entry = followers().get(0);
+        placed(fleet.placeLongPrompt(entry, LONG_PROMPT_TOKENS));
+        fleet.bench.cutOneWay(entry, lead(0));
+        fleet.bench.runFor(Duration.ofMillis(2_500));
+        fleet.bench.healNetwork();
+        fleet.bench.runFor(Duration.ofMillis(1_500));
+        assertEquals(requestsOnAllEngines(lead(0)), 1);
+    }
+
+    // Messages of the lead to one entry are lost for longer than the failure of the lead takes to be detected.
+    @Test
+    public void requestsOfAnEntryThatLostTheLeadCountOnce() {
+        BenchNode entry = followers().get(0);
+        BenchNode lead = lead(0);
+        placed(fleet.placeLongPrompt(entry, LONG_PROMPT_TOKENS));
+        fleet.bench.cutOneWay(lead, entry);
+        fleet.bench.runFor(Duration.ofMillis(2_500));
+        fleet.bench.healNetwork();
+        fleet.bench.runFor(Duration.ofSeconds(3));
+        assertEquals(requestsOnAllEngines(lead), 1);
+    }
+
+    // The lead is suspended for longer than its failure takes to be detected, while engines work on its requests.
+    @Test
+    public void requestsCountOnceAtALeadThatContinuesAfterASuspension() {
+        for (int index = 0; index < 4; index++) {
+            placed(fleet.placeLongPrompt(followers().get(index), LONG_PROMPT_TOKENS));
+        }
+        BenchNode lead = lead(0);
+        lead.pause(Duration.ofSeconds(3));
+        fleet.bench.runFor(Duration.ofMillis(4_300));
+        assertEquals(requestsOnAllEngines(lead), 4);
+    }
+
     private long placementMillis(BenchNode entry) {
         long began = fleet.bench.time().nowNanos();
         placed(fleet.placeLongPrompt(entry, LONG_PROMPT_TOKENS));
