Count a retry once that its lead places on an endpoint that leaves

What callers saw: a retry was refused as over the retry budget although its lead had granted and placed it. Cause: the entry returns a placement on an endpoint that it knows to be leaving and decides itself. That consumed the retry a second time, from the share of an entry that places alone, a hundredth of the budget's slack with 20 entries. Evidence, on the code before, the endpoint's notice arrives while the lead decides: aRetryThatTheLeadPlacesOnALeavingEndpointIsPlacedElsewhere: decision: Refused[... service 'plain' refuses and its retry budget is spent]] expected [true] but found [false] Change: what the lead has counted is decided here without counting it again, first attempts too. The lead's placement isn't used, so one retry is sent for the one that was counted.

--- a/src/main/java/org/yuccagw/core/placing/PlacementClient.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementClient.java
@@ -50,7 +50,8 @@
  *       Attempts that run on its decisions count as work of this entry from then on, so that the next heartbeat reports
  *       them to the next lead. So do those that the lead has dropped, because it hasn't heard this entry for too long.
  *   <li>If the lead selects an endpoint that this entry knows to be leaving, the placement is returned and the request
- *       is decided locally, because what an entry knows itself takes precedence.
+ *       is decided locally, because what an entry knows itself takes precedence. The lead has already counted the
+ *       request for the retry budget.
  * </ol>
  *
  * <p>Invariants: a caller is sent one decision. Every placement by a lead is returned exactly once, or ends with this
@@ -235,10 +236,10 @@
     }
 
     /** Decides a request that the lead won't decide any more. */
-    private void decideLocally(DelegatedRequest delegated, String reason) {
+    private void decideLocally(DelegatedRequest delegated, PlacementRequest request, String reason) {
         logPassedOver(delegated, reason);
         long waitedMillis = delegated.waitedMillis(context.nowNanos());
-        context.raise(new LocalPlacementRequested(delegated.request().afterWaiting(waitedMillis)));
+        context.raise(new LocalPlacementRequested(request.afterWaiting(waitedMillis)));
     }
 
     private void logPassedOver(DelegatedRequest delegated, String reason) {
@@ -312,7 +313,9 @@
         } else if (message instanceof PlacementMessage.Refused refused) {
             find(message).ifPresent(delegated -> onRefused(delegated, refused));
         } else if (message instanceof PlacementMessage.Undecided) {
-            find(message).ifPresent(delegated -> onNothingFromLead(delegated, message.number(), "undecided"));
+            find(message)
+                    .ifPresent(delegated ->
+                            onNothingFromLead(delegated, delegated.request(), message.number(), "undecided"));
         } else if (message instanceof PlacementMessage.Dropped dropped) {
             onDropped(from, dropped);
         }
@@ -354,14 +357,14 @@
         }
     }
 
-    /** Handles the end of the lead's part without a usable decision. */
-    private void onNothingFromLead(DelegatedRequest delegated, long number, String reason) {
+    /** Handles the end of the lead's part without a usable decision; this entry decides the given request instead. */
+    private void onNothingFromLead(DelegatedRequest delegated, PlacementRequest request, long number, String reason) {
         if (delegated.isPassedOver()) {
             delegated.giveUpLead();
             refuseOrHold(delegated, number);
         } else {
             removePending(number);
-            decideLocally(delegated, reason);
+            decideLocally(delegated, request, reason);
         }
     }
 
@@ -370,7 +373,8 @@
         Optional<ListedEndpoint> endpoint = usable.apply(placed.endpoint());
         if (delegated.isEmpty() || endpoint.isEmpty()) {
             returnPlacement(from, placed.number());
-            delegated.ifPresent(unplaced -> onNothingFromLead(unplaced, placed.number(), "endpoint not usable"));
+            delegated.ifPresent(unplaced -> onNothingFromLead(
+                    unplaced, unplaced.request().countedElsewhere(), placed.number(), "endpoint not usable"));
             return;
         }
         removePending(placed.number());
--- a/src/main/java/org/yuccagw/core/placing/PlacementRequest.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementRequest.java
@@ -64,6 +64,22 @@
                 reply);
     }
 
+    /** Returns the same request for an entry that must not count it for the retry budget, since another one does. */
+    PlacementRequest countedElsewhere() {
+        return new PlacementRequest(
+                request,
+                route,
+                service,
+                workspace,
+                prompt,
+                fingerprint,
+                excluded,
+                Kind.UNSENT,
+                pinned,
+                leftMillis,
+                reply);
+    }
+
     /** Returns the regions in which the request may be served, by its route and its workspace. */
     PermittedRegions permittedRegions() {
         return route.permittedRegions()
--- a/src/test/java/org/yuccagw/daemon/LeadPlacementTest.java
+++ b/src/test/java/org/yuccagw/daemon/LeadPlacementTest.java
@@ -17,6 +17,8 @@
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
+import org.yuccagw.core.notice.EndpointNotice;
+import org.yuccagw.core.notice.NoticeReceived;
 import org.yuccagw.core.placing.AttemptBegun;
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.AttemptEnded.End;
@@ -295,6 +297,24 @@
         }
     }
 
+    // The endpoint says that it is leaving while the lead places a retry there. The lead has counted the retry; the
+    // entry's own share of the retry budget has no room for it.
+    @Test
+    public void aRetryThatTheLeadPlacesOnALeavingEndpointIsPlacedElsewhere() {
+        BenchNode entry = followers().get(0);
+        PlacementDecision.Placed busy = placed(fleet.place(entry, "/plain/x", Kind.FIRST, "one"));
+        PlacementDecision.Placed idle = placed(fleet.place(entry, "/plain/x", Kind.FIRST, "two"));
+        entry.offer(new AttemptEnded(idle.ticket(), End.ANSWERED));
+        fleet.bench.runFor(Duration.ofMillis(10));
+        List<PlacementDecision> decisions = new ArrayList<>();
+        lead(0).pause(Duration.ofMillis(20));
+        fleet.requestPlainPlacement(entry, Kind.REPEAT, decisions::add);
+        entry.offer(new NoticeReceived(idle.endpoint().incarnation(), EndpointNotice.ofLeaving(), false));
+        fleet.bench.runFor(Duration.ofMillis(100));
+        assertEquals(decisions.size(), 1);
+        assertEquals(placed(decisions.get(0)).endpoint(), busy.endpoint());
+    }
+
     @Test
     public void aRefusalOfALeadKeepsItsErrorAndRetryTime() {
         fleet.markPlainLeaving("plain-1");
--- a/src/test/java/org/yuccagw/daemon/VirtualFleet.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualFleet.java
@@ -261,6 +261,11 @@
         offerRequest(node, "/model/x", PlacementRequest.Kind.REPEAT, fingerprint, Optional.of(prompt), excluded, reply);
     }
 
+    /** Requests the placement of a call to the plain service. */
+    void requestPlainPlacement(BenchNode node, PlacementRequest.Kind kind, Consumer<PlacementDecision> reply) {
+        offerRequest(node, "/plain/x", kind, "f" + nextRequest, Optional.empty(), reply);
+    }
+
     /** Requests the placement of a prompt that could not be sent to the excluded engines. */
     void requestUnsentPlacement(
             BenchNode node, int tokens, ImmutableSet<EndpointId> excluded, Consumer<PlacementDecision> reply) {
