Raise the retry budget once by a request whose lead is passed over

What callers saw: nothing; the endpoints would get more retries than the budget permits. Cause: a first attempt raises the allowance of the entry that decides it. While its lead pauses, the entry decides it as well, and the lead does once it continues, so one request raises two allowances.

--- a/src/main/java/org/yuccagw/core/placing/PlacementClient.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementClient.java
@@ -219,7 +219,10 @@
                 .build();
     }
 
-    /** Lets this entry decide too, while the request keeps its place at the lead. */
+    /**
+     * Lets this entry decide too, while the request keeps its place at the lead. A first attempt raises the retry
+     * budget of the lead and must not raise that of this entry as well; a retry takes from the budget of each.
+     */
     private void passOver(DelegatedRequest delegated, long number, String reason) {
         long now = context.nowNanos();
         suspendedUntilNanos.put(delegated.lead(), now + LEAD_SUSPENSION.toNanos());
@@ -227,7 +230,8 @@
         delegated.cancelTimer();
         delegated.passOver(now + maxRefusalHold(remaining).toNanos());
         logPassedOver(delegated, reason);
-        context.raise(new RivalDecision.Requested(number, remaining));
+        boolean counted = remaining.kind() == PlacementRequest.Kind.FIRST;
+        context.raise(new RivalDecision.Requested(number, counted ? remaining.countedElsewhere() : remaining));
     }
 
     private static Duration maxRefusalHold(PlacementRequest request) {
--- a/src/test/java/org/yuccagw/daemon/SilentLeadTest.java
+++ b/src/test/java/org/yuccagw/daemon/SilentLeadTest.java
@@ -18,6 +18,7 @@
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.placing.PlacementDecision;
+import org.yuccagw.core.placing.PlacementRequest.Kind;
 
 /** Requests whose lead is silent: it pauses, or it has failed. */
 public class SilentLeadTest {
@@ -176,6 +177,45 @@
         assertEquals(onlyRefusal(), ErrorKind.RETRY_BUDGET_SPENT);
     }
 
+    // Requests that the lead counts once it continues, and the entry that passed it over counts too, would permit the
+    // two
+    // more retries than the budget of 0.2 of the requests and 56.
+    @Test
+    public void requestsOfAPassedOverLeadRaiseTheRetryBudgetOnce() {
+        int requests = 1_000;
+        BenchNode entry = follower();
+        List<EntryId> leads = fleet.leadsKnownTo(entry);
+        lead().pause(Duration.ofMillis(100));
+        assertTrue(callPlain(entry, Kind.FIRST, requests) > 0);
+        fleet.bench.runFor(Duration.ofMillis(300));
+        long retries = callPlain(lead(), Kind.REPEAT, requests);
+        nodes.stream().filter(node -> leads.contains(node.entry())).forEach(node -> node.pause(Duration.ofMillis(400)));
+        retries += callPlain(entry, Kind.REPEAT, requests);
+        assertTrue(retries <= 0.2 * requests + 56, "retries sent: " + retries);
+    }
+
+    /** Returns how many of so many calls within 20 ms are placed; each is answered within a millisecond. */
+    private long callPlain(BenchNode entry, Kind kind, int calls) {
+        decisions.clear();
+        for (int index = 0; index < calls; index++) {
+            fleet.requestPlainPlacement(entry, kind, decision -> {
+                decisions.add(decision);
+                if (decision instanceof PlacementDecision.Placed placed) {
+                    fleet.bench
+                            .time()
+                            .after(
+                                    Duration.ofMillis(1),
+                                    () -> entry.offer(new AttemptEnded(placed.ticket(), End.ANSWERED)));
+                }
+            });
+            fleet.bench.runFor(Duration.ofNanos(20_000));
+        }
+        fleet.bench.runFor(Duration.ofMillis(200));
+        return decisions.stream()
+                .filter(decision -> decision instanceof PlacementDecision.Placed)
+                .count();
+    }
+
     /** Places prompts until one has to wait. */
     private void fillEngines(BenchNode lead) {
         List<PlacementDecision> placed = new ArrayList<>();
