--- a/src/main/java/org/yuccagw/core/placing/PlacementClient.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementClient.java
@@ -48,9 +48,10 @@
  *       remaining time has passed. Then it is passed over.
  *   <li>When a lead fails, requests that wait there are decided by this entry, and refusals are held for it no longer.
  *       Attempts that run on its decisions count as work of this entry from then on, so that the next heartbeat reports
- *       them to the next lead.
+ *       them to the next lead. So do those that the lead has dropped, because it hasn't heard this entry for too long.
  *   <li>If the lead selects an endpoint that this entry knows to be leaving, the placement is returned and the request
- *       is decided locally, because what an entry knows itself takes precedence.
+ *       is decided locally, because what an entry knows itself takes precedence. The lead has already counted the
+ *       request for the retry budget.
  * </ol>
  *
  * <p>Invariants: a caller is sent one decision. Every placement by a lead is returned exactly once, or ends with this
@@ -218,7 +219,10 @@
                 .build();
     }
 
-    /** Lets this entry decide too, while the request keeps its place at the lead. */
+    /**
+     * Lets this entry decide too, while the request keeps its place at the lead. A first attempt raises the retry
+     * budget of the lead and must not raise that of this entry as well; a retry takes from the budget of each.
+     */
     private void passOver(DelegatedRequest delegated, long number, String reason) {
         long now = context.nowNanos();
         suspendedUntilNanos.put(delegated.lead(), now + LEAD_SUSPENSION.toNanos());
@@ -226,7 +230,8 @@
         delegated.cancelTimer();
         delegated.passOver(now + maxRefusalHold(remaining).toNanos());
         logPassedOver(delegated, reason);
-        context.raise(new RivalDecision.Requested(number, remaining));
+        boolean counted = remaining.kind() == PlacementRequest.Kind.FIRST;
+        context.raise(new RivalDecision.Requested(number, counted ? remaining.countedElsewhere() : remaining));
     }
 
     private static Duration maxRefusalHold(PlacementRequest request) {
@@ -235,10 +240,10 @@
     }
 
     /** Decides a request that the lead won't decide any more. */
-    private void decideLocally(DelegatedRequest delegated, String reason) {
+    private void decideLocally(DelegatedRequest delegated, PlacementRequest request, String reason) {
         logPassedOver(delegated, reason);
         long waitedMillis = delegated.waitedMillis(context.nowNanos());
-        context.raise(new LocalPlacementRequested(delegated.request().afterWaiting(waitedMillis)));
+        context.raise(new LocalPlacementRequested(request.afterWaiting(waitedMillis)));
     }
 
     private void logPassedOver(DelegatedRequest delegated, String reason) {
@@ -312,7 +317,11 @@
         } else if (message instanceof PlacementMessage.Refused refused) {
             find(message).ifPresent(delegated -> onRefused(delegated, refused));
         } else if (message instanceof PlacementMessage.Undecided) {
-            find(message).ifPresent(delegated -> onNothingFromLead(delegated, message.number(), "undecided"));
+            find(message)
+                    .ifPresent(delegated ->
+                            onNothingFromLead(delegated, delegated.request(), message.number(), "undecided"));
+        } else if (message instanceof PlacementMessage.Dropped dropped) {
+            onDropped(from, dropped);
         }
     }
 
@@ -352,14 +361,14 @@
         }
     }
 
-    /** Handles the end of the lead's part without a usable decision. */
-    private void onNothingFromLead(DelegatedRequest delegated, long number, String reason) {
+    /** Handles the end of the lead's part without a usable decision; this entry decides the given request instead. */
+    private void onNothingFromLead(DelegatedRequest delegated, PlacementRequest request, long number, String reason) {
         if (delegated.isPassedOver()) {
             delegated.giveUpLead();
             refuseOrHold(delegated, number);
         } else {
             removePending(number);
-            decideLocally(delegated, reason);
+            decideLocally(delegated, request, reason);
         }
     }
 
@@ -368,7 +377,8 @@
         Optional<ListedEndpoint> endpoint = usable.apply(placed.endpoint());
         if (delegated.isEmpty() || endpoint.isEmpty()) {
             returnPlacement(from, placed.number());
-            delegated.ifPresent(unplaced -> onNothingFromLead(unplaced, placed.number(), "endpoint not usable"));
+            delegated.ifPresent(unplaced -> onNothingFromLead(
+                    unplaced, unplaced.request().countedElsewhere(), placed.number(), "endpoint not usable"));
             return;
         }
         removePending(placed.number());
@@ -448,11 +458,22 @@
                 .map(Map.Entry::getKey)
                 .toList();
         unanswered.forEach(number -> giveUpLostLead(pending.get(number), number));
-        for (RemoteAttempt attempt : remoteAttempts.values()) {
-            if (attempt.lead.equals(entry) && !attempt.countedLocally) {
-                attempt.countedLocally = true;
-                context.raise(new WorkTransferred(attempt.endpoint, attempt.work, Work.NONE));
-            }
+        remoteAttempts.values().stream()
+                .filter(attempt -> attempt.lead.equals(entry))
+                .forEach(this::countLocally);
+    }
+
+    private void onDropped(EntryId from, PlacementMessage.Dropped dropped) {
+        RemoteAttempt attempt = remoteAttempts.get(ticketOf(dropped.number()));
+        if (attempt != null && attempt.lead.equals(from)) {
+            countLocally(attempt);
+        }
+    }
+
+    private void countLocally(RemoteAttempt attempt) {
+        if (!attempt.countedLocally) {
+            attempt.countedLocally = true;
+            context.raise(new WorkTransferred(attempt.endpoint, attempt.work, Work.NONE));
         }
     }
 }
--- a/src/test/java/org/yuccagw/daemon/LeadPlacementTest.java
+++ b/src/test/java/org/yuccagw/daemon/LeadPlacementTest.java
@@ -17,6 +17,8 @@
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
+import org.yuccagw.core.notice.EndpointNotice;
+import org.yuccagw.core.notice.NoticeReceived;
 import org.yuccagw.core.placing.AttemptBegun;
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.AttemptEnded.End;
@@ -295,6 +297,24 @@
         }
     }
 
+    // The endpoint says that it is leaving while the lead places a retry there. The lead has counted the retry; the
+    // entry's own share of the retry budget has no room for it.
+    @Test
+    public void aRetryThatTheLeadPlacesOnALeavingEndpointIsPlacedElsewhere() {
+        BenchNode entry = followers().get(0);
+        PlacementDecision.Placed busy = placed(fleet.place(entry, "/plain/x", Kind.FIRST, "one"));
+        PlacementDecision.Placed idle = placed(fleet.place(entry, "/plain/x", Kind.FIRST, "two"));
+        entry.offer(new AttemptEnded(idle.ticket(), End.ANSWERED));
+        fleet.bench.runFor(Duration.ofMillis(10));
+        List<PlacementDecision> decisions = new ArrayList<>();
+        lead(0).pause(Duration.ofMillis(20));
+        fleet.requestPlainPlacement(entry, Kind.REPEAT, decisions::add);
+        entry.offer(new NoticeReceived(idle.endpoint().incarnation(), EndpointNotice.ofLeaving(), false));
+        fleet.bench.runFor(Duration.ofMillis(100));
+        assertEquals(decisions.size(), 1);
+        assertEquals(placed(decisions.get(0)).endpoint(), busy.endpoint());
+    }
+
     @Test
     public void aRefusalOfALeadKeepsItsErrorAndRetryTime() {
         fleet.markPlainLeaving("plain-1");
@@ -306,6 +326,55 @@
         assertTrue(refused.error().retryAfter().isPresent());
     }
 
+    // ---- Silence between a lead and entries whose requests it counts.
+
+    // An entry is suspended for longer than its failure takes to be detected, while the engine works on its request.
+    @Test
+    public void requestsOfASuspendedEntryCountAgainOnceItContinues() {
+        BenchNode entry = followers().get(0);
+        placed(fleet.placeLongPrompt(entry, LONG_PROMPT_TOKENS));
+        entry.pause(Duration.ofSeconds(3));
+        fleet.bench.runFor(Duration.ofMillis(4_300));
+        assertEquals(requestsOnAllEngines(lead(0)), 1);
+    }
+
+    // Messages of one entry to its lead are lost for longer than its failure takes to be detected.
+    @Test
+    public void requestsOfAnEntryThatTheLeadLostCountAgainOnceItIsHeard() {
+        BenchNode entry = followers().get(0);
+        placed(fleet.placeLongPrompt(entry, LONG_PROMPT_TOKENS));
+        fleet.bench.cutOneWay(entry, lead(0));
+        fleet.bench.runFor(Duration.ofMillis(2_500));
+        fleet.bench.healNetwork();
+        fleet.bench.runFor(Duration.ofMillis(1_500));
+        assertEquals(requestsOnAllEngines(lead(0)), 1);
+    }
+
+    // Messages of the lead to one entry are lost for longer than the failure of the lead takes to be detected.
+    @Test
+    public void requestsOfAnEntryThatLostTheLeadCountOnce() {
+        BenchNode entry = followers().get(0);
+        BenchNode lead = lead(0);
+        placed(fleet.placeLongPrompt(entry, LONG_PROMPT_TOKENS));
+        fleet.bench.cutOneWay(lead, entry);
+        fleet.bench.runFor(Duration.ofMillis(2_500));
+        fleet.bench.healNetwork();
+        fleet.bench.runFor(Duration.ofSeconds(3));
+        assertEquals(requestsOnAllEngines(lead), 1);
+    }
+
+    // The lead is suspended for longer than its failure takes to be detected, while engines work on its requests.
+    @Test
+    public void requestsCountOnceAtALeadThatContinuesAfterASuspension() {
+        for (int index = 0; index < 4; index++) {
+            placed(fleet.placeLongPrompt(followers().get(index), LONG_PROMPT_TOKENS));
+        }
+        BenchNode lead = lead(0);
+        lead.pause(Duration.ofSeconds(3));
+        fleet.bench.runFor(Duration.ofMillis(4_300));
+        assertEquals(requestsOnAllEngines(lead), 4);
+    }
+
     private long placementMillis(BenchNode entry) {
         long began = fleet.bench.time().nowNanos();
         placed(fleet.placeLongPrompt(entry, LONG_PROMPT_TOKENS));
