--- a/src/test/java/org/yuccagw/core/forward/RecordedForwardEffects.java
+++ b/src/test/java/org/yuccagw/core/forward/RecordedForwardEffects.java
@@ -25,6 +25,8 @@
     final List<AttemptEnded.End> attempts = new ArrayList<>();
     final List<SilenceOutcome> silences = new ArrayList<>();
     long nowNanos;
+    final List<String> timers = new ArrayList<>();
+    Runnable whenAnswerEnds = () -> {};
     ErrorKind error;
     int ends;
 
@@ -70,7 +72,9 @@
     }
 
     @Override
-    public void schedule(ForwardMachine.TimerKind kind, long leg, Duration delay) {}
+    public void schedule(ForwardMachine.TimerKind kind, long leg, Duration delay) {
+        timers.add(kind + " of leg " + leg);
+    }
 
     @Override
     public void answerHead(long leg) {
@@ -85,6 +89,7 @@
     @Override
     public void answerEnd() {
         lines.add("end");
+        whenAnswerEnds.run();
     }
 
     @Override
