--- a/src/main/java/org/yuccagw/core/forward/AnswerEnd.java
+++ b/src/main/java/org/yuccagw/core/forward/AnswerEnd.java
@@ -21,28 +21,27 @@
 
     /** Ends an answer that was forwarded completely. */
     void complete(int status) {
-        effects.answerEnd();
-        finish("answered " + status);
+        finish(effects::answerEnd, "answered " + status);
     }
 
     /** Aborts an answer that has started, so that it doesn't appear complete. */
     void abort(String detail) {
-        effects.abortAnswer();
-        finish("cut: " + detail);
+        finish(effects::abortAnswer, "cut: " + detail);
     }
 
     /** Answers with an error. Nothing may have been sent to the caller. */
     void fail(YuccagwException error) {
-        effects.answerError(error);
-        finish(error.kind().code());
+        finish(() -> effects.answerError(error), error.kind().code());
     }
 
     void callerLeft() {
-        finish("caller left");
+        finish(() -> {}, "caller left");
     }
 
-    private void finish(String outcome) {
+    /** The answer counts as over before its end is written, since the caller may turn out to have left by that. */
+    private void finish(Runnable writeEnd, String outcome) {
         over = true;
+        writeEnd.run();
         effects.ended(outcome);
     }
 }
