Let the last owner of a limit lend on when its lease has lapsed and no other entry can take over

What callers saw: with the key-value service away, an entry that was idle answered 429 "workspace 'alpha' is at its limit of 500 requests at once" though nothing ran.

Cause: the lease of the shard's owner lapses 9 s after its last renewal. After that it lent nothing, and no other entry can become the owner while the service is away. Entries with a share go on with the smaller of it and limit / entries, but an entry returns its share after 2 s without requests and then refused the workspace until the service was back. The suspected cause, a new owner that lends nothing for some seconds, wasn't it: there is no new owner during the outage.

Change: an owner whose lease has lapsed goes on counting shares. Once all that it lent under the lease have expired, it lends at most limit / entries to each entry, until it hears of a later owner. That is what each entry may use without a valid share anyway, and what a later owner reserves for each entry that it hasn't heard from. Until then entries without a share get an empty one, so that their requests wait. An entry that knows of a later owner takes no grant of an earlier one.

--- a/src/main/java/org/yuccagw/core/admission/LimitShares.java
+++ b/src/main/java/org/yuccagw/core/admission/LimitShares.java
@@ -45,6 +45,7 @@
     private final Duration settlingTime;
     private final Map<LimitName, ShareBorrower> borrowers = new HashMap<>();
     private final Map<ShardNumber, OwnedShard> owned = new HashMap<>();
+    private final Map<ShardNumber, LostShard> lost = new HashMap<>();
     private final Map<ShardNumber, SentPresence> sentPresences = new HashMap<>();
     private final Map<EntryId, Member> members = new HashMap<>();
     private Catalogue catalogue = Catalogue.empty();
@@ -70,6 +71,9 @@
         }
     }
 
+    /** A shard that this entry owned until its lease lapsed, while no later owner is known. */
+    private record LostShard(OwnedShard shard, long lostNanos) {}
+
     /** The number of {@link Present} messages that this entry sent to the owner of a shard. */
     private record SentPresence(Ownership owner, int count) {}
 
@@ -249,10 +253,14 @@
 
     void handleShardGained(ShardGained gained) {
         owned.put(gained.shard(), new OwnedShard(gained.epoch(), context.nowNanos()));
+        lost.remove(gained.shard());
     }
 
     void handleShardLost(ShardNumber shard) {
-        owned.remove(shard);
+        OwnedShard before = owned.remove(shard);
+        if (before != null) {
+            lost.put(shard, new LostShard(before, context.nowNanos()));
+        }
     }
 
     void receive(EntryId from, SharePeerMessage message) {
@@ -262,37 +270,80 @@
         }
         OwnedShard shard = owned.get(message.shard());
         if (shard == null) {
+            if (message instanceof Ask ask) {
+                answerAfterLoss(from, ask);
+            }
             return;
         }
         shard.seenEntries.add(from);
         if (message instanceof Ask ask) {
-            lend(from, ask, shard);
+            lendIfOwned(from, ask, shard);
         }
     }
 
     private void applyGrant(Grant grant) {
         ShareBorrower borrower = borrowers.get(grant.limit());
-        if (borrower != null && borrower.applyGrant(grant, context.nowNanos())) {
+        // A later owner counts only the shares that it lends itself, once it has received a message from this entry.
+        boolean superseded = isOwnedSince(grant.shard(), grant.epoch() + 1);
+        if (borrower != null && !superseded && borrower.applyGrant(grant, context.nowNanos())) {
             onChange.run();
         }
     }
 
-    private void lend(EntryId from, Ask ask, OwnedShard shard) {
-        long now = context.nowNanos();
-        OptionalLong epoch = authority.epochIfHeld(ask.shard(), now);
-        if (epoch.isEmpty() || epoch.getAsLong() != shard.epoch) {
-            return;
+    private void lendIfOwned(EntryId from, Ask ask, OwnedShard shard) {
+        OptionalLong epoch = authority.epochIfHeld(ask.shard(), context.nowNanos());
+        if (epoch.isPresent() && epoch.getAsLong() == shard.epoch) {
+            lend(from, ask, shard, Share.ofAll(limits(ask.limit())));
         }
-        ShareLender lender =
-                shard.lenders.computeIfAbsent(ask.limit(), name -> new ShareLender(shard.gainedNanos, settlingTime));
+    }
+
+    private void lend(EntryId from, Ask ask, OwnedShard shard, Share maximum) {
         boolean namesOwnGrant = ask.epoch() == shard.epoch;
-        ShareLender.LentShare lent =
-                lender.lend(from, ask, namesOwnGrant, limits(ask.limit()), unseenMembers(shard), entryCount(), now);
+        Limits limits = limits(ask.limit());
+        int unseen = unseenMembers(shard);
+        ShareLender.LentShare lent = lender(shard, ask.limit())
+                .lend(from, ask, namesOwnGrant, limits, maximum, unseen, entryCount(), context.nowNanos());
         send(
                 from,
                 new Grant(ask.shard(), shard.epoch, ask.limit(), lent.share(), lent.sequence(), ShareLender.LIFETIME));
     }
 
+    /**
+     * Answers an entry after the lease of this owner has lapsed. In an outage of the key-value service there is no
+     * later owner, and without an answer a workspace would be refused at each entry that has no share of its limits.
+     *
+     * <p>Once all shares that were lent under the lease have expired, this entry lends again, but at most
+     * {@code limit / entries} to each entry: no entry uses more without a valid share, and a later owner reserves as
+     * much for each entry from which it has received no message. Until then an entry without a share gets an empty one,
+     * which lets its requests wait.
+     */
+    private void answerAfterLoss(EntryId from, Ask ask) {
+        LostShard before = lost.get(ask.shard());
+        if (before == null || isOwnedSince(ask.shard(), before.shard().epoch + 1)) {
+            lost.remove(ask.shard());
+            return;
+        }
+        OwnedShard shard = before.shard();
+        if (context.nowNanos() - before.lostNanos() >= settlingTime.toNanos()) {
+            shard.seenEntries.add(from);
+            lend(from, ask, shard, ShareBorrower.fallback(limits(ask.limit()), entryCount()));
+        } else if (ask.held().equals(Share.none())) {
+            long sequence = lender(shard, ask.limit()).nextSequence();
+            send(from, new Grant(ask.shard(), shard.epoch, ask.limit(), Share.none(), sequence, ShareLender.LIFETIME));
+        }
+    }
+
+    private boolean isOwnedSince(ShardNumber shard, long epoch) {
+        return shards.get()
+                .owner(shard)
+                .filter(ownership -> ownership.epoch() >= epoch)
+                .isPresent();
+    }
+
+    private ShareLender lender(OwnedShard shard, LimitName limit) {
+        return shard.lenders.computeIfAbsent(limit, name -> new ShareLender(shard.gainedNanos, settlingTime));
+    }
+
     /**
      * Returns the number of entries that may still use shares granted by a previous owner and from which this owner has
      * received no message.
@@ -350,10 +401,13 @@
 
     private void removeMember(EntryId entry) {
         members.remove(entry);
-        owned.values().forEach(shard -> {
-            shard.seenEntries.remove(entry);
-            shard.lenders.values().forEach(lender -> lender.removeBorrower(entry));
-        });
+        owned.values().forEach(shard -> removeMember(entry, shard));
+        lost.values().forEach(before -> removeMember(entry, before.shard()));
+    }
+
+    private static void removeMember(EntryId entry, OwnedShard shard) {
+        shard.seenEntries.remove(entry);
+        shard.lenders.values().forEach(lender -> lender.removeBorrower(entry));
     }
 
     void setCatalogue(Catalogue newCatalogue) {
--- a/src/main/java/org/yuccagw/core/admission/ShareLender.java
+++ b/src/main/java/org/yuccagw/core/admission/ShareLender.java
@@ -62,6 +62,7 @@
      * Grants a share in response to a request.
      *
      * @param namesOwnGrant whether the grant that the request names was made by this owner
+     * @param maximum share that the entry gets at most
      * @param unseenEntries number of live entries from which this owner has received no message
      * @param entryCount number of live entries
      */
@@ -70,6 +71,7 @@
             Ask ask,
             boolean namesOwnGrant,
             Limits limits,
+            Share maximum,
             int unseenEntries,
             int entryCount,
             long nowNanos) {
@@ -80,12 +82,20 @@
         borrower.demand = ask.demand();
         borrower.requestedNanos = nowNanos;
         boolean settled = nowNanos >= settledNanos;
-        Share share = settled ? fairShare(entry, ask, limits, unseenEntries, entryCount, nowNanos) : ask.held();
-        long grantSequence = nextSequence++;
+        Share share = settled
+                ? fairShare(entry, ask, limits, unseenEntries, entryCount, nowNanos)
+                        .atMost(maximum)
+                : ask.held();
+        long grantSequence = nextSequence();
         borrower.grants.put(grantSequence, share);
         return new LentShare(share, grantSequence);
     }
 
+    /** Returns the sequence number of a new grant. */
+    long nextSequence() {
+        return nextSequence++;
+    }
+
     private Share fairShare(EntryId entry, Ask ask, Limits limits, int unseenEntries, int entryCount, long nowNanos) {
         Share total = Share.ofAll(limits);
         Share reservation = ShareBorrower.fallback(limits, entryCount);
--- a/src/test/java/org/yuccagw/core/admission/AdmissionTest.java
+++ b/src/test/java/org/yuccagw/core/admission/AdmissionTest.java
@@ -162,6 +162,34 @@
         assertTrue(call.isLetIn());
     }
 
+    // Guards against refusing a workspace at all idle entries once an outage of the key-value service has lasted longer
+    // than the lease of the owner.
+    @Test
+    public void withoutANewOwnerACallAtAnIdleEntryIsAdmittedAfterTheLeaseOfTheOwnerHasLapsed() {
+        entries.loseLease(SHARD, names.get(0));
+        for (EntryId entry : names) {
+            Call call = calls.call(entry, LIMITED, RUN_TIME);
+            entries.run(DEADLINE);
+            assertTrue(call.isLetIn(), "entry: " + entry);
+        }
+    }
+
+    // Guards against shares that are lent twice, by a former owner whose lease has lapsed and by its successor, which
+    // the other entries don't know yet.
+    @Test
+    public void theLimitHoldsWhenTheLeaseOfTheOwnerLapsesWhileTheWholeLimitIsLent() {
+        sendRequests(names.subList(1, 2), Duration.ofSeconds(3));
+        entries.loseLease(SHARD, names.get(0));
+        sendRequests(names, Duration.ofSeconds(9));
+        assertEquals(calls.mostRunning(), LIMIT);
+        entries.own(SHARD, names.get(2), names.subList(2, 3));
+        sendRequests(names, Duration.ofSeconds(9));
+        entries.learnOwner(SHARD, names.get(0));
+        entries.learnOwner(SHARD, names.get(1));
+        sendRequests(names, Duration.ofSeconds(9));
+        assertEquals(calls.mostRunning(), LIMIT);
+    }
+
     @Test
     public void aRateLimitHoldsOverAllEntries() {
         startEntries(ShareLender.SETTLING_TIME, new Limits(0, REQUESTS_PER_SECOND, 0));
--- a/src/test/java/org/yuccagw/process/EntryFailuresTest.java
+++ b/src/test/java/org/yuccagw/process/EntryFailuresTest.java
@@ -187,11 +187,12 @@
         StreamedCall call = callers.start(request, deployment.entry(2));
         awaitTokens(call, 5);
         crashEngineOf(request, deployment.judges());
-        assertEquals(callers.record(request, call.awaitEnd()).verdict(), Verdict.UNCLEAR);
+        assertEquals(callers.record(request, call.awaitEnd()).verdict(), Verdict.UNCLEAR, callers.history(request));
         assertEquals(call.error().path("ran").asText(), "may-have-run");
         deployment.repair();
         for (EntryProcess entry : deployment.entries()) {
-            assertEquals(callers.send(request, entry).verdict(), Verdict.UNCLEAR);
+            Sending again = callers.send(request, entry);
+            assertEquals(again.verdict(), Verdict.UNCLEAR, callers.history(request));
         }
         assertEquals(runsOf(request), 1);
         assertInvariants();
