Use request numbers once across the restarts of an entry

What callers saw: nothing; an engine appears busy to the lead for ever, and a request may get the placement of another. Cause: an entry numbers its requests from 1 after each start. A request that waits at the lead when its entry starts again is still placed there; the new process takes that placement for its own request of this number, and the lead forgets the one it overwrites.

--- a/src/main/java/org/yuccagw/core/placing/PlacementClient.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementClient.java
@@ -72,6 +72,9 @@
 
     private static final double SHARE_OF_TIME_LEFT = 0.6;
 
+    /** An entry sends far fewer, so the numbers of its incarnations, which are milliseconds, don't overlap. */
+    private static final long MAX_REQUESTS_PER_MILLISECOND = 1_000;
+
     /**
      * Longest time that a refusal waits for a lead that was passed over. A refused caller loses about as much by its
      * round trip and a new connection, so a lead that really has failed costs it no more than a refusal does.
@@ -100,7 +103,7 @@
     private final Map<EntryId, Long> suspendedUntilNanos = new HashMap<>();
     private final Map<EndpointId, Long> unreachedUntilNanos = new HashMap<>();
     private ControlContext context;
-    private long nextNumber = 1;
+    private long nextNumber;
 
     /** An attempt that was placed by a lead. */
     private static final class RemoteAttempt {
@@ -147,6 +150,7 @@
     @Override
     public void start(ControlContext controlContext) {
         context = controlContext;
+        nextNumber = context.self().incarnation() * MAX_REQUESTS_PER_MILLISECOND;
     }
 
     @Override
--- a/src/main/java/org/yuccagw/core/placing/PlacementMessage.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementMessage.java
@@ -17,8 +17,8 @@
 /** The messages between an entry and the lead of its failure domain about one attempt. */
 public sealed interface PlacementMessage extends PeerMessage {
     /**
-     * Returns the number of the attempt, which the querying entry assigns. Numbering restarts with each of its
-     * incarnations.
+     * Returns the number of the attempt, which the querying entry assigns. No incarnation of it uses the number of
+     * another one, for which a placement may still be sent.
      */
     long number();
 
--- a/src/test/java/org/yuccagw/daemon/LeadPlacementTest.java
+++ b/src/test/java/org/yuccagw/daemon/LeadPlacementTest.java
@@ -220,8 +220,7 @@
         assertEquals(requestsOnAllEngines(lead(0)), 0);
     }
 
-    // The same, but the process starts again at once, so that its failure is not detected. Its request numbers begin
-    // again.
+    // The same, but the process starts again at once, so that its failure is not detected.
     @Test
     public void requestsOfAnEntryBeforeItsRestartAreRemoved() {
         BenchNode entry = followers().get(0);
@@ -234,6 +233,35 @@
         assertEquals(requestsOnAllEngines(lead(0)), 1);
     }
 
+    // The placement of a request from before a restart is taken for that of a later one, which is then never returned.
+    @Test
+    public void aPlacementForAnEntryBeforeItsRestartIsReturned() {
+        BenchNode lead = lead(0);
+        BenchNode entry = followers().get(0);
+        List<PlacementDecision> own = new ArrayList<>();
+        int requested = 0;
+        while (own.size() == requested) {
+            fleet.requestPlacement(lead, LONG_PROMPT_TOKENS, own::add);
+            requested++;
+            fleet.bench.runFor(Duration.ofMillis(1));
+        }
+        fleet.requestPlacement(entry, LONG_PROMPT_TOKENS, decision -> {});
+        fleet.bench.runFor(Duration.ofMillis(10));
+        entry.kill();
+        BenchNode restarted = fleet.start(entry.entry().value(), DOMAIN);
+        fleet.bench.runFor(Duration.ofMillis(700));
+        List<PlacementDecision> decisions = new ArrayList<>();
+        fleet.requestPlacement(restarted, LONG_PROMPT_TOKENS, decisions::add);
+        fleet.bench.runFor(Duration.ofMillis(10));
+        own.forEach(each -> lead.offer(new AttemptEnded(placed(each).ticket(), End.ANSWERED)));
+        fleet.bench.runFor(Duration.ofMillis(100));
+        restarted.offer(new AttemptEnded(placed(decisions.get(0)).ticket(), End.ANSWERED));
+        own.subList(requested - 1, own.size())
+                .forEach(each -> lead.offer(new AttemptEnded(placed(each).ticket(), End.ANSWERED)));
+        fleet.bench.runFor(Duration.ofSeconds(8));
+        assertEquals(requestsOnAllEngines(lead), 0);
+    }
+
     // ---- Failures that one entry reports.
 
     // One entry is cut off from the endpoints and reports each of them as unreachable. If its reports were enough,
