--- a/src/test/java/org/yuccagw/daemon/LeadPlacementTest.java
+++ b/src/test/java/org/yuccagw/daemon/LeadPlacementTest.java
@@ -325,8 +325,7 @@
         }
     }
 
-    // The endpoint says that it is leaving while the lead places a retry there. The lead has counted the retry; the
-    // entry's own share of the retry budget has no room for it.
+    // The lead has counted the retry; the entry's own share of the retry budget has no room for it.
     @Test
     public void aRetryThatTheLeadPlacesOnALeavingEndpointIsPlacedElsewhere() {
         BenchNode entry = followers().get(0);
--- a/src/test/java/org/yuccagw/daemon/SilentLeadTest.java
+++ b/src/test/java/org/yuccagw/daemon/SilentLeadTest.java
@@ -95,8 +95,7 @@
         return ((PlacementDecision.Refused) decisions.get(0)).error().kind();
     }
 
-    // A caller is refused because the entry's own share of the retry budget is spent, while its lead was about to place
-    // the request.
+    // A caller is refused by the entry's own share of the retry budget while its lead is about to place the request.
     @Test
     public void aRetryThatOnlyTheLeadMayPlaceIsPlacedOnceTheLeadContinues() {
         addEngines(Duration.ZERO);
@@ -113,8 +112,7 @@
         onlyPlacement();
     }
 
-    // The request waits here, since only leads send to cold engines, and the lead places it first: the entry's own
-    // placement, which comes once the engines are warm, must not count as running for ever.
+    // The entry's own placement, which comes once the engines are warm, counts as running for ever.
     @Test
     public void ofTwoPlacementsTheFirstIsUsedAndTheOtherIsReturned() {
         addEngines(VirtualFleet.COLD_DURATION);
@@ -177,9 +175,7 @@
         assertEquals(onlyRefusal(), ErrorKind.RETRY_BUDGET_SPENT);
     }
 
-    // Requests that the lead counts once it continues, and the entry that passed it over counts too, would permit the
-    // two
-    // more retries than the budget of 0.2 of the requests and 56.
+    // Requests that both the lead and the entry count permit more retries than the budget of 0.2 of them and 56.
     @Test
     public void requestsOfAPassedOverLeadRaiseTheRetryBudgetOnce() {
         int requests = 1_000;
