Run entries through a seeded schedule of silent endpoints and planned changes

Two entries (up to six by -Dsoak.entries) in processes of their own serve callers on kept connections, while endpoints and engines fall silent, die and return, connections go silent for good, entries get SIGHUP, SIGTERM and SIGKILL, keys are taken away, routes added and timeouts changed. A seed fixes the schedule and the requests, not the order in which processes act.

--- a/src/test/java/org/yuccagw/daemon/ScriptedEndpoint.java
+++ b/src/test/java/org/yuccagw/daemon/ScriptedEndpoint.java
@@ -87,7 +87,7 @@
             BufferedReader reader =
                     new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
             for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-                Map<String, String> request = readHead(line, reader);
+                Map<String, String> request = readRequest(line, reader);
                 requests.add(request);
                 if (!answer(request, reader, socket.getOutputStream())) {
                     return;
@@ -98,7 +98,8 @@
         }
     }
 
-    private static Map<String, String> readHead(String first, BufferedReader reader) throws IOException {
+    /** Reads the rest of a message after its first line: the headers as {@code requests} returns them. */
+    public static Map<String, String> readHeaders(String first, BufferedReader reader) throws IOException {
         Map<String, String> head = new ConcurrentHashMap<>();
         head.put(":line", first);
         for (String line = reader.readLine(); line != null && !line.isEmpty(); line = reader.readLine()) {
@@ -107,6 +108,12 @@
                     line.substring(0, colon).toLowerCase(Locale.ROOT),
                     line.substring(colon + 1).trim());
         }
+        return head;
+    }
+
+    /** Reads the rest of a request after its first line: the headers, and the body if its length is given. */
+    public static Map<String, String> readRequest(String first, BufferedReader reader) throws IOException {
+        Map<String, String> head = readHeaders(first, reader);
         char[] body = new char[Integer.parseInt(head.getOrDefault("content-length", "0"))];
         int read = 0;
         while (read < body.length) {
--- a/src/test/java/org/yuccagw/process/JvmProcess.java
+++ b/src/test/java/org/yuccagw/process/JvmProcess.java
@@ -96,6 +96,11 @@
         signal("-CONT");
     }
 
+    /** Sends SIGHUP: the process is to read its settings again. */
+    void reloadSettings() throws IOException, InterruptedException {
+        signal("-HUP");
+    }
+
     private void signal(String signal) throws IOException, InterruptedException {
         int exit = new ProcessBuilder("kill", signal, Long.toString(process.pid()))
                 .start()
--- /dev/null
+++ b/src/test/java/org/yuccagw/process/SoakRun.java
@@ -0,0 +1,114 @@
+package org.yuccagw.process;
+
+import java.util.Map;
+
+/** A request that an endpoint of a soak began to work on. */
+final class SoakRun {
+    /** Ways in which a run ends; it is LEFT if the connection was closed while the endpoint worked on it. */
+    enum End {
+        NONE,
+        ANSWERED,
+        LEFT,
+        DIED
+    }
+
+    private final String request;
+    private final String workspace;
+    private final String endpoint;
+    private final String seal;
+    private final long beginNanos = System.nanoTime();
+    private volatile long endNanos;
+    private volatile End end = End.NONE;
+    private volatile long diedNanos;
+    private volatile boolean connectionLost;
+
+    private SoakRun(String request, String workspace, String endpoint, String seal) {
+        this.request = request;
+        this.workspace = workspace;
+        this.endpoint = endpoint;
+        this.seal = seal;
+    }
+
+    static SoakRun begin(Map<String, String> headers, String endpoint, String seal) {
+        return new SoakRun(
+                headers.getOrDefault("yuccagw-request-id", ""),
+                headers.getOrDefault("yuccagw-tenant", ""),
+                endpoint,
+                seal);
+    }
+
+    String request() {
+        return request;
+    }
+
+    String workspace() {
+        return workspace;
+    }
+
+    String seal() {
+        return seal;
+    }
+
+    long beginNanos() {
+        return beginNanos;
+    }
+
+    /** Returns whether its endpoint had died by then, before its answer could arrive. */
+    boolean hadDied(long nanos) {
+        return diedNanos != 0 && diedNanos - nanos <= 0;
+    }
+
+    /** Returns whether the endpoint worked on it until then, or the peer had it end. */
+    boolean wasAtWork(long nanos) {
+        return end == End.LEFT || end == End.NONE || endNanos - nanos > 0;
+    }
+
+    /** Returns for how long it ran beside another one that began later; 0 if its connection was lost. */
+    long nanosBeside(SoakRun later) {
+        return connectionLost ? 0 : Math.min(untilNanos(), later.untilNanos()) - later.beginNanos;
+    }
+
+    /** Returns its end, or the present time if it has none. */
+    long untilNanos() {
+        if (diedNanos != 0) {
+            return diedNanos;
+        }
+        return end == End.NONE ? System.nanoTime() : endNanos;
+    }
+
+    /** Returns whether until then its entry could have had its answer, or heard of its end. */
+    boolean wasReachable(long nanos) {
+        return !connectionLost || hadDied(nanos);
+    }
+
+    String head() {
+        return "HTTP/1.1 200 OK\r\nYuccagw-Request-Id: " + request
+                + "\r\nYuccagw-Response-Seal: " + seal
+                + "\r\nYuccagw-Weight-Versions: 1\r\nContent-Type: text/event-stream"
+                + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+    }
+
+    void loseConnection() {
+        connectionLost |= end == End.NONE;
+    }
+
+    /** Records the death of its endpoint, unless its answer was sent. */
+    void die() {
+        if (diedNanos == 0 && (end == End.NONE || connectionLost)) {
+            diedNanos = System.nanoTime();
+        }
+    }
+
+    /** Records its end; it is DIED if its endpoint has died. */
+    void end(End how) {
+        endNanos = System.nanoTime();
+        end = diedNanos == 0 ? how : End.DIED;
+    }
+
+    /** Describes the run with times since the given moment. */
+    String describe(long sinceNanos) {
+        return endpoint + " from " + (beginNanos - sinceNanos) / 1_000_000 + " ms, " + end + " at "
+                + (end == End.NONE ? "?" : (endNanos - sinceNanos) / 1_000_000) + " ms"
+                + (connectionLost ? ", connection lost" : "");
+    }
+}
