--- a/src/test/java/org/yuccagw/process/SoakEndpoint.java
+++ b/src/test/java/org/yuccagw/process/SoakEndpoint.java
@@ -31,6 +31,7 @@
     private final FaultProxy proxy = FaultProxy.start(NetworkAddress.of("127.0.0.1", server.getLocalPort()));
     private final List<SoakRun> runs = new CopyOnWriteArrayList<>();
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final Set<Socket> lost = ConcurrentHashMap.newKeySet();
     private final AtomicInteger starts = new AtomicInteger(1);
     private volatile boolean dead;
     private volatile long silentUntilNanos = System.nanoTime();
@@ -76,8 +77,9 @@
 
     /** Silences the open connections for good. */
     void loseOpenConnections() {
-        runs.forEach(SoakRun::loseConnection);
         proxy.silenceOpen();
+        lost.addAll(open);
+        runs.forEach(SoakRun::loseConnection);
     }
 
     void die() throws IOException {
@@ -141,6 +143,9 @@
         }
         SoakRun run = SoakRun.begin(request, id, "seal-" + NEXT_SEAL.incrementAndGet());
         runs.add(run);
+        if (lost.contains(socket)) {
+            run.loseConnection();
+        }
         try {
             SoakAnswer answer = SoakAnswer.to(run.request(), request.get(":line"));
             pause(answer.headMillis(), socket, reader);
