--- a/src/test/java/org/yuccagw/process/SoakEndpoint.java
+++ b/src/test/java/org/yuccagw/process/SoakEndpoint.java
@@ -152,8 +152,11 @@
             write(socket, run.head());
             int after = Integer.parseInt(request.getOrDefault("last-event-id", "0"));
             for (String piece : answer.pieces().subList(after, answer.pieces().size())) {
-                pause(answer.gapMillis(), socket, reader);
-                write(socket, Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n");
+                int half = piece.length() / 2;
+                for (String part : List.of(piece.substring(0, half), piece.substring(half))) {
+                    pause(answer.gapMillis() / 2, socket, reader);
+                    write(socket, Integer.toHexString(part.length()) + "\r\n" + part + "\r\n");
+                }
             }
             write(socket, "0\r\n\r\n");
             run.end(SoakRun.End.ANSWERED);
