--- a/src/test/java/org/yuccagw/process/SoakCaller.java
+++ b/src/test/java/org/yuccagw/process/SoakCaller.java
@@ -124,7 +124,14 @@
 
     private static String request(String line, String id, String key, int deadline) {
         return line + "\r\nHost: a.example\r\nYuccagw-Request-Id: " + id + "\r\nAuthorization: Bearer " + key
-                + "\r\nYuccagw-Deadline-Ms: " + deadline + "\r\nContent-Length: 8\r\n\r\nquestion";
+                + "\r\nYuccagw-Deadline-Ms: " + deadline
+                + (line.contains(SoakRoute.RESUMABLE.prefix()) ? prompt(id) : "")
+                + "\r\nContent-Length: 8\r\n\r\nquestion";
+    }
+
+    private static String prompt(String id) {
+        return "\r\nYuccagw-Model: " + SoakConfiguration.MODEL + "\r\nYuccagw-Token-Usage: 900,50"
+                + "\r\nYuccagw-Prefix-Hash: aa:800," + Integer.toHexString(id.hashCode()) + ":100";
     }
 
     private static void readBody(Map<String, String> headers, BufferedReader reader, StringBuilder body)
--- a/src/test/java/org/yuccagw/process/SoakChecks.java
+++ b/src/test/java/org/yuccagw/process/SoakChecks.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** Holds the calls of a soak against the runs of its endpoints. */
 final class SoakChecks {
@@ -69,22 +71,29 @@
 
     private void checkEnd(SoakCall call, List<SoakRun> own) {
         int limit = limitMillis(call);
-        boolean lastDied = !own.isEmpty() && own.get(own.size() - 1).hadDied(call.endNanos());
         boolean excused = call.millis() >= limit
-                || lastDied
-                || call.entry().wasKilledDuring(call)
-                || call.entry().mayCutAtStop(call);
+                || endpointBrokeOff(call, own)
+                || call.entry().wasKilledDuring(call);
         boolean crossed = own.isEmpty() && call.status() == 0 && call.millis() <= CROSSING.toMillis();
-        report(!call.complete() && !crossed && !excused, "LOST", call, own);
+        report(!call.complete() && !crossed && !excused && !call.entry().mayCutAtStop(call), "LOST", call, own);
         boolean givenUp =
                 call.complete() && !call.isSealed() && own.stream().anyMatch(run -> run.wasAtWork(call.endNanos()));
-        report(givenUp && !excused, "GIVEN UP", call, own);
+        report(givenUp && !excused && !call.entry().endedAtStop(call), "GIVEN UP", call, own);
         if (call.millis() > limit && call.entry().wasInTouch(call)) {
             unanswered++;
             late += call.millis() > limit + LATE.toMillis() ? 1 : 0;
         }
     }
 
+    /** Returns whether the run that began or ended last was ended by the death of its endpoint. */
+    private static boolean endpointBrokeOff(SoakCall call, List<SoakRun> own) {
+        List<SoakRun> reachable =
+                own.stream().filter(run -> run.wasReachable(call.endNanos())).toList();
+        return Stream.of(SoakRun::beginNanos, (ToLongFunction<SoakRun>) SoakRun::untilNanos)
+                .flatMap(time -> reachable.stream().max(Comparator.comparingLong(time)).stream())
+                .anyMatch(run -> run.hadDied(call.endNanos()));
+    }
+
     private void checkConfiguration(SoakCall call, List<SoakRun> own) {
         List<SoakConfiguration.Version> inForce = deployment.configuration().inForce(call);
         boolean isDenial = call.status() == 401 || call.status() == 403 || call.status() == 404;
--- a/src/test/java/org/yuccagw/process/SoakConfiguration.java
+++ b/src/test/java/org/yuccagw/process/SoakConfiguration.java
@@ -8,7 +8,7 @@
 
 /** The configurations of a soak and the times at which each was written. */
 final class SoakConfiguration {
-    static final String SERVICE = "plain";
+    static final String MODEL = "model";
     static final String PERMANENT_KEY = "permanent-key";
 
     /** The bound within which every entry applies a configuration that was acknowledged. */
@@ -70,15 +70,21 @@
     synchronized void publish(Version next) {
         PlatformDocuments document = PlatformDocuments.configuration(versions.size() + 1);
         for (SoakRoute route : SoakRoute.values()) {
-            document.route(route.prefix(), route.kind(), SERVICE, next.timeoutMillis(), ATTEMPTS);
+            document.route(route.prefix(), route.kind(), route.service(), next.timeoutMillis(), ATTEMPTS);
             if (route == SoakRoute.RESUMABLE) {
                 document.resumable();
             }
         }
         for (int number = 1; number <= next.addedRoutes(); number++) {
-            document.route("/added-" + number + "/", "idempotent", SERVICE, next.timeoutMillis(), ATTEMPTS);
+            document.route(
+                    "/added-" + number + "/",
+                    "idempotent",
+                    SoakRoute.REPEATABLE.service(),
+                    next.timeoutMillis(),
+                    ATTEMPTS);
         }
-        document.plain(SERVICE).workspace("ministry", PERMANENT_KEY, false);
+        document.plain(SoakRoute.REPEATABLE.service()).engines(SoakRoute.RESUMABLE.service(), MODEL);
+        document.workspace("ministry", PERMANENT_KEY, false);
         document.workspace("guests", next.guestKey(), false);
         long putNanos = System.nanoTime();
         keyValue.put(PlatformDocuments.CONFIGURATION, document.bytes());
--- a/src/test/java/org/yuccagw/process/SoakDeployment.java
+++ b/src/test/java/org/yuccagw/process/SoakDeployment.java
@@ -22,7 +22,7 @@
 
 /** The processes, endpoints and callers of one soak, which runs through its schedule once. */
 final class SoakDeployment {
-    private static final int ENDPOINTS = 4;
+    private static final int ENDPOINTS = 6;
     private static final int CALLERS_PER_ENTRY = 8;
     private static final Duration REGISTERED_AFTER_DEATH = Duration.ofSeconds(1);
     private static final int[] TIMEOUTS_MILLIS = {5_000, 6_000, 8_000};
@@ -51,7 +51,8 @@
         SoakDeployment deployment = new SoakDeployment(seed);
         deployment.configuration.publish(SoakConfiguration.Version.FIRST);
         for (int number = 1; number <= ENDPOINTS; number++) {
-            SoakEndpoint endpoint = SoakEndpoint.start("endpoint-" + number);
+            SoakRoute route = number % 2 == 0 ? SoakRoute.RESUMABLE : SoakRoute.REPEATABLE;
+            SoakEndpoint endpoint = SoakEndpoint.start(route.service() + "-" + number, route.service());
             deployment.endpoints.add(endpoint);
             deployment.register(endpoint);
         }
@@ -195,10 +196,7 @@
     }
 
     private void register(SoakEndpoint endpoint) {
-        keyValue.put(
-                PlatformDocuments.endpointKey(endpoint.id()),
-                PlatformDocuments.endpoint(
-                        SoakConfiguration.SERVICE, endpoint.address(), "a", false, System.currentTimeMillis()));
+        keyValue.put(PlatformDocuments.endpointKey(endpoint.id()), endpoint.registration());
     }
 
     /** A step at an entry. */
--- a/src/test/java/org/yuccagw/process/SoakEndpoint.java
+++ b/src/test/java/org/yuccagw/process/SoakEndpoint.java
@@ -19,25 +19,30 @@
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.daemon.ScriptedEndpoint;
 import org.yuccagw.faults.FaultProxy;
+import org.yuccagw.standins.platform.PlatformDocuments;
 
 /** An endpoint of a soak behind a fault proxy. It falls silent, dies and returns on command, and records its runs. */
 final class SoakEndpoint {
     private static final AtomicInteger NEXT_SEAL = new AtomicInteger();
 
     private final String name;
+    private final String service;
     private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private final FaultProxy proxy = FaultProxy.start(NetworkAddress.of("127.0.0.1", server.getLocalPort()));
     private final List<SoakRun> runs = new CopyOnWriteArrayList<>();
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final Set<Socket> lost = ConcurrentHashMap.newKeySet();
     private final AtomicInteger starts = new AtomicInteger(1);
+    private volatile boolean dead;
     private volatile long silentUntilNanos = System.nanoTime();
 
-    private SoakEndpoint(String name) throws IOException {
+    private SoakEndpoint(String name, String service) throws IOException {
         this.name = name;
+        this.service = service;
     }
 
-    static SoakEndpoint start(String name) throws IOException {
-        SoakEndpoint endpoint = new SoakEndpoint(name);
+    static SoakEndpoint start(String name, String service) throws IOException {
+        SoakEndpoint endpoint = new SoakEndpoint(name, service);
         startThread(endpoint::accept);
         return endpoint;
     }
@@ -53,8 +58,12 @@
         return name + "-start-" + starts;
     }
 
-    NetworkAddress address() {
-        return proxy.address();
+    /** Returns the registration of the present start. */
+    byte[] registration() {
+        long now = System.currentTimeMillis();
+        return service.equals(SoakRoute.RESUMABLE.service())
+                ? PlatformDocuments.engine(service, proxy.address(), "a", SoakConfiguration.MODEL, 1, now)
+                : PlatformDocuments.endpoint(service, proxy.address(), "a", false, now);
     }
 
     List<SoakRun> runs() {
@@ -68,11 +77,13 @@
 
     /** Silences the open connections for good. */
     void loseOpenConnections() {
-        runs.forEach(SoakRun::loseConnection);
         proxy.silenceOpen();
+        lost.addAll(open);
+        runs.forEach(SoakRun::loseConnection);
     }
 
     void die() throws IOException {
+        dead = true;
         runs.forEach(SoakRun::die);
         proxy.refuseNew();
         proxy.cut();
@@ -84,6 +95,7 @@
     /** Starts again after its death, under a new id at the same address. */
     void startAgain() {
         starts.incrementAndGet();
+        dead = false;
         proxy.acceptNew();
     }
 
@@ -121,6 +133,9 @@
     }
 
     private void answer(Map<String, String> request, Socket socket, BufferedReader reader) throws IOException {
+        if (dead) {
+            throw new IOException("dead");
+        }
         String id = id();
         if (!id.equals(request.get("yuccagw-expect-instance"))) {
             write(socket, "HTTP/1.1 421 Misdirected\r\nYuccagw-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
@@ -128,14 +143,20 @@
         }
         SoakRun run = SoakRun.begin(request, id, "seal-" + NEXT_SEAL.incrementAndGet());
         runs.add(run);
+        if (lost.contains(socket)) {
+            run.loseConnection();
+        }
         try {
             SoakAnswer answer = SoakAnswer.to(run.request(), request.get(":line"));
             pause(answer.headMillis(), socket, reader);
             write(socket, run.head());
             int after = Integer.parseInt(request.getOrDefault("last-event-id", "0"));
             for (String piece : answer.pieces().subList(after, answer.pieces().size())) {
-                pause(answer.gapMillis(), socket, reader);
-                write(socket, Integer.toHexString(piece.length()) + "\r\n" + piece + "\r\n");
+                int half = piece.length() / 2;
+                for (String part : List.of(piece.substring(0, half), piece.substring(half))) {
+                    pause(answer.gapMillis() / 2, socket, reader);
+                    write(socket, Integer.toHexString(part.length()) + "\r\n" + part + "\r\n");
+                }
             }
             write(socket, "0\r\n\r\n");
             run.end(SoakRun.End.ANSWERED);
--- a/src/test/java/org/yuccagw/process/SoakRun.java
+++ b/src/test/java/org/yuccagw/process/SoakRun.java
@@ -60,18 +60,32 @@
 
     /** Returns whether the endpoint worked on it until then, or the peer had it end. */
     boolean wasAtWork(long nanos) {
-        return end == End.LEFT || end == End.NONE || endNanos - nanos > 0;
+        return beginNanos - nanos < 0 && (end == End.LEFT || end == End.NONE || endNanos - nanos > 0);
     }
 
     /** Returns for how long it ran beside another one that began later; 0 if its connection was lost. */
     long nanosBeside(SoakRun later) {
-        long until = end == End.NONE ? System.nanoTime() : endNanos;
-        return connectionLost ? 0 : Math.max(0, until - later.beginNanos);
+        return connectionLost ? 0 : Math.min(untilNanos(), later.untilNanos()) - later.beginNanos;
+    }
+
+    /** Returns its end, or the present time if it has none. */
+    long untilNanos() {
+        if (diedNanos != 0) {
+            return diedNanos;
+        }
+        return end == End.NONE ? System.nanoTime() : endNanos;
+    }
+
+    /** Returns whether until then its entry could have had its answer, or heard of its end. */
+    boolean wasReachable(long nanos) {
+        return !connectionLost || hadDied(nanos);
     }
 
     String head() {
-        return "HTTP/1.1 200 OK\r\nYuccagw-Request-Id: " + request + "\r\nYuccagw-Response-Seal: " + seal
-                + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        return "HTTP/1.1 200 OK\r\nYuccagw-Request-Id: " + request
+                + "\r\nYuccagw-Response-Seal: " + seal
+                + "\r\nYuccagw-Weight-Versions: 1\r\nContent-Type: text/event-stream"
+                + "\r\nTransfer-Encoding: chunked\r\n\r\n";
     }
 
     void loseConnection() {
