Test pauses of endpoints beside other errors, in virtual time

Callers got an error, or a cut answer, while the first endpoint of their request only paused, since the next endpoint rejected the request, answered with an error or couldn't be reached. SilentEndpointErrorsTest has these cases one by one, connections that are silent for good beside endpoints that fail, and random schedules: pauses, ends, errors, lost connections, spent retry budgets and entries that stand still.

A fault that has nothing to do with pauses is among them: the body of an error answer to a resumable stream is taken for an event without an end, so that the caller gets its head and a cut:

c1 /model/: +41 leg 1 answers 500; +42 leg 2 arrived; +82 leg 2 answers 500; +82 head of leg 2; +82 abandon leg 2; +82 cut; ended: cut: the stream ended inside an event

--- a/src/test/java/org/yuccagw/daemon/PausingEndpoint.java
+++ b/src/test/java/org/yuccagw/daemon/PausingEndpoint.java
@@ -12,10 +12,18 @@
 /**
  * An endpoint in virtual time that answers each request with numbered events at a fixed pace. Its process can be
  * suspended, after which it continues with all its requests, and killed. A suspended endpoint still accepts
- * connections. A single connection can fall silent for good while the endpoint continues to work on the request.
+ * connections. A single connection can fall silent for good while the endpoint continues to work on the request. It can
+ * also react to requests with errors.
  */
 final class PausingEndpoint {
     static final Duration CONNECT_TIME = Duration.ofMillis(1);
+    static final String FAULT_BODY = "fault";
+
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
+    private static final Duration REJECTION_TIME = Duration.ofMillis(2);
+    private static final int SERVED = 200;
+    private static final int FAILED = 500;
+    private static final int UNAVAILABLE = 503;
     private static final Duration HEAD_TIME = Duration.ofMillis(40);
     private static final Duration WITHIN_EVENT = Duration.ofMillis(10);
     private static final Duration BETWEEN_EVENTS = Duration.ofMillis(20);
@@ -27,6 +35,7 @@
     private final Map<Position, Integer> delayed = new EnumMap<>(Position.class);
     private long suspendedUntilNanos;
     private boolean dead;
+    private Reaction reaction = Reaction.ANSWER;
 
     PausingEndpoint(VirtualTime time, String id) {
         this.time = time;
@@ -41,13 +50,28 @@
         BEFORE_END
     }
 
+    /** How an endpoint reacts to a request. */
+    enum Reaction {
+        ANSWER,
+        /** It runs the request and answers with an error. */
+        FAULT,
+        /** It answers that it is unavailable, without a proof that it did not run the request. */
+        UNAVAILABLE,
+        /** It states that it did not run the request. */
+        REJECT,
+        /** No connection is established. */
+        UNREACHABLE,
+        /** It runs the request, and the connection never carries a byte of the answer. */
+        SILENT
+    }
+
     /** The receiver of the answer to one request. */
     interface AnswerListener {
         void onConnected();
 
         void onUnreached();
 
-        void onHead();
+        void onHead(int status, boolean notRun);
 
         void onBytes(ByteBuffer bytes);
 
@@ -79,6 +103,15 @@
         suspendedUntilNanos = Math.max(suspendedUntilNanos, time.nowNanos() + pause.toNanos());
     }
 
+    /** Sets how the endpoint reacts to further requests. */
+    void setReaction(Reaction further) {
+        reaction = further;
+    }
+
+    Reaction reaction() {
+        return reaction;
+    }
+
     /** Kills the process: all its connections break, and no new one is established. */
     void kill() {
         dead = true;
@@ -94,15 +127,16 @@
      * @param afterEvent number of the event after which the answer starts, -1 for the whole answer
      * @param events number of events of the whole answer
      */
-    Run send(long afterEvent, int events, AnswerListener listener) {
-        Run run = new Run((int) afterEvent + 1, events, listener);
-        time.after(CONNECT_TIME, run::connect);
+    Run send(long afterEvent, int events, Reaction ofRequest, AnswerListener listener) {
+        Run run = new Run((int) afterEvent + 1, events, ofRequest, listener);
+        time.after(ofRequest == Reaction.UNREACHABLE ? CONNECT_TIMEOUT : CONNECT_TIME, run::connect);
         return run;
     }
 
     /** A request at this endpoint and its answer. */
     final class Run {
         private final int events;
+        private final Reaction ofRequest;
         private final AnswerListener listener;
         private int nextEvent;
         private boolean headSent;
@@ -116,9 +150,11 @@
         private long arrivedNanos;
         private long finishedNanos;
 
-        private Run(int firstEvent, int events, AnswerListener listener) {
+        private Run(int firstEvent, int events, Reaction ofRequest, AnswerListener listener) {
             this.nextEvent = firstEvent;
             this.events = events;
+            this.ofRequest = ofRequest;
+            this.silent = ofRequest == Reaction.SILENT;
             this.listener = listener;
         }
 
@@ -139,10 +175,20 @@
             }
         }
 
-        boolean hasArrived() {
+        boolean isConnected() {
             return connected;
         }
 
+        /** Returns whether the endpoint received the request and may have run it. */
+        boolean hasArrived() {
+            return connected && ofRequest != Reaction.REJECT;
+        }
+
+        /** Returns whether the endpoint answers with an error. */
+        boolean isFault() {
+            return ofRequest == Reaction.FAULT || ofRequest == Reaction.UNAVAILABLE;
+        }
+
         boolean isFinished() {
             return finished;
         }
@@ -158,7 +204,7 @@
 
         /** Returns whether the answer of this endpoint can still reach the entry, or could if it hadn't left. */
         boolean couldAnswer() {
-            return connected && !dead && !complete && !silent;
+            return hasArrived() && !isFault() && !dead && !complete && !silent;
         }
 
         long arrivedNanos() {
@@ -174,7 +220,7 @@
             if (abandoned) {
                 return;
             }
-            if (dead) {
+            if (dead || ofRequest == Reaction.UNREACHABLE) {
                 finish();
                 listener.onUnreached();
                 return;
@@ -183,7 +229,7 @@
             arrivedNanos = time.nowNanos();
             active.add(this);
             listener.onConnected();
-            scheduleStep(HEAD_TIME);
+            scheduleStep(ofRequest == Reaction.REJECT ? REJECTION_TIME : HEAD_TIME);
         }
 
         private void finish() {
@@ -205,7 +251,9 @@
                 time.at(suspendedUntilNanos, this::step);
                 return;
             }
-            if (!headSent) {
+            if (ofRequest == Reaction.REJECT || isFault()) {
+                sendError();
+            } else if (!headSent) {
                 sendHead();
             } else if (nextEvent >= events) {
                 sendEnd();
@@ -229,10 +277,18 @@
             silent |= eventsUntilSilence < 0;
             scheduleStep(nextEvent < events ? BETWEEN_EVENTS : BEFORE_END);
             if (!silent) {
-                listener.onHead();
+                listener.onHead(SERVED, false);
             }
         }
 
+        private void sendError() {
+            complete = true;
+            finish();
+            listener.onHead(ofRequest == Reaction.FAULT ? FAILED : UNAVAILABLE, ofRequest == Reaction.REJECT);
+            listener.onBytes(ByteBuffer.wrap(FAULT_BODY.getBytes(StandardCharsets.UTF_8)));
+            listener.onEnd();
+        }
+
         private void sendHalfEvent() {
             silent |= nextEvent >= eventsUntilSilence;
             byte[] whole = event(nextEvent).getBytes(StandardCharsets.UTF_8);
--- a/src/test/java/org/yuccagw/daemon/VirtualCaller.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualCaller.java
@@ -57,7 +57,9 @@
     private final StringBuilder received = new StringBuilder();
     private final List<String> trace = new ArrayList<>();
     private final List<String> violations = new ArrayList<>();
+    private final Map<Long, PausingEndpoint.Reaction> reactions = new LinkedHashMap<>();
     private OptionalInt silentBeforeEvent = OptionalInt.empty();
+    private boolean faultForwarded;
     private int patienceGeneration;
     private Outcome outcome = Outcome.OPEN;
 
@@ -66,7 +68,10 @@
         OPEN,
         COMPLETE,
         CUT,
+        /** The entry answered with an error. */
         ERROR,
+        /** The error answer of an endpoint was forwarded. */
+        FAULT,
         LEFT
     }
 
@@ -105,6 +110,18 @@
         silentBeforeEvent = OptionalInt.of(event);
     }
 
+    /** Sets how the endpoints react to the sends of the request, in this order, in place of their own reactions. */
+    void setReactions(PausingEndpoint.Reaction... ofSends) {
+        for (int index = 0; index < ofSends.length; index++) {
+            reactions.put(index + 1L, ofSends[index]);
+        }
+    }
+
+    /** Returns the endpoint to which the request was sent first. */
+    PausingEndpoint firstEndpoint() {
+        return legs.get(1L).run.endpoint();
+    }
+
     Outcome outcome() {
         return outcome;
     }
@@ -191,6 +208,9 @@
     }
 
     private String expectedAnswer() {
+        if (faultForwarded) {
+            return PausingEndpoint.FAULT_BODY;
+        }
         StringBuilder expected = new StringBuilder();
         for (int event = 0; event < events; event++) {
             expected.append(PausingEndpoint.event(event));
@@ -262,7 +282,8 @@
         note("send leg " + leg + " to " + id + " after " + afterEvent);
         Leg sent = new Leg(leg, placed);
         legs.put(leg, sent);
-        sent.run = endpoints.get(id).send(afterEvent, events, sent);
+        PausingEndpoint endpoint = endpoints.get(id);
+        sent.run = endpoint.send(afterEvent, events, reactions.getOrDefault(leg, endpoint.reaction()), sent);
         if (leg == 1) {
             silentBeforeEvent.ifPresent(sent.run::fallSilentBefore);
         }
@@ -300,6 +321,10 @@
     @Override
     public void answerHead(long leg) {
         note("head of leg " + leg);
+        if (legs.get(leg).run.isFault()) {
+            faultForwarded = true;
+            checkLoss("forwarded an error");
+        }
     }
 
     @Override
@@ -314,7 +339,7 @@
     @Override
     public void answerEnd() {
         note("end");
-        end(Outcome.COMPLETE);
+        end(faultForwarded ? Outcome.FAULT : Outcome.COMPLETE);
         if (!expectedAnswer().contentEquals(received)) {
             violations.add("ended as complete after " + received.length() + " characters of an answer of "
                     + expectedAnswer().length());
@@ -326,6 +351,9 @@
         note("cut");
         end(Outcome.CUT);
         checkLoss("cut");
+        if (faultForwarded) {
+            violations.add("cut the error answer of an endpoint that sent all of it");
+        }
     }
 
     @Override
@@ -391,7 +419,7 @@
         }
 
         private boolean isActive() {
-            return run.hasArrived() && !run.isFinished();
+            return run.isConnected() && !run.isFinished();
         }
 
         /**
@@ -399,7 +427,8 @@
          * up for another endpoint that worked on the request, nor did another one receive the request afterwards.
          */
         private boolean isLostNeedlessly() {
-            boolean last = arrivedRuns().stream().noneMatch(other -> other.arrivedNanos() > run.arrivedNanos());
+            boolean last = arrivedRuns().stream()
+                    .noneMatch(other -> !other.isFault() && other.arrivedNanos() > run.arrivedNanos());
             boolean givenUp = run.isAbandoned() && !replaced && last;
             return run.couldAnswer() && (!run.isAbandoned() || givenUp);
         }
@@ -437,11 +466,11 @@
         }
 
         @Override
-        public void onHead() {
-            read(() -> machine.onHead(
-                    number,
-                    new EndpointAnswerHead(
-                            200, true, true, false, false, false, true, placed.version(), EndpointNotice.NONE)));
+        public void onHead(int status, boolean notRun) {
+            EndpointAnswerHead head = new EndpointAnswerHead(
+                    status, true, true, notRun, false, false, true, placed.version(), EndpointNotice.NONE);
+            note("leg " + number + " answers " + status + (notRun ? ", not run" : ""));
+            machine.onHead(number, head);
         }
 
         @Override
--- a/src/test/java/org/yuccagw/daemon/VirtualCallers.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualCallers.java
@@ -32,6 +32,8 @@
     static final String RESUMABLE = "/model/";
     /** Streams that may be resumed, whose events may be 400 ms apart, so that their callers wait for 3.2 s. */
     static final String PATIENT = "/patient/";
+    /** Streams that may be resumed at two other endpoints, one after the other. */
+    static final String THRICE = "/thrice/";
     /** Streams that may run once. */
     static final String ONCE = "/once/";
     /** Idempotent calls. */
@@ -39,7 +41,7 @@
     /** Calls that may run once. */
     static final String WRITE = "/write/";
 
-    static final List<String> ALL_ROUTES = ImmutableList.of(RESUMABLE, PATIENT, ONCE, READ, WRITE);
+    static final List<String> ALL_ROUTES = ImmutableList.of(RESUMABLE, PATIENT, THRICE, ONCE, READ, WRITE);
 
     /** Number of events of a streamed answer. */
     static final int STREAM_EVENTS = 24;
@@ -47,6 +49,7 @@
     private static final int STREAM_TIMEOUT_MILLIS = 12_000;
     private static final int CALL_TIMEOUT_MILLIS = 4_000;
     private static final int ATTEMPTS = 2;
+    private static final int MORE_ATTEMPTS = 3;
     private static final int PATIENT_GAP_MILLIS = 400;
     private static final int CALL_EVENTS = 4;
     private static final int PROMPT_TOKENS = 900;
@@ -63,6 +66,7 @@
     private final Map<EndpointId, PausingEndpoint> endpoints = new LinkedHashMap<>();
     private final SplittableRandom random;
     private int answerTokens = SMALL_ANSWER_TOKENS;
+    private double lostConnections;
     private long nextRequest = 1;
 
     private VirtualCallers(VirtualLoad load, long seed) {
@@ -95,6 +99,8 @@
                                 .route(PATIENT, "streaming", "engines", STREAM_TIMEOUT_MILLIS, ATTEMPTS)
                                 .resumable()
                                 .eventGap(PATIENT_GAP_MILLIS)
+                                .route(THRICE, "streaming", "engines", STREAM_TIMEOUT_MILLIS, MORE_ATTEMPTS)
+                                .resumable()
                                 .route(ONCE, "streaming", "engines", STREAM_TIMEOUT_MILLIS, ATTEMPTS)
                                 .route(READ, "idempotent", "plain", CALL_TIMEOUT_MILLIS, ATTEMPTS)
                                 .route(WRITE, "non_idempotent", "plain", CALL_TIMEOUT_MILLIS, ATTEMPTS)
@@ -114,6 +120,11 @@
         answerTokens = tokens;
     }
 
+    /** Sets the share of further requests whose first connection falls silent for good, at a random event. */
+    void setLostConnections(double share) {
+        lostConnections = share;
+    }
+
     void runFor(Duration duration) {
         load.fleet.bench.runFor(duration);
     }
@@ -135,6 +146,9 @@
 
     private void send(String path) {
         VirtualCaller caller = caller(path);
+        if (lostConnections > 0 && random.nextDouble() < lostConnections) {
+            caller.loseFirstConnectionBefore(random.nextInt(STREAM_EVENTS + 2) - 1);
+        }
         caller.begin();
     }
 
