--- a/src/test/java/org/yuccagw/core/request/RequestMachineTest.java
+++ b/src/test/java/org/yuccagw/core/request/RequestMachineTest.java
@@ -3,34 +3,23 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
+import static org.yuccagw.core.request.TestRequests.chosen;
+import static org.yuccagw.core.request.TestRequests.head;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
 import java.util.Optional;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.yuccagw.core.admission.AdmissionRequested;
-import org.yuccagw.core.claim.Claim;
 import org.yuccagw.core.claim.ClaimDecision;
 import org.yuccagw.core.claim.ClaimEnded;
-import org.yuccagw.core.endpoint.EndpointStatus;
 import org.yuccagw.core.error.ErrorKind;
-import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EntryId;
-import org.yuccagw.core.id.FailureDomain;
-import org.yuccagw.core.id.IdempotencyKey;
-import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.core.id.RequestId;
-import org.yuccagw.core.id.ServiceName;
-import org.yuccagw.core.id.VmId;
-import org.yuccagw.core.id.WeightVersion;
-import org.yuccagw.core.id.WorkspaceId;
 import org.yuccagw.core.quarantine.EndpointTerminated;
-import org.yuccagw.core.quarantine.PromptFingerprint;
 import org.yuccagw.core.quarantine.QuarantineRequested;
 import org.yuccagw.core.routing.AttemptReport;
-import org.yuccagw.core.routing.RouteExplanation;
 import org.yuccagw.core.routing.RouteRequested;
 
 public class RequestMachineTest {
@@ -340,53 +329,10 @@
     // ---- Helpers.
 
     private RequestMachine sentRequest(boolean idempotent, boolean keyed) {
-        RequestMachine machine = machine(idempotent, keyed);
-        machine.begin();
-        machine.onAdmitted(Optional.empty());
-        if (keyed) {
-            machine.onClaim(new ClaimDecision.Granted());
-        }
-        machine.onQuarantineDecision(new QuarantineRequested.Decision.Unrestricted());
-        machine.onRoute(chosen("e1", 1));
-        return machine;
+        return TestRequests.sent(effects, idempotent, keyed);
     }
 
     private RequestMachine machine(boolean idempotent, boolean keyed) {
-        WorkspaceId workspace = WorkspaceId.of("w");
-        RequestId request = RequestId.of("r1");
-        Optional<Claim> claim = keyed
-                ? Optional.of(new Claim(workspace, IdempotencyKey.of("k"), "00", request, EntryId.of("entry-1")))
-                : Optional.empty();
-        RequestProfile profile = new RequestProfile(
-                request,
-                workspace,
-                ServiceName.of("assistant"),
-                true,
-                idempotent,
-                true,
-                claim,
-                PromptFingerprint.of(workspace, new byte[] {1}),
-                Duration.ofSeconds(60),
-                Duration.ofSeconds(20),
-                Optional.empty());
-        return RequestMachine.of(profile, effects);
-    }
-
-    private static RouteRequested.Answer chosen(String endpoint, long attempt) {
-        EndpointStatus status = new EndpointStatus(
-                EndpointId.of(endpoint),
-                VmId.of("vm-" + endpoint),
-                1,
-                "pool",
-                NetworkAddress.of("127.0.0.1", 9),
-                FailureDomain.of("d1"),
-                true,
-                Optional.of(WeightVersion.of("v1")));
-        return new RouteRequested.Answer.Chosen(
-                attempt, status, Optional.empty(), new RouteExplanation("test", ImmutableList.of()));
-    }
-
-    private static AnswerHead head(String stream, String version) {
-        return new AnswerHead(200, stream, version, ImmutableMap.of());
+        return TestRequests.machine(effects, idempotent, keyed);
     }
 }
--- /dev/null
+++ b/src/test/java/org/yuccagw/core/request/TestRequests.java
@@ -0,0 +1,80 @@
+package org.yuccagw.core.request;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+import java.util.Optional;
+import org.yuccagw.core.claim.Claim;
+import org.yuccagw.core.claim.ClaimDecision;
+import org.yuccagw.core.endpoint.EndpointStatus;
+import org.yuccagw.core.id.EndpointId;
+import org.yuccagw.core.id.EntryId;
+import org.yuccagw.core.id.FailureDomain;
+import org.yuccagw.core.id.IdempotencyKey;
+import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.core.id.RequestId;
+import org.yuccagw.core.id.ServiceName;
+import org.yuccagw.core.id.VmId;
+import org.yuccagw.core.id.WeightVersion;
+import org.yuccagw.core.id.WorkspaceId;
+import org.yuccagw.core.quarantine.PromptFingerprint;
+import org.yuccagw.core.quarantine.QuarantineRequested;
+import org.yuccagw.core.routing.RouteExplanation;
+import org.yuccagw.core.routing.RouteRequested;
+
+/** Creates requests that are ready to be tested, and the answers of their environment. */
+final class TestRequests {
+    private TestRequests() {}
+
+    /** Returns a request that was sent to the engine e1 as leg 1 of attempt 1. */
+    static RequestMachine sent(RecordedEffects effects, boolean idempotent, boolean keyed) {
+        RequestMachine machine = machine(effects, idempotent, keyed);
+        machine.begin();
+        machine.onAdmitted(Optional.empty());
+        if (keyed) {
+            machine.onClaim(new ClaimDecision.Granted());
+        }
+        machine.onQuarantineDecision(new QuarantineRequested.Decision.Unrestricted());
+        machine.onRoute(chosen("e1", 1));
+        return machine;
+    }
+
+    static RequestMachine machine(RecordedEffects effects, boolean idempotent, boolean keyed) {
+        WorkspaceId workspace = WorkspaceId.of("w");
+        RequestId request = RequestId.of("r1");
+        Optional<Claim> claim = keyed
+                ? Optional.of(new Claim(workspace, IdempotencyKey.of("k"), "00", request, EntryId.of("entry-1")))
+                : Optional.empty();
+        RequestProfile profile = new RequestProfile(
+                request,
+                workspace,
+                ServiceName.of("assistant"),
+                true,
+                idempotent,
+                true,
+                claim,
+                PromptFingerprint.of(workspace, new byte[] {1}),
+                Duration.ofSeconds(60),
+                Duration.ofSeconds(20),
+                Optional.empty());
+        return RequestMachine.of(profile, effects);
+    }
+
+    static RouteRequested.Answer chosen(String endpoint, long attempt) {
+        EndpointStatus status = new EndpointStatus(
+                EndpointId.of(endpoint),
+                VmId.of("vm-" + endpoint),
+                1,
+                "pool",
+                NetworkAddress.of("127.0.0.1", 9),
+                FailureDomain.of("d1"),
+                true,
+                Optional.of(WeightVersion.of("v1")));
+        return new RouteRequested.Answer.Chosen(
+                attempt, status, Optional.empty(), new RouteExplanation("test", ImmutableList.of()));
+    }
+
+    static AnswerHead head(String stream, String version) {
+        return new AnswerHead(200, stream, version, ImmutableMap.of());
+    }
+}
