Hold the run of a silent engine until another engine answers in its place

What callers saw: an answer ended as STREAM_LOST or VERSION_GONE although its engine was alive and worked on it. Beside that an engine could work on beside the one that had taken its place.

Cause: a stream that stayed silent through two resumes was probed, and left even if the engine was alive; retry budget, permit and route were asked afterwards, and a refusal left nothing to return to. The stream that was left wasn't cancelled.

Change: a known stream whose engine answers the probe is held. Its attempt ends and it is cancelled when the head of the replacement's answer has come, at the deadline, or after the grace time if the caller leaves. If budget, permit or route refuse, or the replacement fails, the request waits 1 s and reads on at the held engine, until its deadline. A retry that found no endpoint isn't paid for again. A stream that is left after an error of its engine is cancelled too.

The held engine isn't read while the replacement is awaited. A silent leg without a head can't be resumed and is left as before.

--- a/src/main/java/org/yuccagw/core/request/RequestMachine.java
+++ b/src/main/java/org/yuccagw/core/request/RequestMachine.java
@@ -36,6 +36,8 @@
  *       connections they arrived on. Each connection is a <i>leg</i> with a number. Events of any leg except the
  *       current one are ignored, so late, duplicated or out-of-order pieces of an abandoned connection are never passed
  *       on.
+ *   <li>A run on an engine that is alive is given up only when another engine has begun to answer in its place, and
+ *       then it is cancelled there.
  *   <li>A request that isn't idempotent is retried only after a failure that proves that it did not run.
  *   <li>An answer is produced by one weight version: the first head pins it, and every later attempt must use the same
  *       one.
@@ -49,15 +51,15 @@
  */
 public final class RequestMachine {
     private static final int MAX_RESUMES_WITHOUT_PROGRESS = 2;
-    private static final int MAX_ROUTE_RETRIES = 8;
-    private static final Duration ROUTE_RETRY_DELAY = Duration.ofMillis(250);
+    private static final Duration RETURN_DELAY = Duration.ofSeconds(1);
 
     private final RequestProfile profile;
     private final RequestEffects effects;
+    private final PlacementRetries placementRetries = PlacementRetries.create();
     private final Set<EndpointId> excluded = new LinkedHashSet<>();
     private final StringBuilder text = new StringBuilder();
 
-    private State state = State.NEW;
+    private RequestState state = RequestState.NEW;
     private boolean admitted;
     private boolean claimHeld;
     private boolean mayHaveRun;
@@ -67,39 +69,19 @@
     private long permit = NO_PERMIT;
 
     private int attemptsMade;
-    private int routeRetries;
-    private long attempt = NO_ATTEMPT;
-    private EndpointStatus endpoint;
+    private EngineRun run = EngineRun.unplaced();
+    private Optional<EngineRun> held = Optional.empty();
     private Optional<WeightVersion> version = Optional.empty();
-    private String stream = "";
     private long leg;
-    private long piecesBeforeAttempt;
     private long piecesSent;
     private int resumesWithoutProgress;
-    private long sentNanos;
     private boolean firstTokenReported;
     private Usage usage;
     private AttemptFailure lastFailure;
     private String lastDetail = "";
 
-    private static final long NO_ATTEMPT = -1;
     private static final long NO_PERMIT = -1;
 
-    private enum State {
-        NEW,
-        ADMITTING,
-        CLAIMING,
-        JUDGING,
-        ROUTING,
-        IMPORTING,
-        SENDING,
-        STREAMING,
-        PROBING,
-        RESUMING,
-        WAITING,
-        OVER
-    }
-
     /** The purpose of a timer of the machine. */
     public enum TimerKind {
         DEADLINE,
@@ -118,7 +100,7 @@
     /** Starts the request with its admission. */
     public void begin() {
         effects.schedule(TimerKind.DEADLINE, 0, profile.answerDeadline());
-        state = State.ADMITTING;
+        state = RequestState.ADMITTING;
         effects.requestAdmission();
     }
 
@@ -126,9 +108,9 @@
     public void beginResumed(EndpointStatus at) {
         RequestProfile.ResumePoint point = profile.resumePoint().orElseThrow();
         effects.schedule(TimerKind.DEADLINE, 0, profile.answerDeadline());
-        endpoint = at;
+        run = EngineRun.of(EngineRun.NO_ATTEMPT, at, 0);
+        run.startStream(point.stream());
         version = Optional.of(point.version());
-        stream = point.stream();
         piecesSent = point.from();
         point.textSoFar().ifPresent(text::append);
         mayHaveRun = true;
@@ -137,11 +119,11 @@
 
     /** Whether the request has ended. */
     public boolean isOver() {
-        return state == State.OVER;
+        return state == RequestState.OVER;
     }
 
     public void onAdmitted(Optional<YuccagwException> refusal) {
-        if (state != State.ADMITTING) {
+        if (state != RequestState.ADMITTING) {
             if (refusal.isEmpty()) {
                 effects.report(new AdmissionRequested.Released(profile.request(), 0));
             }
@@ -153,7 +135,7 @@
         }
         admitted = true;
         if (profile.claim().isPresent()) {
-            state = State.CLAIMING;
+            state = RequestState.CLAIMING;
             effects.requestClaim();
         } else {
             checkQuarantine();
@@ -161,7 +143,7 @@
     }
 
     public void onClaim(ClaimDecision decision) {
-        if (state != State.CLAIMING) {
+        if (state != RequestState.CLAIMING) {
             // The deadline passed while the claim was being committed. Nothing was sent, so it is released.
             if (decision instanceof ClaimDecision.Granted) {
                 endClaim(ClaimEnded.Outcome.NOT_SENT);
@@ -183,14 +165,14 @@
     }
 
     public void onQuarantineDecision(QuarantineRequested.Decision decision) {
-        if (state != State.JUDGING) {
+        if (state != RequestState.JUDGING) {
             if (decision instanceof QuarantineRequested.Decision.Isolated isolated) {
                 returnPermit(isolated.permit());
             }
             return;
         }
         if (decision instanceof QuarantineRequested.Decision.Refused refused) {
-            if (schedulePermitRetry(refused.error())) {
+            if (returnToHeldRun() || schedulePermitRetry(refused.error())) {
                 return;
             }
             // An earlier attempt may have run, so the error of the refused one must not say that nothing ran.
@@ -200,36 +182,36 @@
         if (decision instanceof QuarantineRequested.Decision.Isolated isolated) {
             permit = isolated.permit();
         }
-        state = State.ROUTING;
+        state = RequestState.ROUTING;
         effects.requestRoute(version, ImmutableSet.copyOf(excluded), permit != NO_PERMIT);
     }
 
     public void onRoute(RouteRequested.Answer answer) {
-        if (state != State.ROUTING) {
+        if (state != RequestState.ROUTING) {
             if (answer instanceof RouteRequested.Answer.Chosen late) {
                 effects.report(new AttemptReport.Ended(late.attempt(), false, -1, 0));
             }
             return;
         }
         if (answer instanceof RouteRequested.Answer.Refused refused) {
-            if (!scheduleRouteRetry(refused.error())) {
+            if (!returnToHeldRun() && !scheduleRouteRetry(refused.error())) {
                 fail(routeError(refused.error()));
             }
             return;
         }
         RouteRequested.Answer.Chosen chosen = (RouteRequested.Answer.Chosen) answer;
-        attempt = chosen.attempt();
-        endpoint = chosen.endpoint();
+        run = EngineRun.of(chosen.attempt(), chosen.endpoint(), piecesSent);
         if (chosen.importPlan().isPresent()) {
-            state = State.IMPORTING;
-            effects.startImport(attempt, endpoint, chosen.importPlan().get());
+            state = RequestState.IMPORTING;
+            effects.startImport(
+                    run.attempt(), run.endpoint(), chosen.importPlan().get());
         } else {
             send();
         }
     }
 
     public void onImported(long eventAttempt) {
-        if (state == State.IMPORTING && eventAttempt == attempt) {
+        if (state == RequestState.IMPORTING && eventAttempt == run.attempt()) {
             send();
         }
     }
@@ -242,26 +224,27 @@
         mayHaveRun = true;
         if (profile.model()) {
             if (version.isPresent() && !version.get().value().equals(head.version())) {
-                effects.cancelStream(endpoint, head.stream(), Duration.ZERO);
+                effects.cancelStream(run.endpoint(), head.stream(), Duration.ZERO);
                 onFailure(eventLeg, AttemptFailure.WRONG_VERSION, "it runs version " + head.version());
                 return;
             }
             version = Optional.of(WeightVersion.of(head.version()));
-            stream = head.stream();
+            run.startStream(head.stream());
+            releaseHeldRun(Duration.ZERO);
         }
-        state = State.STREAMING;
+        state = RequestState.STREAMING;
         if (!headSent) {
             headSent = true;
-            effects.answerHead(head, endpoint);
+            effects.answerHead(head, run.endpoint());
         }
     }
 
     /** Handles a piece of a model's answer; {@code index} counts from 1 on the engine that runs this attempt. */
     public void onPiece(long eventLeg, long index, String pieceText) {
-        if (isStale(eventLeg) || state != State.STREAMING) {
+        if (isStale(eventLeg) || state != RequestState.STREAMING) {
             return;
         }
-        long position = piecesBeforeAttempt + index;
+        long position = run.piecesBefore() + index;
         if (position <= piecesSent) {
             return;
         }
@@ -278,7 +261,7 @@
 
     /** Handles the next bytes of a plain answer. */
     public void onBytes(long eventLeg, ByteBuffer bytes) {
-        if (isStale(eventLeg) || state != State.STREAMING) {
+        if (isStale(eventLeg) || state != RequestState.STREAMING) {
             return;
         }
         piecesSent++;
@@ -303,9 +286,9 @@
         }
         long cached = usage == null ? -1 : usage.cachedTokens();
         endAttempt(true, cached);
-        effects.report(new AttemptObserved(endpoint.id(), endpoint.incarnation(), AttemptObserved.Outcome.ANSWERED));
+        run.observe(effects, AttemptObserved.Outcome.ANSWERED);
         effects.creditRetryBudget();
-        effects.answerEnd(Optional.ofNullable(usage).map(this::totalUsage));
+        effects.answerEnd(Optional.ofNullable(usage).map(last -> last.afterPieces(run.piecesBefore(), piecesSent)));
         endClaim(ClaimEnded.Outcome.ANSWERED);
         complete();
     }
@@ -324,7 +307,8 @@
      *   <li>The connection broke or fell silent before any head arrived, or resuming did not succeed: the endpoint is
      *       probed, because its termination must be counted for this prompt. A refused connection is not the only
      *       indication of a termination: an intermediary in front of a terminated endpoint may accept connections and
-     *       then close them. After the probe, case 6 applies.
+     *       then close them. A known stream on an endpoint that is alive is held while another endpoint is requested,
+     *       and resumed if none takes its place. Otherwise case 6 applies.
      *   <li>The request may have run. An idempotent request is retried on another endpoint: a model's answer continues
      *       from the text so far, and a plain answer starts again only if no byte of it reached the caller. Any other
      *       request ends with an error which says that it may have run.
@@ -336,12 +320,12 @@
         }
         lastFailure = failure;
         lastDetail = detail;
-        boolean resuming = state == State.RESUMING;
+        boolean resuming = state == RequestState.RESUMING;
         effects.abandon(leg);
-        effects.report(new AttemptObserved(endpoint.id(), endpoint.incarnation(), failure.observedOutcome()));
+        run.observe(effects, failure.observedOutcome());
         mayHaveRunBefore = mayHaveRun;
         mayHaveRun |= resuming || !failure.provesNotRun();
-        if (failure == AttemptFailure.REJECTED && !resuming) {
+        if (failure == AttemptFailure.REJECTED && !resuming && held.isEmpty()) {
             endAttempt(false, -1);
             fail(ErrorKind.ENDPOINT_REJECTED.raise(detail));
         } else if (failure.provesNotRun() && !resuming) {
@@ -352,8 +336,8 @@
         } else if (canResume(failure)) {
             resumeStream();
         } else if (failure == AttemptFailure.BROKEN || failure == AttemptFailure.SILENT) {
-            state = State.PROBING;
-            effects.probe(leg, endpoint);
+            state = RequestState.PROBING;
+            effects.probe(leg, run.endpoint());
         } else {
             retryOnOtherEndpoint();
         }
@@ -361,23 +345,29 @@
 
     /** Handles the result of a probe; the termination of an endpoint is counted for the prompt. */
     public void onProbed(long eventLeg, boolean alive) {
-        if (isStale(eventLeg) || state != State.PROBING) {
+        if (isStale(eventLeg) || state != RequestState.PROBING) {
             return;
         }
         if (!alive) {
             reportTermination();
         }
-        retryOnOtherEndpoint();
+        if (alive && run.hasStream()) {
+            requestReplacement();
+        } else {
+            retryOnOtherEndpoint();
+        }
     }
 
     public void onTimer(TimerKind kind, long eventLeg) {
-        if (state == State.OVER) {
+        if (state == RequestState.OVER) {
             return;
         }
         if (kind == TimerKind.DEADLINE) {
             failAtDeadline();
-        } else if (state == State.WAITING && eventLeg == leg) {
+        } else if (state == RequestState.WAITING && eventLeg == leg) {
             checkQuarantine();
+        } else if (state == RequestState.RETURNING && eventLeg == leg) {
+            resumeStream();
         }
     }
 
@@ -387,107 +377,128 @@
      * for the grace time, within which the caller may resume it.
      */
     public void onCallerDisconnected() {
-        if (state == State.OVER || callerDisconnected) {
+        if (state == RequestState.OVER || callerDisconnected) {
             return;
         }
         callerDisconnected = true;
-        if (claimHeld || state == State.CLAIMING) {
+        if (claimHeld || state == RequestState.CLAIMING) {
             return;
         }
-        if (state == State.ADMITTING) {
+        if (state == RequestState.ADMITTING) {
             effects.report(new AdmissionRequested.Withdrawn(profile.request()));
         }
         releaseEndpoint(profile.streamed() ? profile.resumeGrace() : Duration.ZERO);
         complete();
     }
 
-    /**
-     * Schedules a retry for a run that has started and was refused a permit; returns whether it did.
-     *
-     * <p>After a termination the prompt runs only with a permit. The issuer grants none while another run holds the
-     * permit, or for some seconds after it became the owner of the shard. The caller may already have received a part
-     * of the answer, which an error would make useless. The deadline of the request bounds the wait.
-     */
     private boolean schedulePermitRetry(YuccagwException refusal) {
-        boolean isTemporary =
-                refusal.kind() == ErrorKind.OVERLOADED && refusal.retryAfter().isPresent();
-        if (!isTemporary || attemptsMade == 0) {
-            return false;
-        }
-        state = State.WAITING;
-        leg++;
-        effects.schedule(TimerKind.BACKOFF, leg, refusal.retryAfter().get());
-        return true;
+        Optional<Duration> delay = placementRetries.afterPermitRefusal(refusal, attemptsMade);
+        delay.ifPresent(value -> waitIn(RequestState.WAITING, value));
+        return delay.isPresent();
     }
 
-    /**
-     * Schedules a retry for a request that certainly hasn't run and found no endpoint; returns whether it did.
-     *
-     * <p>The local view of the endpoints is delayed. During a fast rolling swap, replicas that have finished loading
-     * are still seen as loading, or as running the older version and then refuse the request, so that for a short time
-     * no replica seems to serve. A few short waits bridge the delay; after each of them every endpoint may be tried
-     * again. When they are used up, the refusal is final and is sent at once.
-     */
     private boolean scheduleRouteRetry(YuccagwException refusal) {
-        boolean isTemporary = refusal.kind() == ErrorKind.NO_ENDPOINT && !mayHaveRun;
-        if (!isTemporary || routeRetries >= MAX_ROUTE_RETRIES) {
-            return false;
+        Optional<Duration> delay = placementRetries.afterRouteRefusal(refusal, mayHaveRun);
+        if (delay.isPresent()) {
+            excluded.clear();
+            waitIn(RequestState.WAITING, delay.get());
         }
-        routeRetries++;
-        excluded.clear();
-        state = State.WAITING;
-        leg++;
-        effects.schedule(TimerKind.BACKOFF, leg, ROUTE_RETRY_DELAY);
-        return true;
+        return delay.isPresent();
     }
 
     private void checkQuarantine() {
-        state = State.JUDGING;
+        state = RequestState.JUDGING;
         effects.requestQuarantineDecision();
     }
 
     private void send() {
-        state = State.SENDING;
+        state = RequestState.SENDING;
         attemptsMade++;
         leg++;
-        piecesBeforeAttempt = piecesSent;
-        stream = "";
         usage = null;
-        sentNanos = effects.nowNanos();
-        effects.report(new AttemptReport.Sent(attempt));
-        effects.send(leg, attempt, endpoint, text.toString(), piecesSent);
+        placementRetries.sent();
+        run.sent(effects);
+        effects.send(leg, run.attempt(), run.endpoint(), text.toString(), piecesSent);
     }
 
     private boolean canResume(AttemptFailure failure) {
         boolean connectionOnly = failure == AttemptFailure.BROKEN || failure == AttemptFailure.SILENT;
-        return connectionOnly && !stream.isEmpty() && resumesWithoutProgress < MAX_RESUMES_WITHOUT_PROGRESS;
+        return connectionOnly && run.hasStream() && resumesWithoutProgress < MAX_RESUMES_WITHOUT_PROGRESS;
     }
 
     private void resumeStream() {
         resumesWithoutProgress++;
-        state = State.RESUMING;
+        state = RequestState.RESUMING;
         leg++;
-        effects.resume(leg, endpoint, stream, piecesSent - piecesBeforeAttempt);
+        effects.resume(leg, run.endpoint(), run.stream(), piecesSent - run.piecesBefore());
     }
 
     private void retryOnOtherEndpoint() {
+        excluded.add(run.endpoint().id());
+        if (returnToHeldRun()) {
+            return;
+        }
+        boolean streamEnded = lastFailure == AttemptFailure.DIED || lastFailure == AttemptFailure.STREAM_FORGOTTEN;
+        if (!streamEnded) {
+            run.cancelStream(effects, Duration.ZERO);
+        }
         endAttempt(false, -1);
-        excluded.add(endpoint.id());
         if (!mayRetryOnOtherEndpoint()) {
             fail(attemptError());
             return;
         }
         RetryDecision decision = effects.decideRetry(lastFailure, mayHaveRunBefore, attemptsMade);
         if (decision instanceof RetryDecision.Retry retry) {
-            stream = "";
-            state = State.WAITING;
-            leg++;
-            effects.schedule(TimerKind.BACKOFF, leg, retry.delay());
+            run = EngineRun.unplaced(run.endpoint());
+            waitIn(RequestState.WAITING, retry.delay());
         } else {
             fail(retryError((RetryDecision.GiveUp) decision));
         }
     }
 
+    /** Requests another endpoint in place of one that is alive but sends nothing, and holds the run there meanwhile. */
+    private void requestReplacement() {
+        boolean mayMove = permit == NO_PERMIT && mayRetryOnOtherEndpoint();
+        Optional<Duration> delay = mayMove
+                ? placementRetries.forReplacement(
+                        () -> effects.decideRetry(lastFailure, mayHaveRunBefore, attemptsMade))
+                : Optional.empty();
+        if (delay.isEmpty()) {
+            waitIn(RequestState.RETURNING, RETURN_DELAY);
+            return;
+        }
+        excluded.add(run.endpoint().id());
+        held = Optional.of(run);
+        run = EngineRun.unplaced(run.endpoint());
+        waitIn(RequestState.WAITING, delay.get());
+    }
+
+    /** Gives up the replacement and returns to the held run; returns whether there is one. */
+    private boolean returnToHeldRun() {
+        if (held.isEmpty()) {
+            return false;
+        }
+        endAttempt(false, -1);
+        run = held.get();
+        held = Optional.empty();
+        waitIn(RequestState.RETURNING, RETURN_DELAY);
+        return true;
+    }
+
+    private void releaseHeldRun(Duration grace) {
+        held.ifPresent(silentRun -> {
+            silentRun.cancelStream(effects, grace);
+            silentRun.end(effects, false, -1, piecesSent);
+        });
+        held = Optional.empty();
+    }
+
+    private void waitIn(RequestState waiting, Duration delay) {
+        state = waiting;
+        leg++;
+        effects.schedule(TimerKind.BACKOFF, leg, delay);
+    }
+
     /** Whether another endpoint may run the request: it hasn't run, or it is idempotent and its answer can continue. */
     private boolean mayRetryOnOtherEndpoint() {
         if (!mayHaveRun) {
@@ -503,33 +514,23 @@
 
     private void reportTermination() {
         lastFailure = AttemptFailure.DIED;
-        effects.report(new AttemptObserved(endpoint.id(), endpoint.incarnation(), AttemptObserved.Outcome.DIED));
+        run.observe(effects, AttemptObserved.Outcome.DIED);
         effects.report(new EndpointTerminated(
-                profile.fingerprint(), endpoint.id(), endpoint.incarnation(), permit != NO_PERMIT));
+                profile.fingerprint(), run.endpoint().id(), run.endpoint().incarnation(), permit != NO_PERMIT));
     }
 
     private void reportFirstToken() {
-        if (!firstTokenReported && attempt != NO_ATTEMPT) {
-            firstTokenReported = true;
-            long millis = (effects.nowNanos() - sentNanos) / 1_000_000;
-            effects.report(new AttemptReport.FirstToken(attempt, millis));
+        if (!firstTokenReported) {
+            firstTokenReported = run.reportFirstToken(effects);
         }
     }
 
-    /** Returns the usage over all attempts; the prompt of a later attempt contains the pieces of the earlier ones. */
-    private Usage totalUsage(Usage ofLastAttempt) {
-        long answerTokens = Math.max(piecesSent, ofLastAttempt.answerTokens());
-        long promptTokens = ofLastAttempt.promptTokens() - piecesBeforeAttempt;
-        return new Usage(
-                Math.max(0, promptTokens), answerTokens, ofLastAttempt.cachedTokens(), ofLastAttempt.finishReason());
-    }
-
     private void failAtDeadline() {
         long millis = profile.answerDeadline().toMillis();
-        if (state == State.ADMITTING) {
+        if (state == RequestState.ADMITTING) {
             effects.report(new AdmissionRequested.Withdrawn(profile.request()));
         }
-        mayHaveRun |= state == State.SENDING;
+        mayHaveRun |= state == RequestState.SENDING;
         YuccagwException error =
                 mayHaveRun ? ErrorKind.DEADLINE_PASSED.raise(millis) : ErrorKind.OVERLOADED.raise(millis);
         releaseEndpoint(Duration.ZERO);
@@ -540,9 +541,8 @@
         if (leg > 0) {
             effects.abandon(leg);
         }
-        if (!stream.isEmpty()) {
-            effects.cancelStream(endpoint, stream, grace);
-        }
+        run.cancelStream(effects, grace);
+        releaseHeldRun(grace);
         endAttempt(false, -1);
     }
 
@@ -560,8 +560,8 @@
             return ErrorKind.STREAM_LOST.raise(detail);
         }
         return mayHaveRun
-                ? ErrorKind.ENDPOINT_FAILED.raise(endpoint.id(), detail)
-                : ErrorKind.ENDPOINT_REFUSED.raise(endpoint.id(), detail);
+                ? ErrorKind.ENDPOINT_FAILED.raise(run.endpoint().id(), detail)
+                : ErrorKind.ENDPOINT_REFUSED.raise(run.endpoint().id(), detail);
     }
 
     private YuccagwException retryError(RetryDecision.GiveUp decision) {
@@ -576,7 +576,7 @@
     }
 
     private void endClaim(ClaimEnded.Outcome outcome) {
-        boolean late = state == State.OVER;
+        boolean late = state == RequestState.OVER;
         if (claimHeld || late) {
             claimHeld = false;
             Optional<ClaimDecision.KeptAnswer> answer =
@@ -586,10 +586,11 @@
     }
 
     private void endAttempt(boolean answered, long cachedTokens) {
-        if (attempt != NO_ATTEMPT) {
-            effects.report(new AttemptReport.Ended(attempt, answered, cachedTokens, piecesSent - piecesBeforeAttempt));
-            attempt = NO_ATTEMPT;
-        }
+        run.end(effects, answered, cachedTokens, piecesSent);
+        giveBackPermit();
+    }
+
+    private void giveBackPermit() {
         if (permit != NO_PERMIT) {
             returnPermit(permit);
             permit = NO_PERMIT;
@@ -601,21 +602,18 @@
     }
 
     private void complete() {
-        state = State.OVER;
+        state = RequestState.OVER;
         if (admitted) {
             admitted = false;
             long usedTokens = usage == null ? piecesSent : usage.promptTokens() + usage.answerTokens();
             effects.report(new AdmissionRequested.Released(profile.request(), usedTokens));
         }
-        if (permit != NO_PERMIT) {
-            returnPermit(permit);
-            permit = NO_PERMIT;
-        }
+        giveBackPermit();
         effects.ended();
     }
 
     /** Whether an event belongs to an earlier leg or arrives after the end. */
     private boolean isStale(long eventLeg) {
-        return eventLeg != leg || state == State.OVER;
+        return eventLeg != leg || state == RequestState.OVER;
     }
 }
--- a/src/test/java/org/yuccagw/core/request/RecordedEffects.java
+++ b/src/test/java/org/yuccagw/core/request/RecordedEffects.java
@@ -10,6 +10,7 @@
 import org.yuccagw.core.claim.ClaimDecision;
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.endpoint.EndpointStatus;
+import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EntryId;
@@ -25,6 +26,7 @@
     final StringBuilder callerText = new StringBuilder();
     YuccagwException error;
     int ends;
+    boolean retriesRefused;
 
     @Override
     public long nowNanos() {
@@ -90,7 +92,9 @@
     @Override
     public RetryDecision decideRetry(AttemptFailure failure, boolean mayHaveRunBefore, int attemptsMade) {
         lines.add("retry after " + failure + " requested");
-        return new RetryDecision.Retry(Duration.ofMillis(1), true);
+        return retriesRefused
+                ? new RetryDecision.GiveUp(ErrorKind.RETRY_BUDGET_SPENT, Optional.empty())
+                : new RetryDecision.Retry(Duration.ofMillis(1), true);
     }
 
     @Override
