--- a/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
+++ b/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
@@ -5,47 +5,23 @@
 import static org.testng.Assert.assertTrue;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.OptionalLong;
-import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
-import org.yuccagw.core.deployment.PermittedRegions;
-import org.yuccagw.core.deployment.Route;
 import org.yuccagw.core.deployment.RouteKind;
-import org.yuccagw.core.deployment.ServiceShare;
 import org.yuccagw.core.error.ErrorKind;
-import org.yuccagw.core.fleet.ListedEndpoint;
 import org.yuccagw.core.forward.ForwardMachine.TimerKind;
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EndpointIncarnation;
-import org.yuccagw.core.id.FailureDomain;
-import org.yuccagw.core.id.NetworkAddress;
-import org.yuccagw.core.id.RequestId;
-import org.yuccagw.core.id.ServiceName;
 import org.yuccagw.core.notice.EndpointNotice;
 import org.yuccagw.core.notice.NoticeReceived;
 import org.yuccagw.core.notice.RateLimit;
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.placing.PlacementDecision;
 
-public class ForwardMachineTest {
-    private static final ServiceName SERVICE = ServiceName.of("service");
-    private static final long FIRST_VERSION = 1;
+public class ForwardMachineTest extends ForwardScenario {
     private static final EndpointIncarnation FIRST_INCARNATION = EndpointIncarnation.of(EndpointId.of("e1"), 1);
 
-    private RecordedForwardEffects effects;
-    private long tickets;
-
-    @BeforeMethod
-    public void createEffects() {
-        effects = new RecordedForwardEffects();
-        tickets = 0;
-    }
-
     // ---- Answers without failures
 
     @Test
@@ -351,8 +327,16 @@
         machine.onBytes(1, bytes("id: 1\ndata: a\n\n"));
         effects.advance(Duration.ofMillis(700));
         machine.onTimer(TimerKind.GAP, 1);
-        assertEquals(effects.attempts, ImmutableList.of(End.SILENT));
         assertTrue(effects.lines.contains("place REPEAT without [e1] version 1"));
+        machine.onPlacementDecision(placed("e2"));
+        machine.onDelivery(2);
+        machine.onTimer(TimerKind.OVERLAP, 2);
+        assertEquals(effects.attempts, ImmutableList.of(End.SILENT));
+        assertTrue(effects.lines.contains("abandon leg 1"), effects.lines.toString());
+        machine.onHead(2, ok());
+        machine.onBytes(2, bytes("id: 2\ndata: b\n\n"));
+        machine.onEnd(2);
+        assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     }
 
     @Test
@@ -412,93 +396,4 @@
         machine.onTimer(TimerKind.HEAD, 1);
         assertTrue(effects.lines.contains("place REPEAT without [e1]"), effects.lines.toString());
     }
-
-    // ---- Helpers
-
-    private ForwardMachine begin(RouteKind kind, boolean resumable, int attempts) {
-        Route route = new Route(
-                "route",
-                "a.example",
-                "/",
-                kind,
-                Duration.ofMillis(800),
-                Duration.ofMillis(150),
-                Duration.ofMillis(200),
-                1,
-                ImmutableList.of(new ServiceShare(SERVICE, 1)),
-                attempts,
-                false,
-                false,
-                resumable,
-                PermittedRegions.ANYWHERE);
-        ForwardRequest request = new ForwardRequest(
-                RequestId.of("r1"),
-                route,
-                SERVICE,
-                Optional.empty(),
-                Optional.empty(),
-                Duration.ofMillis(1500),
-                "fingerprint",
-                ForwardRequest.FROM_START);
-        ForwardMachine machine = ForwardMachine.of(request, effects);
-        machine.begin();
-        return machine;
-    }
-
-    private PlacementDecision placed(String endpoint) {
-        return placed(endpoint, false);
-    }
-
-    private PlacementDecision placed(String endpoint, boolean rateLimited) {
-        ListedEndpoint listed = new ListedEndpoint(
-                EndpointIncarnation.of(EndpointId.of(endpoint), 1),
-                SERVICE,
-                NetworkAddress.of("127.0.0.1", 1),
-                FailureDomain.of("a"),
-                4,
-                false,
-                0,
-                ImmutableMap.of());
-        return new PlacementDecision.Placed(
-                ++tickets, listed, OptionalLong.empty(), Optional.empty(), Optional.empty(), 1, 40, rateLimited);
-    }
-
-    private static EndpointAnswerHead ok() {
-        return answer(200, true, true);
-    }
-
-    private static EndpointAnswerHead answer(int status, boolean forThisRequest, boolean sealed) {
-        return new EndpointAnswerHead(
-                status,
-                forThisRequest,
-                sealed,
-                false,
-                false,
-                false,
-                true,
-                OptionalLong.of(FIRST_VERSION),
-                EndpointNotice.NONE);
-    }
-
-    private static EndpointAnswerHead withNotice(EndpointAnswerHead head, EndpointNotice notice) {
-        return new EndpointAnswerHead(
-                head.status(),
-                head.forThisRequest(),
-                head.sealed(),
-                head.notRun(),
-                head.fromOtherEndpoint(),
-                head.encoded(),
-                head.framed(),
-                head.version(),
-                notice);
-    }
-
-    private static EndpointAnswerHead notRun(int status) {
-        return new EndpointAnswerHead(
-                status, true, false, true, false, false, true, OptionalLong.empty(), EndpointNotice.NONE);
-    }
-
-    private static ByteBuffer bytes(String text) {
-        return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
-    }
 }
--- a/src/test/java/org/yuccagw/core/forward/RecordedForwardEffects.java
+++ b/src/test/java/org/yuccagw/core/forward/RecordedForwardEffects.java
@@ -23,7 +23,10 @@
     final List<String> lines = new ArrayList<>();
     final StringBuilder callerBody = new StringBuilder();
     final List<AttemptEnded.End> attempts = new ArrayList<>();
+    final List<SilenceOutcome> silences = new ArrayList<>();
     long nowNanos;
+    final List<String> timers = new ArrayList<>();
+    Runnable whenAnswerEnds = () -> {};
     ErrorKind error;
     int ends;
 
@@ -69,7 +72,9 @@
     }
 
     @Override
-    public void schedule(ForwardMachine.TimerKind kind, long leg, Duration delay) {}
+    public void schedule(ForwardMachine.TimerKind kind, long leg, Duration delay) {
+        timers.add(kind + " of leg " + leg);
+    }
 
     @Override
     public void answerHead(long leg) {
@@ -84,6 +89,7 @@
     @Override
     public void answerEnd() {
         lines.add("end");
+        whenAnswerEnds.run();
     }
 
     @Override
@@ -112,6 +118,11 @@
         notices.add(received);
     }
 
+    @Override
+    public void reportSilence(SilenceOutcome outcome) {
+        silences.add(outcome);
+    }
+
     @Override
     public void explain(String decision, String detail) {}
 
--- a/src/test/java/org/yuccagw/daemon/ScriptedEndpoint.java
+++ b/src/test/java/org/yuccagw/daemon/ScriptedEndpoint.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -22,6 +23,12 @@
  * that it can send invalid answers.
  */
 public final class ScriptedEndpoint implements AutoCloseable {
+    /** Three times the longest gap that the routes of the tests allow, and some more. */
+    private static final Duration STREAM_PAUSE = Duration.ofMillis(1_200);
+
+    /** Longer than the time after which a repeatable request without an answer is retried. */
+    private static final Duration ANSWER_DELAY = Duration.ofMillis(900);
+
     private static final String NOT_RUN = "HTTP/1.1 503 Unavailable\r\nYuccagw-Not-Executed: 1\r\n";
 
     private final ServerSocket server;
@@ -80,7 +87,7 @@
             BufferedReader reader =
                     new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
             for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-                Map<String, String> request = readHead(line, reader);
+                Map<String, String> request = readRequest(line, reader);
                 requests.add(request);
                 if (!answer(request, reader, socket.getOutputStream())) {
                     return;
@@ -91,7 +98,8 @@
         }
     }
 
-    private static Map<String, String> readHead(String first, BufferedReader reader) throws IOException {
+    /** Reads the rest of a message after its first line: the headers as {@code requests} returns them. */
+    public static Map<String, String> readHeaders(String first, BufferedReader reader) throws IOException {
         Map<String, String> head = new ConcurrentHashMap<>();
         head.put(":line", first);
         for (String line = reader.readLine(); line != null && !line.isEmpty(); line = reader.readLine()) {
@@ -100,6 +108,12 @@
                     line.substring(0, colon).toLowerCase(Locale.ROOT),
                     line.substring(colon + 1).trim());
         }
+        return head;
+    }
+
+    /** Reads the rest of a request after its first line: the headers, and the body if its length is given. */
+    public static Map<String, String> readRequest(String first, BufferedReader reader) throws IOException {
+        Map<String, String> head = readHeaders(first, reader);
         char[] body = new char[Integer.parseInt(head.getOrDefault("content-length", "0"))];
         int read = 0;
         while (read < body.length) {
@@ -139,23 +153,39 @@
                 write(out, head(id) + "Content-Length: 100\r\n\r\nhalf");
                 return false;
             }
+            case "torn-stream" -> {
+                write(out, head(id) + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+                return false;
+            }
             case "twice" -> {
                 String whole = head(id) + "Content-Length: 5\r\n\r\nfirst";
                 write(out, whole + whole.replace("first", "extra"));
             }
-            case "stream" -> {
-                write(out, head(id) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-                for (int event = 1; event <= 3; event++) {
-                    String text = "id: " + event + "\ndata: word" + event + "\n\n";
-                    write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
-                }
-                write(out, "0\r\n\r\n");
+            case "pausing-stream" -> writeStream(out, id, STREAM_PAUSE);
+            case "late" -> {
+                Thread.sleep(ANSWER_DELAY.toMillis());
+                write(out, head(id) + "Content-Length: 4\r\n\r\nlate");
             }
+            case "stream" -> writeStream(out, id, Duration.ZERO);
             default -> write(out, head(id) + "Content-Length: 4\r\nX-Own: kept\r\n\r\nbody");
         }
         return true;
     }
 
+    /** Writes a stream of three events with a pause after the first one. */
+    private static void writeStream(OutputStream out, String id, Duration pause)
+            throws IOException, InterruptedException {
+        write(out, head(id) + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int event = 1; event <= 3; event++) {
+            String text = "id: " + event + "\ndata: word" + event + "\n\n";
+            write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+            if (event == 1) {
+                Thread.sleep(pause.toMillis());
+            }
+        }
+        write(out, "0\r\n\r\n");
+    }
+
     /** Returns once the peer has closed the connection, by an end of stream or by a reset. */
     private static void awaitDisconnect(BufferedReader reader) {
         try {
