--- a/src/test/java/org/yuccagw/daemon/SilentEndpointErrorsTest.java
+++ b/src/test/java/org/yuccagw/daemon/SilentEndpointErrorsTest.java
@@ -34,6 +34,7 @@
     /** Shorter than the time after which the callers of streams leave. */
     private static final Duration LONG_PAUSE = Duration.ofMillis(1_700);
 
+    private static final Duration SHORT_PAUSE = Duration.ofMillis(1_200);
     private static final List<Reaction> REACTIONS = List.of(Reaction.values());
     private static final int STEPS = 24;
     private static final int MAX_KILLED = 2;
@@ -91,6 +92,26 @@
         assertEquals(caller.outcome(), Outcome.FAULT, caller.trace());
     }
 
+    @DataProvider
+    public Object[][] repeatablePaths() {
+        return new Object[][] {{VirtualCallers.RESUMABLE}, {VirtualCallers.THRICE}, {VirtualCallers.READ}};
+    }
+
+    // An error answer was held for the caller and then forwarded, though the second endpoint only paused.
+    @Test(dataProvider = "repeatablePaths")
+    public void aHeldErrorIsNotForwardedWhileAnotherEndpointOnlyPauses(String path) {
+        callers = VirtualCallers.start(SMALL, ENDPOINTS, 74);
+        VirtualCaller caller = callers.caller(path);
+        caller.setReactions(Reaction.FAULT);
+        caller.begin();
+        callers.runFor(Duration.ofMillis(60));
+        callers.engines.forEach(endpoint -> endpoint.suspend(SHORT_PAUSE));
+        callers.plain.forEach(endpoint -> endpoint.suspend(SHORT_PAUSE));
+        callers.runToEnd();
+        assertNoPromiseIsBroken(callers);
+        assertEquals(caller.outcome(), Outcome.COMPLETE, caller.trace());
+    }
+
     @DataProvider
     public Object[][] silenceBesideErrors() {
         return new Object[][] {
