Answer the requests that still run at the end of the grace time

Callers of an entry that was stopping, whose request it had read up to six seconds after SIGTERM and whose endpoint was silent, got the close of their connection and no answer.

Cause: at the end of the grace time the process closed its addresses without ending the requests that ran.

Change: 250 ms before the end of the grace time every request that runs ends: with 502 if it may have run, with 503 if not, and its connection breaks off if its answer has begun. Then the addresses are closed.

--- a/src/main/java/org/yuccagw/adapters/serving/ActiveRequests.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ActiveRequests.java
@@ -1,10 +1,11 @@
 package org.yuccagw.adapters.serving;
 
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
-/** Counts the requests in progress, so that a graceful stop can wait for them. */
+/** The requests in progress, for which a graceful stop waits. Thread-safe. */
 public final class ActiveRequests {
-    private final AtomicInteger running = new AtomicInteger();
+    private final Set<ServingRun> running = ConcurrentHashMap.newKeySet();
 
     private ActiveRequests() {}
 
@@ -12,15 +13,20 @@
         return new ActiveRequests();
     }
 
-    void begin() {
-        running.incrementAndGet();
+    void begin(ServingRun run) {
+        running.add(run);
     }
 
-    void end() {
-        running.decrementAndGet();
+    void end(ServingRun run) {
+        running.remove(run);
     }
 
     public int count() {
-        return running.get();
+        return running.size();
+    }
+
+    /** Ends all requests, with an error where no answer has started. Returns before that is done. */
+    public void endAll() {
+        running.forEach(ServingRun::stop);
     }
 }
--- a/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
@@ -51,7 +51,7 @@
     private final byte[] body;
     private final CallerResponse response;
     private final ForwardMachine machine;
-    private final Runnable onEnded;
+    private final ActiveRequests activeRequests;
     private final DisconnectDetector disconnectDetector;
     private final long arrivedNanos = System.nanoTime();
     private final Map<TimerKind, XnioExecutor.Key> timers = new EnumMap<>(TimerKind.class);
@@ -65,31 +65,37 @@
             CallerHead head,
             ForwardRequest request,
             byte[] body,
-            Runnable onEnded) {
+            ActiveRequests activeRequests) {
         this.services = services;
         this.exchange = exchange;
         this.thread = exchange.getIoThread();
         this.head = head;
         this.request = request;
         this.body = body;
-        this.onEnded = onEnded;
+        this.activeRequests = activeRequests;
         this.response = new CallerResponse(exchange, this);
         this.machine = ForwardMachine.of(request, this);
         this.disconnectDetector = DisconnectDetector.begin(exchange);
     }
 
-    /** Starts the run of a request whose body was read. {@code onEnded} is called when the request has ended. */
+    /** Starts the run of a request whose body was read. It is active until the request has ended. */
     static void begin(
             ServingServices services,
             HttpServerExchange exchange,
             CallerHead head,
             ForwardRequest request,
             byte[] body,
-            Runnable onEnded) {
-        ServingRun run = new ServingRun(services, exchange, head, request, body, onEnded);
+            ActiveRequests activeRequests) {
+        ServingRun run = new ServingRun(services, exchange, head, request, body, activeRequests);
+        activeRequests.begin(run);
         run.machine.begin();
     }
 
+    /** Ends the request, since the entry stops. May be called on any thread. */
+    void stop() {
+        thread.execute(machine::onStop);
+    }
+
     // Effects of the machine.
 
     @Override
@@ -262,7 +268,7 @@
                         .orElse(line));
         services.metrics()
                 .recordRequestEnd(request.service(), request.route().kind().name(), outcome);
-        onEnded.run();
+        activeRequests.end(this);
     }
 
     private Decision withPace(Decision line, AnswerPace pace) {
--- a/src/main/java/org/yuccagw/adapters/serving/ServingServer.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingServer.java
@@ -188,8 +188,7 @@
                 head.timeout().orElse(route.timeout()),
                 fingerprint(exchange, head, body),
                 head.afterEvent());
-        activeRequests.begin();
-        ServingRun.begin(services, exchange, head, request, body, activeRequests::end);
+        ServingRun.begin(services, exchange, head, request, body, activeRequests);
     }
 
     /**
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -259,6 +259,19 @@
         }
     }
 
+    /** Called when the entry stops and the request can't be continued. */
+    public void onStop() {
+        if (isOver()) {
+            return;
+        }
+        legs.current().ifPresent(leg -> {
+            history.recordRun(leg);
+            history.recordFailure(leg, "the entry stops");
+        });
+        abandonAll();
+        giveUp("the entry stops", ErrorKind.STOPPING.raise());
+    }
+
     // ---- Placement and sending
 
     private void requestPlacement(Kind kind) {
--- a/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
@@ -62,9 +62,12 @@
     /** New streams are refused after this fraction of the grace time, since a stream may take many seconds. */
     private static final double NEW_STREAMS_GRACE_FRACTION = 0.34;
 
-    /** Reserved at the end of the grace time for closing the addresses. */
+    /** Reserved at the end of the grace time for ending the remaining requests and closing the addresses. */
     private static final Duration CLOSE_TIME = Duration.ofMillis(250);
 
+    /** The part of {@link #CLOSE_TIME} for ending the remaining requests. */
+    private static final Duration END_TIME = Duration.ofMillis(100);
+
     private final GatewaySettings settings;
     private final EntryIdentity self;
     private final DecisionLog decisions = DecisionLog.start();
@@ -217,6 +220,8 @@
         server.refuseNewRequests();
         awaitUntil(startNanos + grace.minus(CLOSE_TIME).toNanos(), true);
         decisions.write(Decision.of("stopped").with("running", runs.count()));
+        runs.endAll();
+        awaitUntil(System.nanoTime() + END_TIME.toNanos(), true);
         close();
         stoppedLatch.countDown();
     }
--- a/src/test/java/org/yuccagw/daemon/GatewayStopTest.java
+++ b/src/test/java/org/yuccagw/daemon/GatewayStopTest.java
@@ -6,6 +6,8 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
@@ -21,6 +23,7 @@
 
 public class GatewayStopTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(60);
+    private static final Duration REQUEST_INTERVAL = Duration.ofMillis(200);
 
     // An entry accepted a stream four seconds after SIGTERM that ran for longer than the remaining time, and was cut
     // when the entry was ended by force. A stopping entry refuses streams as not run after a third of the grace time,
@@ -51,6 +54,35 @@
         }
     }
 
+    // Guards against closing the connections of requests that a stopping entry accepted late, without any answer.
+    @Test
+    public void everyRequestThatAStoppingEntryAcceptedIsAnsweredThoughItsEndpointIsSilent() throws Exception {
+        KeyValueStandIn keyValue = KeyValueStandIn.start(KeyValueSettings.defaults());
+        HttpClient httpClient = HttpClient.start(1);
+        try (ScriptedEndpoint endpoint = new ScriptedEndpoint()) {
+            writeConfiguration(keyValue, endpoint);
+            GatewaySettings settings = GatewaySettingsReader.parse(
+                    SmallDeployment.settings("entry-1", keyValue.address(), SmallDeployment.freePorts(4)));
+            GatewayDaemon daemon = GatewayDaemon.start(settings);
+            await().atMost(TIMEOUT)
+                    .until(() -> post(httpClient, settings, "/again/x").status() == 200);
+            Thread stopping = new Thread(daemon::stop, "stop");
+            stopping.start();
+            List<CompletableFuture<HttpResponse>> silent = new ArrayList<>();
+            await().atMost(TIMEOUT).pollInterval(REQUEST_INTERVAL).until(() -> {
+                silent.add(httpClient.send(request(settings, "/again/hang")));
+                return post(httpClient, settings, "/again/x").status() == 503;
+            });
+            stopping.join(TIMEOUT.toMillis());
+            for (CompletableFuture<HttpResponse> answer : silent) {
+                assertTrue(answer.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS).status() > 0);
+            }
+        } finally {
+            httpClient.stop();
+            keyValue.stop();
+        }
+    }
+
     private static void writeConfiguration(KeyValueStandIn keyValue, ScriptedEndpoint endpoint) {
         keyValue.put(
                 PlatformDocuments.CONFIGURATION,
