Probe an engine at once that refused a request for its weight version

What callers saw: 502 "endpoint 'engine-3' refused before running: WRONG_VERSION: this engine runs v2" while an operator's swap rolled over the pool.

Cause: an entry learns by its regular probe, once a second and later beside load, that an engine runs new weights. Until then it goes on sending requests for the old ones there. At the end of a swap the others may still count as loading, so that this engine is the only candidate: each refusal excludes it, the next choice finds no endpoint, and after 250 ms every endpoint may be tried again. So the four attempts of a request all go to the same engine within a second, and its caller is refused though the pool serves. The suspicion in the list, four engines in a row, isn't needed for it; the message of repeated failures names one engine.

Change: a refusal for the version is an outcome of its own, and the entry probes that engine at once, at most every 100 ms. Its version is known before the request is tried again. The engine counts as answering, as before.

Test: EndpointsTest.theVersionOfAnEngineThatRefusedForItIsKnownBeforeARequestIsRetried, in virtual time; with the new outcome but without the probe it fails: expected [true] but found [false].

--- a/src/main/java/org/yuccagw/bench/control/EnginePool.java
+++ b/src/main/java/org/yuccagw/bench/control/EnginePool.java
@@ -96,6 +96,11 @@
         engines.get(EndpointId.of(name)).leaving = leaving;
     }
 
+    /** The engine runs these weights from now on; nothing tells the entries. */
+    public void setVersion(String name, WeightVersion version) {
+        engines.get(EndpointId.of(name)).version = version;
+    }
+
     /** The engine's VM is replaced: a new incarnation under the same name and address, in the list at once. */
     public void replace(String name) {
         Engine engine = engines.get(EndpointId.of(name));
--- a/src/main/java/org/yuccagw/core/endpoint/AttemptObserved.java
+++ b/src/main/java/org/yuccagw/core/endpoint/AttemptObserved.java
@@ -11,6 +11,7 @@
         CONNECT_FAILED,
         OVERLOADED,
         SAID_LEAVING,
+        WRONG_VERSION,
         FAILED,
         SILENT,
         DIED
--- a/src/main/java/org/yuccagw/core/endpoint/EndpointsComponent.java
+++ b/src/main/java/org/yuccagw/core/endpoint/EndpointsComponent.java
@@ -52,6 +52,7 @@
     private static final Duration LIST_INTERVAL = Duration.ofSeconds(1);
     private static final int ENTRIES_PER_LIST_INTERVAL = 16;
     private static final Duration PROBE_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration MIN_PROBE_INTERVAL = Duration.ofMillis(100);
     private static final int MAX_PROBES_PER_INTERVAL = 100;
     private static final Duration REMOVAL_TIMEOUT = Duration.ofSeconds(10);
     private static final int EJECTED_POOL_DIVISOR = 2;
@@ -59,6 +60,7 @@
 
     private final TreeMap<EndpointId, KnownEndpoint> endpoints = new TreeMap<>();
     private final Set<Leaving> forwarded = new HashSet<>();
+    private final Set<EndpointId> probedAfterRefusal = new HashSet<>();
     private ControlContext context;
     private Set<String> modelPools = Set.of();
     /** Null from a change of members until the next probes. */
@@ -153,6 +155,10 @@
         }
         switch (outcome) {
             case ANSWERED -> endpoint.recordSuccess(context.nowNanos());
+            case WRONG_VERSION -> {
+                endpoint.recordSuccess(context.nowNanos());
+                probeSoon(endpoint);
+            }
             case SAID_LEAVING -> {
                 endpoint.onLeaving(incarnation);
                 forwardLeaving(endpoint);
@@ -237,14 +243,30 @@
                 return;
             }
             if (modelPools.contains(endpoint.pool()) && ring.covers(endpoint.ringPosition())) {
-                context.perform(new ProbeEndpoint(
-                        endpoint.id(), endpoint.incarnation(), endpoint.vm().address()));
+                probe(endpoint);
                 probed++;
             }
             lastProbed = endpoint.id();
         }
     }
 
+    private void probe(KnownEndpoint endpoint) {
+        context.perform(new ProbeEndpoint(
+                endpoint.id(), endpoint.incarnation(), endpoint.vm().address()));
+    }
+
+    /**
+     * Probes an engine that has refused a request because it runs another version than this entry knows. Until its next
+     * regular probe it would refuse all further requests as well, and a request has only a few attempts. Engines refuse
+     * many requests at once, so the probes of one engine are spaced.
+     */
+    private void probeSoon(KnownEndpoint endpoint) {
+        if (probedAfterRefusal.add(endpoint.id())) {
+            probe(endpoint);
+            context.after(MIN_PROBE_INTERVAL, () -> probedAfterRefusal.remove(endpoint.id()));
+        }
+    }
+
     private void onMembers(MembersChanged changed) {
         entries = changed.entries().stream()
                 .filter(entry -> entry.state() != State.DEAD)
--- a/src/main/java/org/yuccagw/core/request/AttemptFailure.java
+++ b/src/main/java/org/yuccagw/core/request/AttemptFailure.java
@@ -14,7 +14,7 @@
     /** The endpoint refused before running, because it is leaving. */
     LEAVING(FailureClass.LEAVING, AttemptObserved.Outcome.SAID_LEAVING),
     /** The engine refused before running, because it runs another weight version. */
-    WRONG_VERSION(FailureClass.WRONG_VERSION, AttemptObserved.Outcome.ANSWERED),
+    WRONG_VERSION(FailureClass.WRONG_VERSION, AttemptObserved.Outcome.WRONG_VERSION),
     /** The endpoint refused before running, because it regards the request as invalid. */
     REJECTED(FailureClass.REJECTED, AttemptObserved.Outcome.ANSWERED),
     /** The endpoint answered with a server error. */
--- a/src/test/java/org/yuccagw/core/endpoint/EndpointsTest.java
+++ b/src/test/java/org/yuccagw/core/endpoint/EndpointsTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.yuccagw.bench.control.BenchNode;
@@ -21,10 +22,13 @@
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.core.id.VmId;
+import org.yuccagw.core.id.WeightVersion;
 
 public class EndpointsTest {
     private static final Duration LONG_TIMEOUT = Duration.ofMinutes(2);
     private static final Duration PROPAGATION_TIMEOUT = Duration.ofSeconds(3);
+    private static final Duration REQUEST_RETRY_DELAY = Duration.ofMillis(250);
+    private static final WeightVersion NEXT_VERSION = WeightVersion.of("next");
     private static final String POOL = "assistant";
     private static final int REPLICAS = 13;
     private static final EndpointId SUBJECT = EndpointId.of("assistant-04");
@@ -74,6 +78,19 @@
         assertTrue(bench.runUntil(() -> noEntrySendsTo(SUBJECT), PROPAGATION_TIMEOUT));
     }
 
+    // Guards against sending requests to an engine, until its next regular probe, that refuses them since its weights
+    // were swapped.
+    @Test
+    public void theVersionOfAnEngineThatRefusedForItIsKnownBeforeARequestIsRetried() {
+        for (BenchNode entry : entries) {
+            engines.setVersion(SUBJECT.value(), NEXT_VERSION);
+            entry.offer(new AttemptObserved(SUBJECT, 1, Outcome.WRONG_VERSION));
+            assertTrue(bench.runUntil(() -> knowsNextVersion(entry), REQUEST_RETRY_DELAY));
+            engines.setVersion(SUBJECT.value(), SampleCatalogues.FIRST_VERSION);
+            assertTrue(bench.runUntil(() -> entries.stream().noneMatch(EndpointsTest::knowsNextVersion), LONG_TIMEOUT));
+        }
+    }
+
     // A fault of the entry's own network makes every endpoint look failed. Ejecting them all would turn a partial
     // failure into a total one.
     @Test
@@ -174,6 +191,10 @@
                 == REPLICAS;
     }
 
+    private static boolean knowsNextVersion(BenchNode entry) {
+        return endpointsOf(entry).find(SUBJECT).orElseThrow().version().equals(Optional.of(NEXT_VERSION));
+    }
+
     private boolean noEntrySendsTo(EndpointId endpoint) {
         return entries.stream().noneMatch(entry -> takesNewWork(entry, endpoint));
     }
