--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -81,8 +81,8 @@
         this.effects = effects;
         this.deadline = RequestDeadline.of(request, effects);
         this.silenceWatch = SilenceWatch.of(route, effects);
-        this.answerEnd = AnswerEnd.of(effects);
         this.history = AttemptHistory.of(route);
+        this.answerEnd = AnswerEnd.of(effects, history);
         this.inquiry = PlacementInquiry.of(effects, history);
         this.statistics = new AnswerStatistics(effects);
         this.legs = LegPair.of(effects, history, statistics);
@@ -269,7 +269,7 @@
             history.recordFailure(leg, "the entry stops");
         });
         abandonAll();
-        giveUp("the entry stops", ErrorKind.STOPPING.raise());
+        answerEnd.giveUp("the entry stops", ErrorKind.STOPPING.raise());
     }
 
     // ---- Placement and sending
@@ -297,7 +297,7 @@
         if (legs.current().isPresent()) {
             keepCurrent();
         } else {
-            giveUp("no endpoint to go on with: " + error.getMessage(), error);
+            answerEnd.giveUp("no endpoint to go on with: " + error.getMessage(), error);
         }
     }
 
@@ -402,10 +402,11 @@
             effects.abandon(leg.number());
             history.recordFailure(leg, "status " + head.status());
             legs.endCurrent(End.FAULT);
-            answerEnd.fail(endpointFailed());
+            answerEnd.giveUp();
             return;
         }
         headSent = true;
+        answerEnd.recordHeadSent();
         framesEvents = route.isResumableStream() && head.isSuccess();
         pinnedVersion = head.version();
         effects.answerHead(leg.number());
@@ -459,7 +460,7 @@
             effects.explain("try-elsewhere", history.lastFailure());
             requestPlacement(kind);
         } else {
-            giveUp(history.lastFailure(), ErrorKind.NO_ENDPOINT.raise(request.service()));
+            answerEnd.giveUp(history.lastFailure(), ErrorKind.NO_ENDPOINT.raise(request.service()));
         }
     }
 
@@ -498,21 +499,7 @@
             effects.explain(headSent ? "resume-elsewhere" : "try-elsewhere", detail);
             requestPlacement(Kind.REPEAT);
         } else {
-            giveUp(detail, endpointFailed());
-        }
-    }
-
-    /**
-     * Ends the request without an answer of an endpoint.
-     *
-     * @param detail why, if an answer has started
-     * @param ifNotRun the error if no attempt may have run
-     */
-    private void giveUp(String detail, YuccagwException ifNotRun) {
-        if (headSent) {
-            answerEnd.abort(detail);
-        } else {
-            answerEnd.fail(history.mayHaveRun() ? endpointFailed() : ifNotRun);
+            answerEnd.giveUp();
         }
     }
 
@@ -522,15 +509,10 @@
             forwardHeldError();
             return;
         }
-        boolean mayHaveRun = history.mayHaveRun() || legs.current().isPresent();
+        legs.current().ifPresent(history::recordRun);
         abandonAll();
-        if (headSent) {
-            answerEnd.abort("the time of the request is over");
-        } else if (mayHaveRun) {
-            answerEnd.fail(deadline.passed());
-        } else {
-            answerEnd.fail(ErrorKind.NO_ENDPOINT.raise(request.service()));
-        }
+        answerEnd.giveUp(
+                "the time of the request is over", deadline.passed(), ErrorKind.NO_ENDPOINT.raise(request.service()));
     }
 
     // ---- Helpers
@@ -544,8 +526,4 @@
         inquiry.cancel();
         legs.abandonAll();
     }
-
-    private YuccagwException endpointFailed() {
-        return ErrorKind.ENDPOINT_FAILED.raise(history.lastEndpoint(), history.lastFailure());
-    }
 }
