--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -419,6 +419,7 @@
         holdingError = true;
         history.exclude(leg.endpoint());
         history.recordFailure(leg, "status " + head.status());
+        legs.replacement().ifPresent(silenceWatch::watch);
         if (!isSeekingReplacement()) {
             requestPlacement(Kind.REPEAT);
         }
--- a/src/test/java/org/yuccagw/core/forward/ReplacementFailureTest.java
+++ b/src/test/java/org/yuccagw/core/forward/ReplacementFailureTest.java
@@ -54,6 +54,19 @@
         assertTrue(effects.timers.contains("HEAD of leg 2"), effects.timers.toString());
     }
 
+    // Guards against waiting until the deadline for a replacement because the silent endpoint answers with an error.
+    @Test
+    public void aReplacementIsWatchedForSilenceOnceTheSilentEndpointAnswersWithAnError() {
+        ForwardMachine machine = begin(RouteKind.IDEMPOTENT, false, 3);
+        machine.onPlacementDecision(placed("e1"));
+        effects.advance(Duration.ofMillis(400));
+        machine.onTimer(TimerKind.HEAD, 1);
+        machine.onPlacementDecision(placed("e2"));
+        machine.onDelivery(2);
+        machine.onHead(1, answer(500, true, true));
+        assertTrue(effects.timers.contains("HEAD of leg 2"), effects.timers.toString());
+    }
+
     // Guards against an error of the entry where an endpoint's own error answer is there.
     @Test
     public void aHeldErrorAnswerIsForwardedAtTheDeadline() {
