Accept no request while stopping that may last beyond the grace time

Cause: a stopping entry accepted calls until 2 s before its end, whatever their timeout. Change: from the time at which it refuses streams, it refuses calls as not run whose own or route's timeout ends after the grace time. Calls with short timeouts are accepted as before.

--- a/src/main/java/org/yuccagw/adapters/serving/ServingServer.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingServer.java
@@ -1,5 +1,6 @@
 package org.yuccagw.adapters.serving;
 
+import com.google.common.collect.Comparators;
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import io.undertow.Undertow;
@@ -61,6 +62,7 @@
     private volatile boolean closingConnections;
     private volatile boolean refusingNewStreams;
     private volatile boolean refusingNewRequests;
+    private volatile Optional<Long> endNanos = Optional.empty();
 
     private ServingServer(
             ServingServices services, GatewaySettings settings, XnioWorker worker, ActiveRequests activeRequests) {
@@ -103,6 +105,15 @@
         refusingNewStreams = true;
     }
 
+    /**
+     * Refuses new requests from now on as not run if they may last beyond the end of the grace time.
+     *
+     * @param graceEndNanos monotonic time at which all requests are ended
+     */
+    public void refuseRequestsBeyond(long graceEndNanos) {
+        endNanos = Optional.of(graceEndNanos);
+    }
+
     /** Refuses new requests from now on as not run. */
     public void refuseNewRequests() {
         refusingNewRequests = true;
@@ -141,7 +152,7 @@
         Route route =
                 deployment.route(head.host(), exchange.getRequestURI()).orElseThrow(ErrorKind.UNKNOWN_ROUTE::raise);
         Optional<WorkspaceAccess> workspace = workspaceOf(deployment, route, head);
-        if (refusingNewStreams && route.streamed()) {
+        if ((refusingNewStreams && route.streamed()) || mayOutlastStop(route, head)) {
             throw ErrorKind.STOPPING.raise().withRetryAfter(Duration.ZERO);
         }
         if (HttpContinue.requiresContinueResponse(exchange)) {
@@ -161,6 +172,11 @@
         }
     }
 
+    private boolean mayOutlastStop(Route route, CallerHead head) {
+        Duration timeout = Comparators.min(route.timeout(), head.timeout().orElse(route.timeout()));
+        return endNanos.isPresent() && System.nanoTime() + timeout.toNanos() - endNanos.get() > 0;
+    }
+
     private void readBody(
             HttpServerExchange exchange,
             Deployment deployment,
--- a/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
@@ -216,6 +216,7 @@
                 grace.minus(COMPLETION_TIME));
         awaitUntil(startNanos + (long) (grace.toNanos() * NEW_STREAMS_GRACE_FRACTION), false);
         server.refuseNewStreams();
+        server.refuseRequestsBeyond(startNanos + grace.minus(CLOSE_TIME).toNanos());
         awaitUntil(startNanos + acceptTime.toNanos(), false);
         server.refuseNewRequests();
         awaitUntil(startNanos + grace.minus(CLOSE_TIME).toNanos(), true);
