Log what showed the end of an answer, and how much of its last event came

The HTTP client now tells its listeners what showed the end of a body (BodyEnd), and the events of all streams are followed. 'ended' lines have body_end and last_event, and a counter has both. No decision is changed.

EventFramer's search for the ends of events is EventScanner now, which keeps no bytes. Empty lines between events are forwarded and no longer dropped, as the endpoint sent them.

--- a/src/main/java/org/yuccagw/adapters/caller/AnswerRelay.java
+++ b/src/main/java/org/yuccagw/adapters/caller/AnswerRelay.java
@@ -19,6 +19,7 @@
 import org.yuccagw.core.id.RequestId;
 import org.yuccagw.core.membership.DirectorySnapshot;
 import org.yuccagw.core.membership.EntryStatus;
+import org.yuccagw.core.port.BodyEnd;
 
 /**
  * Answers a request that repeats the idempotency key of a running request with the answer of that run, which is read
@@ -113,7 +114,7 @@
         }
 
         @Override
-        public void onEnd() {
+        public void onEnd(BodyEnd end) {
             answer.relayEnd();
         }
 
--- a/src/main/java/org/yuccagw/adapters/endpoint/OrderSender.java
+++ b/src/main/java/org/yuccagw/adapters/endpoint/OrderSender.java
@@ -18,6 +18,7 @@
 import org.yuccagw.core.control.ActionHandler;
 import org.yuccagw.core.control.ControlAction;
 import org.yuccagw.core.control.ControlInput;
+import org.yuccagw.core.port.BodyEnd;
 import org.yuccagw.core.swap.OrderEnded;
 import org.yuccagw.core.swap.OrderEnded.Outcome;
 import org.yuccagw.core.swap.OrderEndpoint;
@@ -108,7 +109,7 @@
         }
 
         @Override
-        public void onEnd() {
+        public void onEnd(BodyEnd end) {
             end(outcome());
         }
 
--- a/src/main/java/org/yuccagw/adapters/engine/EngineResponseListener.java
+++ b/src/main/java/org/yuccagw/adapters/engine/EngineResponseListener.java
@@ -11,6 +11,7 @@
 import java.nio.ByteBuffer;
 import org.yuccagw.adapters.http.HttpResponseListener;
 import org.yuccagw.adapters.http.SseParser;
+import org.yuccagw.core.port.BodyEnd;
 import org.yuccagw.core.request.AnswerHead;
 import org.yuccagw.core.request.AttemptFailure;
 import org.yuccagw.core.request.RequestMachine;
@@ -86,7 +87,7 @@
     }
 
     @Override
-    public void onEnd() {
+    public void onEnd(BodyEnd end) {
         if (status != OK) {
             failWithStatus();
         } else if (!endMarkReceived) {
--- a/src/main/java/org/yuccagw/adapters/engine/PlainResponseListener.java
+++ b/src/main/java/org/yuccagw/adapters/engine/PlainResponseListener.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.yuccagw.adapters.http.HttpResponseListener;
+import org.yuccagw.core.port.BodyEnd;
 import org.yuccagw.core.request.AnswerHead;
 import org.yuccagw.core.request.AttemptFailure;
 import org.yuccagw.core.request.RequestMachine;
@@ -60,7 +61,7 @@
     }
 
     @Override
-    public void onEnd() {
+    public void onEnd(BodyEnd end) {
         if (!failed) {
             machine.onDone(leg);
         }
--- a/src/main/java/org/yuccagw/adapters/http/HttpCall.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpCall.java
@@ -18,6 +18,7 @@
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 import org.yuccagw.adapters.http.HttpResponseListener.Phase;
+import org.yuccagw.core.port.BodyEnd;
 
 /**
  * One HTTP request in progress. All its state is confined to one I/O thread, so it needs no lock.
@@ -43,6 +44,7 @@
     private long lastByteNanos;
     private boolean bodySent;
     private Duration idleLimit = Duration.ZERO;
+    private BodyEnd bodyEnd = BodyEnd.CONNECTION;
 
     HttpCall(HttpClient client, HttpRequest request, XnioIoThread thread, HttpResponseListener listener) {
         this.client = client;
@@ -188,6 +190,10 @@
         lastByteNanos = System.nanoTime();
         responseChannel = exchange.getResponseChannel();
         idleLimit = KeepAlive.idleLimit(exchange.getResponse().getResponseHeaders());
+        bodyEnd = BodyEnds.ofResponse(
+                request.method(),
+                exchange.getResponse().getResponseCode(),
+                exchange.getResponse().getResponseHeaders());
         listener.onHead(
                 exchange.getResponse().getResponseCode(), exchange.getResponse().getResponseHeaders());
         if (finished) {
@@ -242,14 +248,14 @@
         }
         finished = true;
         cancelSilenceTimer();
-        if (bodySent) {
+        if (bodySent && bodyEnd != BodyEnd.CONNECTION) {
             client.release(request.address(), thread, connection, idleLimit);
         } else {
-            // The server responded before the whole body was sent. If the connection were reused, the server would read
-            // the rest of the body as the start of the next request.
+            // If the server responded before the whole body was sent and the connection were reused, the server would
+            // read the rest of the body as the start of the next request.
             close(connection);
         }
-        listener.onEnd();
+        listener.onEnd(bodyEnd);
     }
 
     private void fail(boolean silent, IOException cause) {
--- a/src/main/java/org/yuccagw/adapters/http/HttpClient.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpClient.java
@@ -26,6 +26,7 @@
 import org.xnio.XnioWorker;
 import org.xnio.ssl.XnioSsl;
 import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.core.port.BodyEnd;
 
 /**
  * Non-blocking HTTP client over Undertow's. Every request is confined to one I/O thread.
@@ -254,8 +255,8 @@
         }
 
         @Override
-        public void onEnd() {
-            response.complete(new HttpResponse(status, headers, body.toByteArray()));
+        public void onEnd(BodyEnd end) {
+            response.complete(new HttpResponse(status, headers, body.toByteArray(), end));
         }
 
         @Override
--- a/src/main/java/org/yuccagw/adapters/http/HttpResponse.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpResponse.java
@@ -2,9 +2,14 @@
 
 import io.undertow.util.HeaderMap;
 import java.nio.charset.StandardCharsets;
+import org.yuccagw.core.port.BodyEnd;
 
-/** A complete response to an HTTP request. */
-public record HttpResponse(int status, HeaderMap headers, byte[] body) {
+/**
+ * A response to an HTTP request.
+ *
+ * @param bodyEnd what showed that the body has ended
+ */
+public record HttpResponse(int status, HeaderMap headers, byte[] body, BodyEnd bodyEnd) {
     private static final int FIRST_SUCCESS_STATUS = 200;
     private static final int FIRST_REDIRECTION_STATUS = 300;
 
--- a/src/main/java/org/yuccagw/adapters/http/HttpResponseListener.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpResponseListener.java
@@ -3,6 +3,7 @@
 import io.undertow.util.HeaderMap;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.yuccagw.core.port.BodyEnd;
 
 /**
  * Receives the response to one HTTP request, on the I/O thread of the request. No method is called after
@@ -28,8 +29,13 @@
     /** Called with the next bytes of the body. The buffer is valid during the call only. */
     void onBytes(ByteBuffer bytes);
 
-    /** Called when the complete response has been received. */
-    void onEnd();
+    /**
+     * Called when the response has ended.
+     *
+     * @param end what showed its end. After {@link BodyEnd#CONNECTION} the response may be incomplete, so the content
+     *     must show whether it is complete
+     */
+    void onEnd(BodyEnd end);
 
     /**
      * Called when the request failed. Its connection is closed and isn't reused.
--- a/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
@@ -37,6 +37,7 @@
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.placing.PlacementDecision;
 import org.yuccagw.core.placing.PlacementRequest;
+import org.yuccagw.core.port.BodyEnd;
 
 /** Executes the effects of one request's {@link ForwardMachine} on the I/O thread of the caller's connection. */
 final class ServingRun implements ForwardEffects, CallerResponse.FlowControl {
@@ -261,16 +262,26 @@
                 .with("first_byte_ms", firstByteMillis)
                 .with("silent_ms", machine.statistics().silence().toMillis())
                 .with("total_ms", (now - arrivedNanos) / 1_000_000);
+        Decision withBodyEnd = machine.statistics()
+                .bodyEnd()
+                .map(bodyEnd -> withBodyEnd(line, bodyEnd))
+                .orElse(line);
         services.decisions()
                 .write(machine.statistics()
                         .pace()
-                        .map(pace -> withPace(line, pace))
-                        .orElse(line));
+                        .map(pace -> withPace(withBodyEnd, pace))
+                        .orElse(withBodyEnd));
         services.metrics()
                 .recordRequestEnd(request.service(), request.route().kind().name(), outcome);
         activeRequests.end(this);
     }
 
+    private Decision withBodyEnd(Decision line, BodyEnd bodyEnd) {
+        String lastEvent = machine.statistics().lastEvent().code();
+        services.metrics().recordAnswerEnd(request.service(), bodyEnd.code(), lastEvent);
+        return line.with("body_end", bodyEnd.code()).with("last_event", lastEvent);
+    }
+
     private Decision withPace(Decision line, AnswerPace pace) {
         services.metrics().recordLongestGap(request.service(), Duration.ofMillis(pace.longestGapMillis()));
         return line.with(
@@ -351,8 +362,8 @@
         }
 
         @Override
-        public void onEnd() {
-            machine.onEnd(leg);
+        public void onEnd(BodyEnd end) {
+            machine.onEnd(leg, end);
         }
 
         @Override
--- a/src/main/java/org/yuccagw/adapters/telemetry/Metrics.java
+++ b/src/main/java/org/yuccagw/adapters/telemetry/Metrics.java
@@ -54,6 +54,11 @@
             .help("Attempts whose endpoint was silent for longer than expected, by service and what became of them")
             .labelNames("service", "outcome")
             .register(registry);
+    private final Counter answerEnds = Counter.builder()
+            .name("yuccagw_endpoint_answer_ends_total")
+            .help("Answers that endpoints ended, by service, what showed the end, and how much of the last event came")
+            .labelNames("service", "shown_by", "last_event")
+            .register(registry);
     private final Counter promptTokens = Counter.builder()
             .name("yuccagw_prompt_tokens_total")
             .help("Prompt tokens by service and whether the engine reused or recomputed them")
@@ -110,6 +115,16 @@
         silences.labelValues(service.value(), outcome).inc();
     }
 
+    /**
+     * Counts an answer that its endpoint ended.
+     *
+     * @param shownBy what showed the end: the length, the last chunk or the end of the connection
+     * @param lastEvent how much of the last event came, {@code none} for answers without events
+     */
+    public void recordAnswerEnd(ServiceName service, String shownBy, String lastEvent) {
+        answerEnds.labelValues(service.value(), shownBy, lastEvent).inc();
+    }
+
     /** Counts the prompt tokens of an answered request by whether the engine reused or recomputed them. */
     public void recordPromptTokens(ServiceName service, long reused, long recomputed) {
         promptTokens.labelValues(service.value(), "reused").inc(reused);
--- a/src/main/java/org/yuccagw/bench/local/RequestCost.java
+++ b/src/main/java/org/yuccagw/bench/local/RequestCost.java
@@ -19,6 +19,7 @@
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.core.port.BodyEnd;
 import org.yuccagw.standins.engine.EngineCosts;
 
 /**
@@ -223,7 +224,7 @@
             }
 
             @Override
-            public void onEnd() {
+            public void onEnd(BodyEnd end) {
                 end(status == 200);
             }
 
--- a/src/main/java/org/yuccagw/client/ClientCall.java
+++ b/src/main/java/org/yuccagw/client/ClientCall.java
@@ -23,6 +23,7 @@
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.core.port.BodyEnd;
 import org.yuccagw.core.retry.FailureClass;
 import org.yuccagw.core.retry.RetryBudget;
 import org.yuccagw.core.retry.RetryDecision;
@@ -233,7 +234,7 @@
         }
 
         @Override
-        public void onEnd() {
+        public void onEnd(BodyEnd end) {
             if (status != STATUS_OK) {
                 handleError(errorBody.toString(java.nio.charset.StandardCharsets.UTF_8), retryAfterHeader);
             } else {
--- a/src/main/java/org/yuccagw/core/forward/AnswerStatistics.java
+++ b/src/main/java/org/yuccagw/core/forward/AnswerStatistics.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.placing.AnswerPace;
+import org.yuccagw.core.port.BodyEnd;
 
 /** What the answer to a request looked like, for logs and metrics. */
 public final class AnswerStatistics {
@@ -11,6 +12,8 @@
     private long lastReceivedNanos;
     private Optional<AnswerPace> pace = Optional.empty();
     private Optional<EndpointId> endpoint = Optional.empty();
+    private Optional<BodyEnd> bodyEnd = Optional.empty();
+    private LastEvent lastEvent = LastEvent.NONE;
 
     AnswerStatistics(ForwardEffects effects) {
         this.effects = effects;
@@ -27,6 +30,12 @@
         endpoint = Optional.of(leg.endpoint());
     }
 
+    /** Records how the endpoint ended its answer, whether or not the answer is accepted as complete. */
+    void recordBodyEnd(BodyEnd end, LastEvent last) {
+        bodyEnd = Optional.of(end);
+        lastEvent = last;
+    }
+
     /** Returns the time since the last bytes of an endpoint, or since the send if there were none. */
     public Duration silence() {
         return Duration.ofNanos(effects.nowNanos() - lastReceivedNanos);
@@ -37,6 +46,16 @@
         return pace;
     }
 
+    /** Returns what showed the end of the latest answer that an endpoint ended; empty if there was none. */
+    public Optional<BodyEnd> bodyEnd() {
+        return bodyEnd;
+    }
+
+    /** Returns how much of the last event had arrived at that end. */
+    public LastEvent lastEvent() {
+        return lastEvent;
+    }
+
     /** Returns the endpoint of the latest answer; empty if there was none. */
     public Optional<EndpointId> endpoint() {
         return endpoint;
--- /dev/null
+++ b/src/main/java/org/yuccagw/core/forward/EventScanner.java
@@ -0,0 +1,118 @@
+package org.yuccagw.core.forward;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Finds the ends of server-sent events in a stream of bytes and records the id of the last complete one. It keeps no
+ * events.
+ *
+ * <p>An event ends with an empty line. Example: after {@code id: 3\ndata: a\n\nid: 4\nda} one event is complete,
+ * {@link #lastId()} is 3, and the scanner is inside an event.
+ */
+final class EventScanner {
+    private static final String ID_FIELD = "id:";
+
+    /** Enough for the field name and the digits of a long. A longer line can't hold a valid id. */
+    private static final int MAX_ID_LINE_BYTES = 40;
+
+    private final byte[] lineStart = new byte[MAX_ID_LINE_BYTES];
+    private int lineBytes;
+    private boolean eventHasLines;
+    private boolean insideEvent;
+    private long eventId = ForwardRequest.FROM_START;
+    private long lastId;
+    private long completeEvents;
+
+    /**
+     * Creates a scanner.
+     *
+     * @param lastId id of the event after which the stream starts
+     */
+    EventScanner(long lastId) {
+        this.lastId = lastId;
+    }
+
+    /**
+     * Scans the remaining bytes of the buffer, which is left unchanged.
+     *
+     * @return number of these bytes up to the end of the last event or empty line that ends in them, 0 if none does
+     */
+    int scan(ByteBuffer bytes) {
+        int begin = bytes.position();
+        int scannedToEnd = 0;
+        for (int index = begin; index < bytes.limit(); index++) {
+            byte next = bytes.get(index);
+            insideEvent = true;
+            if (next == '\n') {
+                if (endLine()) {
+                    scannedToEnd = index + 1 - begin;
+                }
+            } else if (next != '\r') {
+                addToLine(next);
+            }
+        }
+        return scannedToEnd;
+    }
+
+    /** Returns the id of the last complete event. */
+    long lastId() {
+        return lastId;
+    }
+
+    /** Returns the number of events that are complete. */
+    long completeEvents() {
+        return completeEvents;
+    }
+
+    /** Returns whether an event has started and its end has not arrived. */
+    boolean isInsideEvent() {
+        return insideEvent;
+    }
+
+    /** Continues as if the bytes of the incomplete event had not arrived. */
+    void discardPartial() {
+        lineBytes = 0;
+        eventHasLines = false;
+        insideEvent = false;
+        eventId = ForwardRequest.FROM_START;
+    }
+
+    private void addToLine(byte next) {
+        if (lineBytes < MAX_ID_LINE_BYTES) {
+            lineStart[lineBytes] = next;
+        }
+        lineBytes++;
+    }
+
+    /** Returns whether the line was empty, so that no event is incomplete. */
+    private boolean endLine() {
+        if (lineBytes > 0) {
+            eventHasLines = true;
+            readId();
+            lineBytes = 0;
+            return false;
+        }
+        if (eventHasLines) {
+            completeEvents++;
+            lastId = Math.max(lastId, eventId);
+        }
+        discardPartial();
+        return true;
+    }
+
+    private void readId() {
+        if (lineBytes > MAX_ID_LINE_BYTES || lineStart[0] != ID_FIELD.charAt(0)) {
+            return;
+        }
+        String line = new String(lineStart, 0, lineBytes, StandardCharsets.UTF_8);
+        if (!line.startsWith(ID_FIELD)) {
+            return;
+        }
+        try {
+            eventId = Long.parseLong(line.substring(ID_FIELD.length()).trim());
+        } catch (NumberFormatException ignored) {
+            // A stream cannot be resumed after an id that is not a number. The event is forwarded unchanged.
+        }
+    }
+}
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -12,6 +12,7 @@
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.placing.PlacementDecision;
 import org.yuccagw.core.placing.PlacementRequest.Kind;
+import org.yuccagw.core.port.BodyEnd;
 
 /**
  * The state machine of one request, from its placement to the end of its answer. It is deterministic: it receives
@@ -52,7 +53,7 @@
     private final RequestDeadline deadline;
     private final SilenceWatch silenceWatch;
     private final AttemptHistory history;
-    private final EventFramer eventFramer;
+    private final AnswerBody answerBody;
     private final AnswerEnd answerEnd;
     private final PlacementInquiry inquiry;
     private final AnswerStatistics statistics;
@@ -60,7 +61,6 @@
 
     private OptionalLong pinnedVersion = OptionalLong.empty();
     private boolean headSent;
-    private boolean framesEvents;
     private boolean holdingError;
 
     /** The purposes of timers. */
@@ -86,7 +86,7 @@
         this.inquiry = PlacementInquiry.of(effects, history);
         this.statistics = new AnswerStatistics(effects);
         this.legs = LegPair.of(effects, history, statistics);
-        this.eventFramer = new EventFramer(request.afterEvent());
+        this.answerBody = AnswerBody.of(request);
     }
 
     public static ForwardMachine of(ForwardRequest request, ForwardEffects effects) {
@@ -177,29 +177,36 @@
         if (route.streamed()) {
             leg.pace().recordEvent(effects.nowNanos());
         }
-        if (!framesEvents) {
-            effects.answerBytes(bytes);
-            return;
-        }
-        ByteBuffer completed = eventFramer.accept(bytes);
-        if (eventFramer.isTooLarge()) {
-            handleLegFailure(leg, End.BROKEN, "an event has no end");
-        } else if (completed.hasRemaining()) {
+        ByteBuffer forwardable = answerBody.accept(bytes);
+        Optional<String> defect = answerBody.defect();
+        if (defect.isPresent()) {
+            handleLegFailure(leg, End.BROKEN, defect.get());
+        } else if (forwardable.hasRemaining()) {
             handleProgress(leg);
-            effects.answerBytes(completed);
+            effects.answerBytes(forwardable);
         }
     }
 
-    /** Called when the answer on a leg is complete. */
-    public void onEnd(long ofLeg) {
-        legs.current(ofLeg).ifPresent(this::handleEnd);
+    /**
+     * Called when the answer on a leg has ended.
+     *
+     * @param bodyEnd what showed its end
+     */
+    public void onEnd(long ofLeg, BodyEnd bodyEnd) {
+        legs.current(ofLeg).ifPresent(leg -> {
+            leg.recordEnd(bodyEnd);
+            handleEnd(leg);
+        });
     }
 
     private void handleEnd(Leg leg) {
         if (holdingError) {
-            leg.recordComplete();
-        } else if (framesEvents && eventFramer.isInsideEvent()) {
-            handleLegFailure(leg, End.BROKEN, "the stream ended inside an event");
+            return;
+        }
+        statistics.recordBodyEnd(leg.bodyEnd().orElseThrow(), answerBody.lastEvent());
+        Optional<String> defect = answerBody.defectAtEnd();
+        if (defect.isPresent()) {
+            handleLegFailure(leg, End.BROKEN, defect.get());
         } else {
             stopSeeking();
             legs.endCurrent(leg.isFault() ? End.FAULT : End.ANSWERED);
@@ -287,7 +294,8 @@
         Leg leg = Leg.of(history.recordSend(), chosen, effects.nowNanos());
         legs.add(leg);
         statistics.recordReceived();
-        effects.send(leg.number(), chosen, deadline.remaining(), eventFramer.lastId(), history.needsNewConnection());
+        effects.send(
+                leg.number(), chosen, deadline.remaining(), answerBody.lastEventId(), history.needsNewConnection());
         if (legs.current(leg.number()).isPresent() || holdingError) {
             silenceWatch.watch(leg);
         }
@@ -346,7 +354,7 @@
         legs.endSilence(previous, SilenceOutcome.REPLACED);
         legs.endCurrent(holdingError ? End.FAULT : End.SILENT);
         holdingError = false;
-        eventFramer.discardPartial();
+        answerBody.discardPartial();
     }
 
     private void endOverlap(long ofLeg) {
@@ -407,7 +415,7 @@
         }
         headSent = true;
         answerEnd.recordHeadSent();
-        framesEvents = route.isResumableStream() && head.isSuccess();
+        answerBody.begin(head);
         pinnedVersion = head.version();
         effects.answerHead(leg.number());
         silenceWatch.watch(leg);
@@ -431,7 +439,7 @@
         forwardAnswer(leg, leg.head().orElseThrow());
         if (!isOver()) {
             effects.resumeReading(leg.number());
-            if (leg.isComplete()) {
+            if (leg.bodyEnd().isPresent()) {
                 handleEnd(leg);
             }
         }
@@ -490,7 +498,7 @@
         }
         legs.endCurrent(holdingError ? End.FAULT : end);
         holdingError = false;
-        eventFramer.discardPartial();
+        answerBody.discardPartial();
         if (continueWithReplacement()) {
             return;
         }
@@ -520,7 +528,7 @@
 
     /** Returns whether the request may run on another endpoint, after the events that were forwarded. */
     private boolean mayRetry() {
-        return history.mayRunAgain() && deadline.permitsAttempt() && (!headSent || framesEvents);
+        return history.mayRunAgain() && deadline.permitsAttempt() && (!headSent || answerBody.isResumable());
     }
 
     private void abandonAll() {
--- a/src/main/java/org/yuccagw/core/forward/Leg.java
+++ b/src/main/java/org/yuccagw/core/forward/Leg.java
@@ -8,6 +8,7 @@
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.placing.PlacementDecision;
+import org.yuccagw.core.port.BodyEnd;
 
 /** One send of a request to an endpoint, and what was received from there. */
 final class Leg {
@@ -17,7 +18,7 @@
     private Optional<EndpointAnswerHead> head = Optional.empty();
     private boolean delivered;
     private boolean silent;
-    private boolean complete;
+    private Optional<BodyEnd> bodyEnd = Optional.empty();
     private long progressNanos;
 
     private Leg(long number, PlacementDecision.Placed placed, long nowNanos) {
@@ -72,13 +73,14 @@
         return delivered;
     }
 
-    /** Records that the whole answer was received. */
-    void recordComplete() {
-        complete = true;
+    /** Records that the answer has ended, and what showed its end. */
+    void recordEnd(BodyEnd end) {
+        bodyEnd = Optional.of(end);
     }
 
-    boolean isComplete() {
-        return complete;
+    /** Returns what showed the end of the answer; empty if it hasn't ended. */
+    Optional<BodyEnd> bodyEnd() {
+        return bodyEnd;
     }
 
     /** Records that a part of the answer arrived that can be forwarded. */
--- a/src/main/java/org/yuccagw/platform/KeyValueClient.java
+++ b/src/main/java/org/yuccagw/platform/KeyValueClient.java
@@ -16,6 +16,7 @@
 import org.yuccagw.adapters.http.HttpResponseListener;
 import org.yuccagw.adapters.http.JsonText;
 import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.core.port.BodyEnd;
 import org.yuccagw.core.port.KeyValueAnswer;
 import org.yuccagw.core.port.KeyValueAnswer.Item;
 import org.yuccagw.core.port.KeyValueCall;
@@ -254,7 +255,7 @@
         }
 
         @Override
-        public void onEnd() {
+        public void onEnd(BodyEnd end) {
             KeyValueAnswer read;
             try {
                 read = readAnswer(call, status, body.toByteArray());
--- a/src/main/java/org/yuccagw/standins/engine/OrderHandler.java
+++ b/src/main/java/org/yuccagw/standins/engine/OrderHandler.java
@@ -14,6 +14,7 @@
 import org.yuccagw.adapters.http.HttpResponseListener;
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.core.id.WeightVersion;
+import org.yuccagw.core.port.BodyEnd;
 import org.yuccagw.standins.http.StandInCall;
 import org.yuccagw.standins.http.StandInJson;
 
@@ -131,7 +132,7 @@
         }
 
         @Override
-        public void onEnd() {
+        public void onEnd(BodyEnd end) {
             if (successful) {
                 completeAfterLoadTime(() -> runtime.switchVersion(version));
             } else {
--- a/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
+++ b/src/test/java/org/yuccagw/core/forward/ForwardMachineTest.java
@@ -18,6 +18,7 @@
 import org.yuccagw.core.notice.RateLimit;
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.placing.PlacementDecision;
+import org.yuccagw.core.port.BodyEnd;
 
 public class ForwardMachineTest extends ForwardScenario {
     private static final EndpointIncarnation FIRST_INCARNATION = EndpointIncarnation.of(EndpointId.of("e1"), 1);
@@ -30,7 +31,7 @@
         machine.onPlacementDecision(placed("e1"));
         machine.onHead(1, ok());
         machine.onBytes(1, bytes("body"));
-        machine.onEnd(1);
+        machine.onEnd(1, BodyEnd.LAST_CHUNK);
         assertEquals(effects.lines.get(1), "send leg 1 to e1 left 800 after -1");
         assertEquals(effects.callerBody.toString(), "body");
         assertEquals(effects.attempts, ImmutableList.of(End.ANSWERED));
@@ -63,7 +64,7 @@
         ForwardMachine machine = begin(RouteKind.IDEMPOTENT, false, 2);
         machine.onPlacementDecision(placed("e1"));
         machine.onHead(1, ok());
-        machine.onEnd(1);
+        machine.onEnd(1, BodyEnd.LAST_CHUNK);
         assertEquals(effects.notices, ImmutableList.of());
         ForwardMachine second = begin(RouteKind.IDEMPOTENT, false, 2);
         second.onPlacementDecision(placed("e1", true));
@@ -154,7 +155,7 @@
         assertTrue(effects.lines.contains("place UNSENT without [e1]"), effects.lines.toString());
         machine.onPlacementDecision(placed("e2"));
         machine.onHead(2, ok());
-        machine.onEnd(2);
+        machine.onEnd(2, BodyEnd.LAST_CHUNK);
         assertEquals(effects.attempts, ImmutableList.of(End.UNREACHED, End.ANSWERED));
     }
 
@@ -248,7 +249,7 @@
         machine.onHead(1, answer(500, true, true));
         machine.onPlacementDecision(new PlacementDecision.Refused(ErrorKind.RETRY_BUDGET_SPENT.raise(SERVICE)));
         machine.onBytes(1, bytes("why"));
-        machine.onEnd(1);
+        machine.onEnd(1, BodyEnd.LAST_CHUNK);
         assertEquals(effects.callerBody.toString(), "why");
         assertEquals(effects.attempts, ImmutableList.of(End.FAULT));
     }
@@ -258,11 +259,11 @@
         ForwardMachine machine = begin(RouteKind.IDEMPOTENT, false, 2);
         machine.onPlacementDecision(placed("e1"));
         machine.onHead(1, answer(500, true, true));
-        machine.onEnd(1);
+        machine.onEnd(1, BodyEnd.LAST_CHUNK);
         machine.onPlacementDecision(placed("e2"));
         machine.onHead(2, ok());
         machine.onBytes(2, bytes("good"));
-        machine.onEnd(2);
+        machine.onEnd(2, BodyEnd.LAST_CHUNK);
         assertEquals(effects.callerBody.toString(), "good");
         assertEquals(effects.ends, 1);
     }
@@ -284,7 +285,7 @@
         assertTrue(effects.lines.get(effects.lines.size() - 1).contains("after 2"));
         machine.onHead(2, ok());
         machine.onBytes(2, bytes("id: 3\ndata: c\n\n"));
-        machine.onEnd(2);
+        machine.onEnd(2, BodyEnd.LAST_CHUNK);
         assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
         assertEquals(
                 effects.lines.stream().filter(line -> line.startsWith("head")).count(), 1);
@@ -296,7 +297,7 @@
         machine.onPlacementDecision(placed("e1"));
         machine.onHead(1, ok());
         machine.onBytes(1, bytes("id: 1\ndata: a\n\nid: 2\nda"));
-        machine.onEnd(1);
+        machine.onEnd(1, BodyEnd.LAST_CHUNK);
         assertTrue(effects.lines.contains("cut"));
         assertFalse(effects.lines.contains("end"));
     }
@@ -335,7 +336,7 @@
         assertTrue(effects.lines.contains("abandon leg 1"), effects.lines.toString());
         machine.onHead(2, ok());
         machine.onBytes(2, bytes("id: 2\ndata: b\n\n"));
-        machine.onEnd(2);
+        machine.onEnd(2, BodyEnd.LAST_CHUNK);
         assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     }
 
--- a/src/test/java/org/yuccagw/core/forward/ReplacementFailureTest.java
+++ b/src/test/java/org/yuccagw/core/forward/ReplacementFailureTest.java
@@ -8,6 +8,7 @@
 import org.yuccagw.core.deployment.RouteKind;
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.forward.ForwardMachine.TimerKind;
+import org.yuccagw.core.port.BodyEnd;
 
 /** Replacements of silent endpoints that don't answer with success. */
 public class ReplacementFailureTest extends ForwardScenario {
@@ -23,7 +24,7 @@
         machine.onHead(2, answer(500, true, true));
         machine.onHead(1, ok());
         machine.onBytes(1, bytes("late"));
-        machine.onEnd(1);
+        machine.onEnd(1, BodyEnd.LAST_CHUNK);
         assertEquals(effects.callerBody.toString(), "late", effects.lines.toString());
     }
 
@@ -39,7 +40,7 @@
         machine.onHead(2, answer(429, true, true));
         machine.onHead(1, ok());
         machine.onBytes(1, bytes("late"));
-        machine.onEnd(1);
+        machine.onEnd(1, BodyEnd.LAST_CHUNK);
         assertEquals(effects.callerBody.toString(), "late", effects.lines.toString());
     }
 
@@ -102,7 +103,7 @@
         effects.whenAnswerEnds = machine::onCallerDisconnected;
         machine.onPlacementDecision(placed("e1"));
         machine.onHead(1, ok());
-        machine.onEnd(1);
+        machine.onEnd(1, BodyEnd.LAST_CHUNK);
         assertEquals(effects.ends, 1);
     }
 
--- a/src/test/java/org/yuccagw/core/forward/SilentEndpointTest.java
+++ b/src/test/java/org/yuccagw/core/forward/SilentEndpointTest.java
@@ -10,6 +10,7 @@
 import org.yuccagw.core.deployment.RouteKind;
 import org.yuccagw.core.forward.ForwardMachine.TimerKind;
 import org.yuccagw.core.placing.AttemptEnded.End;
+import org.yuccagw.core.port.BodyEnd;
 
 /** Endpoints that send nothing for a while, during which another endpoint is sought. */
 public class SilentEndpointTest extends ForwardScenario {
@@ -23,7 +24,7 @@
         passSilenceTimeout(machine);
         machine.onPlacementDecision(refused());
         machine.onBytes(1, bytes("id: 2\ndata: b\n\n"));
-        machine.onEnd(1);
+        machine.onEnd(1, BodyEnd.LAST_CHUNK);
         assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
         assertEquals(effects.attempts, ImmutableList.of(End.ANSWERED));
         assertFalse(effects.lines.contains("cut"), effects.lines.toString());
@@ -37,7 +38,7 @@
         machine.onHead(1, ok());
         passSilenceTimeout(machine);
         machine.onBytes(1, bytes("id: 1\ndata: a\n\n"));
-        machine.onEnd(1);
+        machine.onEnd(1, BodyEnd.LAST_CHUNK);
         assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\n");
         assertEquals(effects.attempts, ImmutableList.of(End.ANSWERED));
     }
@@ -52,7 +53,7 @@
         machine.onPlacementDecision(refused());
         machine.onHead(1, ok());
         machine.onBytes(1, bytes("late"));
-        machine.onEnd(1);
+        machine.onEnd(1, BodyEnd.LAST_CHUNK);
         assertEquals(effects.callerBody.toString(), "late");
         assertEquals(effects.error, null);
     }
@@ -66,7 +67,7 @@
         passSilenceTimeout(machine);
         machine.onBytes(1, bytes("id: 1\ndata: a\n\n"));
         machine.onPlacementDecision(placed("e2"));
-        machine.onEnd(1);
+        machine.onEnd(1, BodyEnd.LAST_CHUNK);
         assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\n");
         assertEquals(effects.attempts, ImmutableList.of(End.LEFT, End.ANSWERED));
         assertEquals(sentLegs(), 1);
@@ -83,7 +84,7 @@
         machine.onHead(2, notRun(503));
         machine.onPlacementDecision(refused());
         machine.onBytes(1, bytes("id: 1\ndata: a\n\n"));
-        machine.onEnd(1);
+        machine.onEnd(1, BodyEnd.LAST_CHUNK);
         assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\n");
         assertEquals(effects.attempts, ImmutableList.of(End.SHED, End.ANSWERED));
     }
@@ -99,7 +100,7 @@
         machine.onFailure(2, End.UNREACHED, "refused");
         machine.onPlacementDecision(refused());
         machine.onBytes(1, bytes("id: 1\ndata: a\n\n"));
-        machine.onEnd(1);
+        machine.onEnd(1, BodyEnd.LAST_CHUNK);
         assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\n");
     }
 
@@ -116,7 +117,7 @@
         assertTrue(effects.lines.contains("abandon leg 1"), effects.lines.toString());
         machine.onBytes(1, bytes("ta: late\n\n"));
         machine.onBytes(2, bytes("id: 2\ndata: b\n\n"));
-        machine.onEnd(2);
+        machine.onEnd(2, BodyEnd.LAST_CHUNK);
         assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
         assertEquals(effects.attempts, ImmutableList.of(End.SILENT, End.ANSWERED));
     }
@@ -147,7 +148,7 @@
         machine.onPlacementDecision(placed("e2"));
         machine.onHead(2, ok());
         machine.onBytes(2, bytes("id: 2\ndata: b\n\n"));
-        machine.onEnd(2);
+        machine.onEnd(2, BodyEnd.LAST_CHUNK);
         assertEquals(effects.callerBody.toString(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
         assertEquals(
                 effects.lines.stream().filter(line -> line.startsWith("place")).count(), 2);
@@ -162,7 +163,7 @@
         machine.onPlacementDecision(placed("e2"));
         machine.onFailure(2, End.BROKEN, "reset");
         machine.onBytes(1, bytes("why"));
-        machine.onEnd(1);
+        machine.onEnd(1, BodyEnd.LAST_CHUNK);
         assertEquals(effects.callerBody.toString(), "why");
         assertEquals(effects.attempts, ImmutableList.of(End.BROKEN, End.FAULT));
     }
@@ -189,7 +190,7 @@
         passSilenceTimeout(machine);
         machine.onBytes(1, bytes("id: 1\ndata: a\n\n"));
         machine.onBytes(1, bytes("id: 2\ndata: b\n\n"));
-        machine.onEnd(1);
+        machine.onEnd(1, BodyEnd.LAST_CHUNK);
         assertEquals(effects.silences, ImmutableList.of(SilenceOutcome.CONTINUED));
     }
 }
--- a/src/test/java/org/yuccagw/daemon/VirtualCaller.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualCaller.java
@@ -28,6 +28,7 @@
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.PlacementDecision;
 import org.yuccagw.core.placing.PlacementRequest;
+import org.yuccagw.core.port.BodyEnd;
 
 /**
  * A caller in virtual time whose request is driven by a {@link ForwardMachine} at an entry. It checks what it receives,
@@ -487,7 +488,7 @@
 
         @Override
         public void onEnd() {
-            read(() -> machine.onEnd(number));
+            read(() -> machine.onEnd(number, BodyEnd.LAST_CHUNK));
         }
 
         @Override
--- a/src/test/java/org/yuccagw/platform/EndpointNoticeReaderTest.java
+++ b/src/test/java/org/yuccagw/platform/EndpointNoticeReaderTest.java
@@ -14,6 +14,7 @@
 import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.notice.EndpointNotice;
 import org.yuccagw.core.notice.NoticeReceived;
+import org.yuccagw.core.port.BodyEnd;
 
 public class EndpointNoticeReaderTest {
     private static final EndpointIncarnation ENDPOINT = EndpointIncarnation.of(EndpointId.of("e1"), 1);
@@ -75,11 +76,13 @@
         HeaderMap headers = headers("Server-Leaving", "1");
         NoticeReceived received = new NoticeReceived(ENDPOINT, EndpointNotice.ofLeaving(), false);
         assertEquals(
-                EndpointNoticeReader.readCallAnswer(ENDPOINT, new HttpResponse(503, headers, new byte[0])),
+                EndpointNoticeReader.readCallAnswer(
+                        ENDPOINT, new HttpResponse(503, headers, new byte[0], BodyEnd.LENGTH)),
                 Optional.of(received));
         headers.put(new HttpString("Yuccagw-Instance-Id"), "e2");
         assertEquals(
-                EndpointNoticeReader.readCallAnswer(ENDPOINT, new HttpResponse(503, headers, new byte[0])),
+                EndpointNoticeReader.readCallAnswer(
+                        ENDPOINT, new HttpResponse(503, headers, new byte[0], BodyEnd.LENGTH)),
                 Optional.empty());
     }
 
--- a/src/test/java/org/yuccagw/process/StreamedCall.java
+++ b/src/test/java/org/yuccagw/process/StreamedCall.java
@@ -12,6 +12,7 @@
 import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.adapters.http.HttpRequest;
 import org.yuccagw.adapters.http.HttpResponseListener;
+import org.yuccagw.core.port.BodyEnd;
 import org.yuccagw.standins.engine.SseText;
 import org.yuccagw.standins.http.StandInJson;
 
@@ -49,7 +50,7 @@
     }
 
     @Override
-    public void onEnd() {
+    public void onEnd(BodyEnd end) {
         complete = true;
         ended.complete(null);
     }
