Abort streams that their endpoints end inside an event

Cause: the end of the connection was taken for the end of the answer. An answer may come with neither a length nor chunks and end with its connection; a crashed engine's ends in the same way. ForwardMachine looked at events only where a stream may be resumed, so on every other route an end was a good end.

AnswerEndingsTest#aStreamThatEndsInsideAnEventDoesNotLookComplete failed in 34 of 88 cases, BrokenStreamTest in 5 of 10.

Change: AnswerBody follows the events of every successful stream, whatever shows the end of the body. A stream that ends inside an event is broken off, and so is one whose connection ends before its first event: it goes on elsewhere if it may be resumed, and is aborted otherwise.

A stream that its connection ends between two events can't be told from a whole one and is forwarded as such.

--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -203,8 +203,9 @@
         if (holdingError) {
             return;
         }
-        statistics.recordBodyEnd(leg.bodyEnd().orElseThrow(), answerBody.lastEvent());
-        Optional<String> defect = answerBody.defectAtEnd();
+        BodyEnd bodyEnd = leg.bodyEnd().orElseThrow();
+        statistics.recordBodyEnd(bodyEnd, answerBody.lastEvent());
+        Optional<String> defect = answerBody.defectAtEnd(bodyEnd);
         if (defect.isPresent()) {
             handleLegFailure(leg, End.BROKEN, defect.get());
         } else {
