Accept answers that only the end of their connection ends

What callers saw: 502 for a sound answer that has neither a length nor chunks nor 'Connection: close', and whose request had run.

Cause: an answer without a stated end counted as no answer (EndpointAnswerHead.framed), since its end could not be told from a broken connection. The client library reads such a body to the end of its connection and reports a reset as a failure (probed over sockets), and the events of a stream show whether it is whole.

Change: 'framed' is gone. HttpCall never keeps a connection whose end was that of the answer.

--- a/src/main/java/org/yuccagw/core/forward/EndpointAnswerHead.java
+++ b/src/main/java/org/yuccagw/core/forward/EndpointAnswerHead.java
@@ -13,7 +13,6 @@
  * @param notRun whether the endpoint states that it did not run the request
  * @param fromOtherEndpoint whether an endpoint other than the expected one answered
  * @param encoded whether the body has a content encoding, which endpoints never apply
- * @param framed whether the framing distinguishes the end of the body from a broken connection
  * @param version weight version that generated the answer
  * @param notice state of the endpoint as stated in the head
  */
@@ -24,7 +23,6 @@
         boolean notRun,
         boolean fromOtherEndpoint,
         boolean encoded,
-        boolean framed,
         OptionalLong version,
         EndpointNotice notice) {
     private static final int MISDIRECTED = 421;
@@ -41,7 +39,7 @@
     /** Returns whether the answer may be forwarded as an answer of the endpoint to this request. */
     boolean isGenuine() {
         boolean complete = !isSuccess() || sealed;
-        return forThisRequest && !encoded && framed && complete;
+        return forThisRequest && !encoded && complete;
     }
 
     /**
--- a/src/main/java/org/yuccagw/platform/EndpointHeaders.java
+++ b/src/main/java/org/yuccagw/platform/EndpointHeaders.java
@@ -86,9 +86,6 @@
     static EndpointAnswerHead readAnswer(int status, HeaderMap headers, RequestId request, EndpointId expected) {
         String requestId = headers.getFirst(PlatformNames.REQUEST_ID);
         String endpoint = headers.getFirst(PlatformNames.ENDPOINT_ID);
-        boolean framed = headers.contains(Headers.CONTENT_LENGTH)
-                || headers.contains(Headers.TRANSFER_ENCODING)
-                || "close".equalsIgnoreCase(headers.getFirst(Headers.CONNECTION));
         return new EndpointAnswerHead(
                 status,
                 request.value().equals(requestId),
@@ -96,7 +93,6 @@
                 headers.contains(PlatformNames.NOT_RUN),
                 endpoint != null && !endpoint.equals(expected.value()),
                 headers.contains(Headers.CONTENT_ENCODING),
-                framed,
                 parseLong(headers.getFirst(PlatformNames.VERSION_RUN)),
                 EndpointNoticeReader.read(status, headers));
     }
