--- a/src/main/java/org/yuccagw/core/forward/AnswerBody.java
+++ b/src/main/java/org/yuccagw/core/forward/AnswerBody.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import org.yuccagw.core.deployment.Route;
 import org.yuccagw.core.port.BodyEnd;
+import org.yuccagw.core.stream.EventFramer;
+import org.yuccagw.core.stream.EventScanner;
 
 /**
  * The body of the answer that is forwarded to the caller, whichever legs it comes from.
@@ -24,8 +26,8 @@
     private AnswerBody(Route route, long afterEvent) {
         this.route = route;
         this.startsAfter = afterEvent;
-        this.scanner = new EventScanner(afterEvent);
-        this.framer = new EventFramer(scanner);
+        this.scanner = EventScanner.after(afterEvent);
+        this.framer = EventFramer.of(scanner);
     }
 
     /** Returns the body of the answer to a request that has not been answered yet. */
--- a/src/main/java/org/yuccagw/core/forward/ForwardRequest.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardRequest.java
@@ -7,6 +7,7 @@
 import org.yuccagw.core.id.RequestId;
 import org.yuccagw.core.id.ServiceName;
 import org.yuccagw.core.prompt.PromptShape;
+import org.yuccagw.core.stream.EventScanner;
 
 /**
  * The request of a caller, as needed by a {@link ForwardMachine}.
@@ -26,5 +27,5 @@
         String fingerprint,
         long afterEvent) {
     /** The caller has received no event of the stream. */
-    public static final long FROM_START = -1;
+    public static final long FROM_START = EventScanner.NO_ID;
 }
--- a/src/main/java/org/yuccagw/core/forward/EventFramer.java
+++ b/src/main/java/org/yuccagw/core/stream/EventFramer.java
@@ -1,4 +1,4 @@
-package org.yuccagw.core.forward;
+package org.yuccagw.core.stream;
 
 import java.nio.ByteBuffer;
 import java.util.Arrays;
@@ -10,19 +10,24 @@
  * and the stream is continued on another endpoint with the event after the last complete one. The bytes of an
  * incomplete event are discarded.
  */
-final class EventFramer {
+public final class EventFramer {
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
     private final EventScanner scanner;
     private byte[] partial = new byte[256];
     private int partialBytes;
 
-    EventFramer(EventScanner scanner) {
+    private EventFramer(EventScanner scanner) {
         this.scanner = scanner;
     }
 
+    /** Returns a framer of the stream that the scanner scans. */
+    public static EventFramer of(EventScanner scanner) {
+        return new EventFramer(scanner);
+    }
+
     /** Adds bytes and returns the events that they complete, possibly none. */
-    ByteBuffer accept(ByteBuffer bytes) {
+    public ByteBuffer accept(ByteBuffer bytes) {
         int completing = scanner.scan(bytes);
         if (completing == 0) {
             keep(bytes);
@@ -38,12 +43,12 @@
     }
 
     /** Returns whether the incomplete event is larger than 1 MiB. */
-    boolean isTooLarge() {
+    public boolean isTooLarge() {
         return partialBytes > MAX_EVENT_BYTES;
     }
 
     /** Discards the bytes of an incomplete event. */
-    void discardPartial() {
+    public void discardPartial() {
         partialBytes = 0;
         scanner.discardPartial();
     }
--- a/src/main/java/org/yuccagw/core/forward/EventScanner.java
+++ b/src/main/java/org/yuccagw/core/stream/EventScanner.java
@@ -1,4 +1,4 @@
-package org.yuccagw.core.forward;
+package org.yuccagw.core.stream;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -10,7 +10,10 @@
  * <p>An event ends with an empty line. Example: after {@code id: 3\ndata: a\n\nid: 4\nda} one event is complete,
  * {@link #lastId()} is 3, and the scanner is inside an event.
  */
-final class EventScanner {
+public final class EventScanner {
+    /** Id before the first event of a stream. */
+    public static final long NO_ID = -1;
+
     private static final String ID_FIELD = "id:";
 
     /** Enough for the field name and the digits of a long. A longer line can't hold a valid id. */
@@ -20,25 +23,30 @@
     private int lineBytes;
     private boolean eventHasLines;
     private boolean insideEvent;
-    private long eventId = ForwardRequest.FROM_START;
+    private long eventId = NO_ID;
     private long lastId;
     private long completeEvents;
 
-    /**
-     * Creates a scanner.
-     *
-     * @param lastId id of the event after which the stream starts
-     */
-    EventScanner(long lastId) {
+    private EventScanner(long lastId) {
         this.lastId = lastId;
     }
 
+    /** Returns a scanner of a whole stream. */
+    public static EventScanner fromStart() {
+        return new EventScanner(NO_ID);
+    }
+
+    /** Returns a scanner of a stream that starts after the event with the id. */
+    public static EventScanner after(long lastId) {
+        return new EventScanner(lastId);
+    }
+
     /**
      * Scans the remaining bytes of the buffer, which is left unchanged.
      *
      * @return number of these bytes up to the end of the last event or empty line that ends in them, 0 if none does
      */
-    int scan(ByteBuffer bytes) {
+    public int scan(ByteBuffer bytes) {
         int begin = bytes.position();
         int scannedToEnd = 0;
         for (int index = begin; index < bytes.limit(); index++) {
@@ -56,26 +64,26 @@
     }
 
     /** Returns the id of the last complete event. */
-    long lastId() {
+    public long lastId() {
         return lastId;
     }
 
     /** Returns the number of events that are complete. */
-    long completeEvents() {
+    public long completeEvents() {
         return completeEvents;
     }
 
     /** Returns whether an event has started and its end has not arrived. */
-    boolean isInsideEvent() {
+    public boolean isInsideEvent() {
         return insideEvent;
     }
 
     /** Continues as if the bytes of the incomplete event had not arrived. */
-    void discardPartial() {
+    public void discardPartial() {
         lineBytes = 0;
         eventHasLines = false;
         insideEvent = false;
-        eventId = ForwardRequest.FROM_START;
+        eventId = NO_ID;
     }
 
     private void addToLine(byte next) {
--- a/src/test/java/org/yuccagw/core/request/TestRequests.java
+++ b/src/test/java/org/yuccagw/core/request/TestRequests.java
@@ -39,17 +39,32 @@
         return machine;
     }
 
+    /** Returns a request to a plain service that was sent to the endpoint e1 as leg 1 of attempt 1. */
+    static RequestMachine sentPlain(RecordedEffects effects) {
+        RequestMachine machine = RequestMachine.of(profile(false, false, Optional.empty()), effects);
+        machine.begin();
+        machine.onAdmitted(Optional.empty());
+        machine.onQuarantineDecision(new QuarantineRequested.Decision.Unrestricted());
+        machine.onRoute(chosen("e1", 1));
+        return machine;
+    }
+
     static RequestMachine machine(RecordedEffects effects, boolean idempotent, boolean keyed) {
         WorkspaceId workspace = WorkspaceId.of("w");
         RequestId request = RequestId.of("r1");
         Optional<Claim> claim = keyed
                 ? Optional.of(new Claim(workspace, IdempotencyKey.of("k"), "00", request, EntryId.of("entry-1")))
                 : Optional.empty();
-        RequestProfile profile = new RequestProfile(
-                request,
+        return RequestMachine.of(profile(true, idempotent, claim), effects);
+    }
+
+    private static RequestProfile profile(boolean model, boolean idempotent, Optional<Claim> claim) {
+        WorkspaceId workspace = WorkspaceId.of("w");
+        return new RequestProfile(
+                RequestId.of("r1"),
                 workspace,
                 ServiceName.of("assistant"),
-                true,
+                model,
                 idempotent,
                 true,
                 claim,
@@ -57,7 +72,6 @@
                 Duration.ofSeconds(60),
                 Duration.ofSeconds(20),
                 Optional.empty());
-        return RequestMachine.of(profile, effects);
     }
 
     static RouteRequested.Answer chosen(String endpoint, long attempt) {
--- a/src/test/java/org/yuccagw/core/forward/EventScannerTest.java
+++ b/src/test/java/org/yuccagw/core/stream/EventScannerTest.java
@@ -1,4 +1,4 @@
-package org.yuccagw.core.forward;
+package org.yuccagw.core.stream;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
@@ -15,7 +15,7 @@
 
     @Test
     public void theEndOfTheLastCompleteEventIsFound() {
-        EventScanner scanner = new EventScanner(ForwardRequest.FROM_START);
+        EventScanner scanner = EventScanner.fromStart();
         assertEquals(scanner.scan(bytes(TWO_EVENTS + "id: 3\nda")), TWO_EVENTS.length());
         assertEquals(scanner.lastId(), 2);
         assertEquals(scanner.completeEvents(), 2);
@@ -26,7 +26,7 @@
     @Test
     public void everyByteOfAnEventButItsLastIsInside() {
         for (int length = 1; length <= TWO_EVENTS.length(); length++) {
-            EventScanner scanner = new EventScanner(ForwardRequest.FROM_START);
+            EventScanner scanner = EventScanner.fromStart();
             scanner.scan(bytes(TWO_EVENTS.substring(0, length)));
             boolean atBoundary = length == TWO_EVENTS.length() || length == TWO_EVENTS.indexOf("version");
             assertEquals(scanner.isInsideEvent(), !atBoundary, "after " + length + " bytes");
@@ -35,7 +35,7 @@
 
     @Test
     public void emptyLinesBetweenEventsAreNotInside() {
-        EventScanner scanner = new EventScanner(ForwardRequest.FROM_START);
+        EventScanner scanner = EventScanner.fromStart();
         scanner.scan(bytes("\n\r\nid: 1\ndata: a\n\n\n"));
         assertFalse(scanner.isInsideEvent());
         assertEquals(scanner.completeEvents(), 1);
@@ -43,7 +43,7 @@
 
     @Test
     public void aDiscardedEventDoesNotCount() {
-        EventScanner scanner = new EventScanner(5);
+        EventScanner scanner = EventScanner.after(5);
         scanner.scan(bytes("id: 6\ndata: a"));
         scanner.discardPartial();
         assertFalse(scanner.isInsideEvent());
@@ -53,9 +53,9 @@
 
     @Test
     public void idsThatAreNoNumbersAreIgnored() {
-        EventScanner scanner = new EventScanner(ForwardRequest.FROM_START);
+        EventScanner scanner = EventScanner.fromStart();
         scanner.scan(bytes("id: one\n\nid: 99999999999999999999\n\nid:" + " ".repeat(50) + "7\n\nident: 9\n\n"));
-        assertEquals(scanner.lastId(), ForwardRequest.FROM_START);
+        assertEquals(scanner.lastId(), EventScanner.NO_ID);
         assertEquals(scanner.completeEvents(), 4);
     }
 
@@ -64,10 +64,10 @@
         Random random = new Random(54);
         for (int run = 0; run < RANDOM_SPLITS; run++) {
             byte[] stream = randomStream(random);
-            EventScanner whole = new EventScanner(ForwardRequest.FROM_START);
+            EventScanner whole = EventScanner.fromStart();
             int boundary = whole.scan(ByteBuffer.wrap(stream));
-            EventScanner split = new EventScanner(ForwardRequest.FROM_START);
-            EventFramer framer = new EventFramer(new EventScanner(ForwardRequest.FROM_START));
+            EventScanner split = EventScanner.fromStart();
+            EventFramer framer = EventFramer.of(EventScanner.fromStart());
             StringBuilder framed = new StringBuilder();
             for (int begin = 0; begin < stream.length; ) {
                 int length = Math.min(stream.length - begin, 1 + random.nextInt(6));
