Require a stated end of the answers between entries, callers' library and operators

What callers saw, by reading: an entry that relays the answer of a run on another entry, the caller's library and the operators' commands took the end of a connection for the end of an answer. Entries always send a length or chunks, so such an answer comes from a broken sender or from something between.

Change: a request may require a stated end (HttpRequest.withStatedEndRequired); HttpCall then fails a response without one. Used where the other side is an entry.

Test: HttpClientTest.aResponseWithoutAStatedEndFailsIfOneIsRequired, failed before.

--- a/src/main/java/org/yuccagw/adapters/caller/AnswerRelay.java
+++ b/src/main/java/org/yuccagw/adapters/caller/AnswerRelay.java
@@ -68,7 +68,8 @@
         String path = "/v1/follow/" + request + "?form=" + answer.form();
         HttpRequest httpRequest = HttpRequest.get(address.get(), path)
                 .withHeader("Authorization", authorization)
-                .withTimeouts(CONNECT_TIMEOUT, SILENCE_TIMEOUT);
+                .withTimeouts(CONNECT_TIMEOUT, SILENCE_TIMEOUT)
+                .withStatedEndRequired();
         services.entryClient().stream(httpRequest, thread, new RemoteAnswerListener());
     }
 
--- a/src/main/java/org/yuccagw/adapters/http/HttpCall.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpCall.java
@@ -194,6 +194,10 @@
                 request.method(),
                 exchange.getResponse().getResponseCode(),
                 exchange.getResponse().getResponseHeaders());
+        if (request.statedEndRequired() && bodyEnd == BodyEnd.CONNECTION) {
+            fail(false, new IOException(request.address() + " sent a response without a stated end"));
+            return;
+        }
         listener.onHead(
                 exchange.getResponse().getResponseCode(), exchange.getResponse().getResponseHeaders());
         if (finished) {
--- a/src/main/java/org/yuccagw/adapters/http/HttpRequest.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpRequest.java
@@ -15,6 +15,8 @@
  * @param newConnection whether the request is sent over a connection opened for it, never over an idle one. Used for
  *     requests that can't be sent twice, because a reused connection may turn out to be closed, or dropped by a device
  *     on the path, only after the request was written; also for probing whether the server is alive.
+ * @param statedEndRequired whether the request fails if the response has neither a length nor chunks, so that its end
+ *     looks like that of a broken connection
  */
 public record HttpRequest(
         NetworkAddress address,
@@ -24,7 +26,8 @@
         byte[] body,
         Duration connectTimeout,
         Duration silenceTimeout,
-        boolean newConnection) {
+        boolean newConnection,
+        boolean statedEndRequired) {
     private static final Duration DEFAULT_CONNECT_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration DEFAULT_SILENCE_TIMEOUT = Duration.ofSeconds(10);
     private static final byte[] EMPTY_BODY = new byte[0];
@@ -39,6 +42,7 @@
                 EMPTY_BODY,
                 DEFAULT_CONNECT_TIMEOUT,
                 DEFAULT_SILENCE_TIMEOUT,
+                false,
                 false);
     }
 
@@ -52,13 +56,22 @@
                 EMPTY_BODY,
                 DEFAULT_CONNECT_TIMEOUT,
                 DEFAULT_SILENCE_TIMEOUT,
+                false,
                 false);
     }
 
     /** Returns a request with a body of any type, with the default timeouts. */
     public static HttpRequest of(String method, NetworkAddress address, String path, byte[] body) {
         return new HttpRequest(
-                address, method, path, new HeaderMap(), body, DEFAULT_CONNECT_TIMEOUT, DEFAULT_SILENCE_TIMEOUT, false);
+                address,
+                method,
+                path,
+                new HeaderMap(),
+                body,
+                DEFAULT_CONNECT_TIMEOUT,
+                DEFAULT_SILENCE_TIMEOUT,
+                false,
+                false);
     }
 
     /** Returns a request with a JSON body, with the default timeouts. */
@@ -71,17 +84,33 @@
     public HttpRequest withHeader(String name, String value) {
         HeaderMap copy = copyHeaders();
         copy.put(HttpString.tryFromString(name), value);
-        return new HttpRequest(address, method, path, copy, body, connectTimeout, silenceTimeout, newConnection);
+        return new HttpRequest(
+                address, method, path, copy, body, connectTimeout, silenceTimeout, newConnection, statedEndRequired);
     }
 
     public HttpRequest withTimeouts(Duration newConnectTimeout, Duration newSilenceTimeout) {
         return new HttpRequest(
-                address, method, path, headers, body, newConnectTimeout, newSilenceTimeout, newConnection);
+                address,
+                method,
+                path,
+                headers,
+                body,
+                newConnectTimeout,
+                newSilenceTimeout,
+                newConnection,
+                statedEndRequired);
     }
 
     /** Returns a copy of this request that is sent over a connection opened for it. */
     public HttpRequest withNewConnection() {
-        return new HttpRequest(address, method, path, headers, body, connectTimeout, silenceTimeout, true);
+        return new HttpRequest(
+                address, method, path, headers, body, connectTimeout, silenceTimeout, true, statedEndRequired);
+    }
+
+    /** Returns a copy of this request whose response must have a length or chunks, as those of entries do. */
+    public HttpRequest withStatedEndRequired() {
+        return new HttpRequest(
+                address, method, path, headers, body, connectTimeout, silenceTimeout, newConnection, true);
     }
 
     private HeaderMap copyHeaders() {
--- a/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
@@ -144,7 +144,8 @@
                 body,
                 CONNECT_TIMEOUT,
                 silenceTimeout,
-                newConnection);
+                newConnection,
+                false);
         Attempt attempt = new Attempt(leg, placed.endpoint().id());
         attempts.put(leg, attempt);
         attempt.call = services.endpointClient().stream(httpRequest, thread, attempt);
--- a/src/main/java/org/yuccagw/cli/AdminClient.java
+++ b/src/main/java/org/yuccagw/cli/AdminClient.java
@@ -72,8 +72,9 @@
     }
 
     private HttpResponse send(HttpRequest request) {
-        HttpRequest authorized =
-                request.withHeader("Authorization", "Bearer " + key).withTimeouts(CONNECT_TIMEOUT, READ_TIMEOUT);
+        HttpRequest authorized = request.withHeader("Authorization", "Bearer " + key)
+                .withTimeouts(CONNECT_TIMEOUT, READ_TIMEOUT)
+                .withStatedEndRequired();
         try {
             return httpClient.send(authorized).get();
         } catch (ExecutionException e) {
--- a/src/main/java/org/yuccagw/client/ClientCall.java
+++ b/src/main/java/org/yuccagw/client/ClientCall.java
@@ -115,7 +115,8 @@
         HttpRequest httpRequest = resumeToken.isEmpty() ? completionRequest(entry) : resumeRequest(entry);
         HttpRequest authorized = httpRequest
                 .withHeader("Authorization", "Bearer " + settings.workspaceKey())
-                .withTimeouts(CONNECT_TIMEOUT, settings.readTimeout());
+                .withTimeouts(CONNECT_TIMEOUT, settings.readTimeout())
+                .withStatedEndRequired();
         httpClient.stream(authorized, thread, new Attempt());
     }
 
--- a/src/main/java/org/yuccagw/client/Directory.java
+++ b/src/main/java/org/yuccagw/client/Directory.java
@@ -65,7 +65,8 @@
             return CompletableFuture.completedFuture(new ArrayList<>(candidates()));
         }
         HttpRequest request = HttpRequest.get(candidates.next(), "/v1/directory?domain=" + settings.domain())
-                .withTimeouts(CONNECT_TIMEOUT, ANSWER_TIMEOUT);
+                .withTimeouts(CONNECT_TIMEOUT, ANSWER_TIMEOUT)
+                .withStatedEndRequired();
         return httpClient
                 .send(request)
                 .handle((answer, failure) -> failure == null && update(answer))
--- a/src/test/java/org/yuccagw/adapters/http/HttpClientTest.java
+++ b/src/test/java/org/yuccagw/adapters/http/HttpClientTest.java
@@ -74,6 +74,19 @@
         }
     }
 
+    // Guards against a response that looks complete although its sender failed and its connection ended.
+    @Test
+    public void aResponseWithoutAStatedEndFailsIfOneIsRequired() throws Exception {
+        try (FixedAnswerServer server = FixedAnswerServer.start("HTTP/1.1 200 OK\n\nhalf")) {
+            HttpRequest request = HttpRequest.get(server.address(), "/");
+            assertEquals(client.send(request).get(10, TimeUnit.SECONDS).text(), "half");
+            ExecutionException failure = expectThrows(
+                    ExecutionException.class,
+                    () -> client.send(request.withStatedEndRequired()).get(10, TimeUnit.SECONDS));
+            assertTrue(failure.getCause() instanceof IOException);
+        }
+    }
+
     // Guards against requests that wait forever on a connection whose state was dropped on the path. The listener here
     // accepts the connection and never sends a byte; the silence timeout must fail the request and name the cause.
     @Test
