Count a list of the key-value service as lost if it ends before its last page

What could happen: a page without items that says that there is more ended the list, and the items that hadn't come counted as removed. The flag is the end mark of a list, and was ignored there.

Test: KeyValueClientTest.aListThatEndsBeforeItsLastPageIsLost, failed before.

--- a/src/main/java/org/yuccagw/platform/KeyValueClient.java
+++ b/src/main/java/org/yuccagw/platform/KeyValueClient.java
@@ -96,7 +96,9 @@
             List<Item> items = new ArrayList<>(previousItems);
             items.addAll(found.items());
             long revision = afterKey.isEmpty() ? found.revision() : firstRevision;
-            if (found.truncated() && !found.items().isEmpty()) {
+            if (found.truncated() && found.items().isEmpty()) {
+                answer.accept(new KeyValueAnswer.Lost("the list ended before its last page"));
+            } else if (found.truncated()) {
                 String lastKey = items.get(items.size() - 1).key();
                 readPages(read, lastKey, items, revision, answer);
             } else {
--- a/src/test/java/org/yuccagw/platform/KeyValueClientTest.java
+++ b/src/test/java/org/yuccagw/platform/KeyValueClientTest.java
@@ -14,6 +14,7 @@
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import org.yuccagw.adapters.http.FixedAnswerServer;
 import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.core.port.KeyValueAnswer;
 import org.yuccagw.core.port.KeyValueCall;
@@ -117,6 +118,22 @@
         assertEquals(found.items().size(), 1_200);
     }
 
+    // Guards against a list that counts as complete although the service says that there is more.
+    @Test
+    public void aListThatEndsBeforeItsLastPageIsLost() throws Exception {
+        String page = "{\"items\":[],\"storeRevision\":5,\"truncated\":true}";
+        assertLost(new KeyValueCall.ReadPrefix("many/"), "200 OK", page);
+    }
+
+    private void assertLost(KeyValueCall call, String status, String body) throws Exception {
+        try (FixedAnswerServer server = FixedAnswerServer.start("HTTP/1.1 " + status + "\n\n" + body)) {
+            CompletableFuture<KeyValueAnswer> answer = new CompletableFuture<>();
+            KeyValueClient.of(httpClient, server.address()).submit(call, answer::complete);
+            KeyValueAnswer received = answer.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+            assertTrue(received instanceof KeyValueAnswer.Lost, received.toString());
+        }
+    }
+
     // The service is down. Without a circuit breaker each call would wait for its timeout, and a thousand entries would
     // overload the service as soon as it restarts.
     @Test
