Read no empty answer as a document without fields

What could happen: an answer without a stated end whose sender failed before its first byte was read as a JSON document without fields: as a conflict with an absent key, or as an engine's empty cache.

Change: JsonText and CacheJson report an empty body as unreadable. JsonTextTest.emptyInputGivesAMissingNode asserted the opposite, which let the two readers above take a broken message for a whole one; emptyInputIsNotADocument takes its place.

Tests: KeyValueClientTest.anAnswerWithoutItsDocumentIsLost, CacheMovementTest.aSnapshotWithoutItsDocumentIsNotRead and JsonTextTest.emptyInputIsNotADocument failed before.

--- a/src/main/java/org/yuccagw/adapters/cache/CacheJson.java
+++ b/src/main/java/org/yuccagw/adapters/cache/CacheJson.java
@@ -44,10 +44,15 @@
     /**
      * Parses the body of an answer.
      *
-     * @throws IOException if it isn't valid JSON
+     * @throws IOException if it isn't valid JSON, or if it is empty: an answer that broke off before its first byte
+     *     mustn't be read as an empty list
      */
     static JsonNode read(byte[] body) throws IOException {
-        return JSON.readTree(body);
+        JsonNode document = JSON.readTree(body);
+        if (document.isMissingNode()) {
+            throw new IOException("there is no JSON document");
+        }
+        return document;
     }
 
     static ArrayNode keys(List<BlockKey> keys) {
--- a/src/main/java/org/yuccagw/adapters/http/JsonText.java
+++ b/src/main/java/org/yuccagw/adapters/http/JsonText.java
@@ -32,12 +32,15 @@
     /**
      * Parses a document; any content after its end is ignored.
      *
-     * @return the root node, or a missing node if the input is empty
-     * @throws IOException if the document isn't valid JSON
+     * @throws IOException if the document isn't valid JSON, or if there is none. An empty answer may have broken off
+     *     before its first byte, so it mustn't be read as one without fields
      */
     public static JsonNode read(byte[] document) throws IOException {
         try (JsonParser parser = FACTORY.createParser(document)) {
-            return parser.nextToken() == null ? NODES.missingNode() : readValue(parser);
+            if (parser.nextToken() == null) {
+                throw new IOException("there is no JSON document");
+            }
+            return readValue(parser);
         }
     }
 
--- a/src/test/java/org/yuccagw/adapters/cache/CacheMovementTest.java
+++ b/src/test/java/org/yuccagw/adapters/cache/CacheMovementTest.java
@@ -15,6 +15,7 @@
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
+import org.yuccagw.adapters.http.FixedAnswerServer;
 import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.adapters.http.HttpRequest;
 import org.yuccagw.core.cache.BlockChain;
@@ -73,6 +74,17 @@
         store.stop();
     }
 
+    // Guards against an answer that broke off before its first byte and counts as an empty cache.
+    @Test
+    public void aSnapshotWithoutItsDocumentIsNotRead() throws Exception {
+        EndpointId endpoint = EndpointId.of("engine-1");
+        try (FixedAnswerServer server = FixedAnswerServer.start("HTTP/1.1 200 OK\n\n")) {
+            commandHandler.perform(new CacheCommand.ReadCacheSnapshot(endpoint, server.address()), events::add);
+            await().atMost(TIMEOUT).until(() -> !events.isEmpty());
+            assertEquals(events.get(0), new EngineCacheUpdate.ReadFailed(endpoint));
+        }
+    }
+
     @Test
     public void exportedBlocksAreImportedAfterAnEviction() throws Exception {
         List<StoredBlock> stored = export();
--- a/src/test/java/org/yuccagw/adapters/http/JsonTextTest.java
+++ b/src/test/java/org/yuccagw/adapters/http/JsonTextTest.java
@@ -41,8 +41,8 @@
     }
 
     @Test
-    public void emptyInputGivesAMissingNode() throws IOException {
-        assertTrue(JsonText.read(new byte[0]).isMissingNode());
+    public void emptyInputIsNotADocument() {
+        assertThrows(IOException.class, () -> JsonText.read(new byte[0]));
     }
 
     @DataProvider
--- a/src/test/java/org/yuccagw/platform/KeyValueClientTest.java
+++ b/src/test/java/org/yuccagw/platform/KeyValueClientTest.java
@@ -125,6 +125,13 @@
         assertLost(new KeyValueCall.ReadPrefix("many/"), "200 OK", page);
     }
 
+    // Guards against an answer that broke off before its first byte and counts as an empty one.
+    @Test
+    public void anAnswerWithoutItsDocumentIsLost() throws Exception {
+        assertLost(new KeyValueCall.ReadPrefix("many/"), "200 OK", "");
+        assertLost(compareAndSwap("key", 7, "x"), "412 Precondition Failed", "");
+    }
+
     private void assertLost(KeyValueCall call, String status, String body) throws Exception {
         try (FixedAnswerServer server = FixedAnswerServer.start("HTTP/1.1 " + status + "\n\n" + body)) {
             CompletableFuture<KeyValueAnswer> answer = new CompletableFuture<>();
