Let the soak's endpoints end their answers in all ways

Endpoints of the soak ended every answer with a last chunk. An endpoint that dies resets its connections, and the fault proxy passes a reset on as one, since an orderly end would look like that of an answer without a stated end.

--- a/src/test/java/org/yuccagw/faults/FaultProxy.java
+++ b/src/test/java/org/yuccagw/faults/FaultProxy.java
@@ -78,6 +78,11 @@
         runOnLoop(() -> List.copyOf(openConnections).forEach(ProxiedConnection::close));
     }
 
+    /** Resets all open connections, as if the target's VM had lost them. */
+    public void reset() {
+        runOnLoop(() -> List.copyOf(openConnections).forEach(ProxiedConnection::reset));
+    }
+
     /** Silences the open connections: they stay open and forward no byte any more. New connections are not affected. */
     public void silenceOpen() {
         runOnLoop(() -> openConnections.forEach(ProxiedConnection::silence));
--- a/src/test/java/org/yuccagw/faults/ProxiedConnection.java
+++ b/src/test/java/org/yuccagw/faults/ProxiedConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
@@ -34,6 +35,16 @@
         silent = true;
     }
 
+    void reset() {
+        resetOnClose(caller);
+        resetOnClose(target);
+        close();
+    }
+
+    private static void resetOnClose(Channel channel) {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    }
+
     void close() {
         caller.close();
         target.close();
@@ -78,6 +89,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            // A reset of one side must not look like an orderly end on the other.
+            resetOnClose(other);
             context.close();
         }
 
--- a/src/test/java/org/yuccagw/process/SoakAnswer.java
+++ b/src/test/java/org/yuccagw/process/SoakAnswer.java
@@ -7,11 +7,12 @@
 /**
  * The answer that every endpoint of a soak gives to a request, derived from its id.
  *
+ * @param streamed whether it is a stream of events
  * @param pieces the parts of the body in order, events in a stream
  * @param headMillis the time before the head
  * @param gapMillis the time before each piece
  */
-record SoakAnswer(List<String> pieces, long headMillis, long gapMillis) {
+record SoakAnswer(boolean streamed, List<String> pieces, long headMillis, long gapMillis) {
     private static final int MAX_EVENTS = 40;
     private static final int MAX_PARTS = 3;
 
@@ -28,8 +29,8 @@
                             : (request + " part " + number + "/" + count + " ").repeat(1 + random.nextInt(200)));
         }
         return streamed
-                ? new SoakAnswer(pieces, random.nextInt(20, 150), random.nextInt(20, 80))
-                : new SoakAnswer(pieces, random.nextInt(5, 60), random.nextInt(1, 10));
+                ? new SoakAnswer(true, pieces, random.nextInt(20, 150), random.nextInt(20, 80))
+                : new SoakAnswer(false, pieces, random.nextInt(5, 60), random.nextInt(1, 10));
     }
 
     String body() {
--- a/src/test/java/org/yuccagw/process/SoakEndpoint.java
+++ b/src/test/java/org/yuccagw/process/SoakEndpoint.java
@@ -86,7 +86,7 @@
         dead = true;
         runs.forEach(SoakRun::die);
         proxy.refuseNew();
-        proxy.cut();
+        proxy.reset();
         for (Socket socket : open) {
             socket.close();
         }
@@ -123,7 +123,9 @@
             BufferedReader reader =
                     new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
             for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-                answer(ScriptedEndpoint.readRequest(line, reader), socket, reader);
+                if (!answer(ScriptedEndpoint.readRequest(line, reader), socket, reader)) {
+                    return;
+                }
             }
         } catch (IOException ignored) {
             // The peer closed the connection, or the endpoint died.
@@ -132,14 +134,15 @@
         }
     }
 
-    private void answer(Map<String, String> request, Socket socket, BufferedReader reader) throws IOException {
+    /** Answers a request and returns whether its connection is kept. */
+    private boolean answer(Map<String, String> request, Socket socket, BufferedReader reader) throws IOException {
         if (dead) {
             throw new IOException("dead");
         }
         String id = id();
         if (!id.equals(request.get("yuccagw-expect-instance"))) {
             write(socket, "HTTP/1.1 421 Misdirected\r\nYuccagw-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-            return;
+            return true;
         }
         SoakRun run = SoakRun.begin(request, id, "seal-" + NEXT_SEAL.incrementAndGet());
         runs.add(run);
@@ -147,25 +150,38 @@
             run.loseConnection();
         }
         try {
-            SoakAnswer answer = SoakAnswer.to(run.request(), request.get(":line"));
-            pause(answer.headMillis(), socket, reader);
-            write(socket, run.head());
-            int after = Integer.parseInt(request.getOrDefault("last-event-id", "0"));
-            for (String piece : answer.pieces().subList(after, answer.pieces().size())) {
-                int half = piece.length() / 2;
-                for (String part : List.of(piece.substring(0, half), piece.substring(half))) {
-                    pause(answer.gapMillis() / 2, socket, reader);
-                    write(socket, Integer.toHexString(part.length()) + "\r\n" + part + "\r\n");
-                }
-            }
-            write(socket, "0\r\n\r\n");
-            run.end(SoakRun.End.ANSWERED);
+            return sendAnswer(run, request, socket, reader);
         } catch (IOException e) {
             run.end(SoakRun.End.LEFT);
             throw e;
         }
     }
 
+    private boolean sendAnswer(SoakRun run, Map<String, String> request, Socket socket, BufferedReader reader)
+            throws IOException {
+        SoakAnswer answer = SoakAnswer.to(run.request(), request.get(":line"));
+        SoakEnding ending = SoakEnding.of(answer, run.seal());
+        pause(answer.headMillis(), socket, reader);
+        write(socket, run.head(ending.header(answer)));
+        int after = Integer.parseInt(request.getOrDefault("last-event-id", "0"));
+        for (int number = after; number < answer.pieces().size(); number++) {
+            String piece = answer.pieces().get(number);
+            int half = piece.length() / 2;
+            pause(answer.gapMillis() / 2, socket, reader);
+            write(socket, ending.frame(piece.substring(0, half)));
+            if (ending.breaksOffIn(number)) {
+                run.breakOff();
+                socket.setSoLinger(ending.reset(), 0);
+                return false;
+            }
+            pause(answer.gapMillis() / 2, socket, reader);
+            write(socket, ending.frame(piece.substring(half)));
+        }
+        write(socket, ending.lastFrame());
+        run.end(SoakRun.End.ANSWERED);
+        return !ending.framing().isConnection();
+    }
+
     /** Waits for the given time, and while the endpoint is silent; fails at once if the peer closes the connection. */
     private void pause(long millis, Socket socket, BufferedReader reader) throws IOException {
         long due = System.nanoTime() + Duration.ofMillis(millis).toNanos();
--- a/src/test/java/org/yuccagw/process/SoakRun.java
+++ b/src/test/java/org/yuccagw/process/SoakRun.java
@@ -81,11 +81,12 @@
         return !connectionLost || hadDied(nanos);
     }
 
-    String head() {
+    /** Returns the head of its answer with the header that tells the framing. */
+    String head(String framingHeader) {
         return "HTTP/1.1 200 OK\r\nYuccagw-Request-Id: " + request
                 + "\r\nYuccagw-Response-Seal: " + seal
-                + "\r\nYuccagw-Weight-Versions: 1\r\nContent-Type: text/event-stream"
-                + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+                + "\r\nYuccagw-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
+                + framingHeader + "\r\n";
     }
 
     void loseConnection() {
@@ -99,6 +100,12 @@
         }
     }
 
+    /** Records that its endpoint breaks its answer off. */
+    void breakOff() {
+        diedNanos = System.nanoTime();
+        end(End.DIED);
+    }
+
     /** Records its end; it is DIED if its endpoint has died. */
     void end(End how) {
         endNanos = System.nanoTime();
