--- a/src/test/java/org/yuccagw/daemon/GatewayPathTest.java
+++ b/src/test/java/org/yuccagw/daemon/GatewayPathTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.adapters.http.HttpRequest;
@@ -269,6 +270,33 @@
                         || request.get(":line").contains("smuggle")));
     }
 
+    @DataProvider
+    public Object[][] bodiesThatBreakOff() {
+        return new Object[][] {
+            {"Content-Length: 20\r\n\r\nhalf"},
+            {"Content-Length: 20\r\n\r\n"},
+            {"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"},
+            {"Transfer-Encoding: chunked\r\n\r\n8\r\nhalf"},
+            {"Transfer-Encoding: chunked\r\n\r\n"},
+        };
+    }
+
+    // Guards against running a request whose caller broke it off in the middle of its body.
+    @Test(dataProvider = "bodiesThatBreakOff")
+    public void aRequestWhoseBodyBreaksOffReachesNoEndpoint(String lengthAndBody) throws Exception {
+        try (Socket socket =
+                new Socket(settings.callers().host(), settings.callers().port())) {
+            socket.setSoTimeout((int) TIMEOUT.toMillis());
+            String head = head("POST /again/broken-off", "broken-1");
+            write(socket, head.substring(0, head.length() - 2) + lengthAndBody);
+            socket.shutdownOutput();
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertFalse(answer.startsWith("HTTP/1.1 200"), answer);
+        }
+        assertTrue(endpoint.requests().stream()
+                .noneMatch(request -> request.get(":line").contains("broken-off")));
+    }
+
     // The endpoint names its rate limit in each answer. Without the limit it would receive every request of its
     // callers.
     @Test
