Split who leads and who is sent to from the exchange of heartbeats

FleetTopology answers who serves and leads, FleetMessenger sends to groups. No behaviour is changed. Tests of core.peers, LargeFleetTest, LeadPlacementTest, SilentLeadTest, HomesTest and EvacuationTest pass.

--- a/src/main/java/org/yuccagw/core/peers/PeersComponent.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersComponent.java
@@ -27,14 +27,14 @@
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.core.membership.StopRequested;
-import org.yuccagw.core.port.PeerMessage;
 
 /**
  * Exchanges heartbeats between entries, which carry their liveness, revision and load.
  *
  * <p>In a small fleet every entry sends its status to every other one, a <em>mesh</em>. With more than {@link
- * #MAX_MESH_ENTRIES} entries, the number of messages, which grows with the square of the number of entries, would be
- * too high. Each failure domain then has two <em>leads</em>, the first two of {@link LeadOrder}, and the protocol is:
+ * FleetTopology#MAX_MESH_ENTRIES} entries, the number of messages would be too high, since it grows with the square of
+ * the number of entries. Each failure domain then has two <em>leads</em>, the first two of {@link LeadOrder}, and the
+ * protocol is:
  *
  * <ol>
  *   <li>Every entry sends its status to the leads of its domain.
@@ -68,15 +68,6 @@
      */
     public static final Duration DISCOVERY_PERIOD = Duration.ofSeconds(2);
 
-    /** In a mesh of 16 an entry sends 50 messages per second, as many as a lead of 16 other entries. */
-    static final int MAX_MESH_ENTRIES = 16;
-
-    /**
-     * Number of entries up to which a fleet with leads becomes a mesh again. Lower than {@link #MAX_MESH_ENTRIES}, so
-     * that a single entry that joins and leaves doesn't switch the mode.
-     */
-    private static final int MAX_ENTRIES_TO_RETURN_TO_MESH = 12;
-
     private static final Duration MESH_HEARTBEAT_INTERVAL = Duration.ofMillis(300);
 
     /** A lead declares an entry failed after three of these intervals and reports it 60 ms later. */
@@ -116,20 +107,20 @@
     private final Map<EntryId, NetworkAddress> seedAddresses = new HashMap<>();
     private final PeerTable peers = new PeerTable(this::onContact, this::onChange);
     private final PeerRosters rosters = new PeerRosters();
+    private final FleetTopology topology = new FleetTopology(this::createView);
     private final RosterReceiver rosterReceiver =
-            new RosterReceiver(peers, rosters, this::isFirstLead, FOLLOW_TIMEOUT, ROSTER_TIME_TO_LIVE);
+            new RosterReceiver(peers, rosters, topology::isFirstLead, FOLLOW_TIMEOUT, ROSTER_TIME_TO_LIVE);
     private final LeadSearch leadSearch = new LeadSearch(peers, rosterReceiver, FOLLOW_TIMEOUT);
     private final DigestSender digestSender;
+    private final FleetMessenger messenger;
     private ControlContext context;
     private FailureDomain ownDomain;
-    private boolean meshed = true;
     private boolean leaving;
     private boolean ready;
     private boolean everReady;
     private boolean pushScheduled;
     private boolean failureCheckScheduled;
     private long round;
-    private Optional<FleetView> view = Optional.empty();
     private Optional<PeersSnapshot> snapshot = Optional.empty();
 
     /** Supplies the state of the other components of this entry for its own heartbeat. */
@@ -167,8 +158,9 @@
     private PeersComponent(LocalState localState, List<NetworkAddress> seeds) {
         this.localState = localState;
         this.seeds = List.copyOf(seeds);
-        this.digestSender =
-                new DigestSender(peers, rosters, this::view, this::status, localState::confirmedNanos, FOLLOW_TIMEOUT);
+        this.digestSender = new DigestSender(
+                peers, rosters, topology::view, this::status, localState::confirmedNanos, FOLLOW_TIMEOUT);
+        this.messenger = new FleetMessenger(topology, peers, digestSender::followers);
     }
 
     /**
@@ -184,6 +176,8 @@
     public void start(ControlContext startContext) {
         context = startContext;
         peers.start(startContext);
+        topology.start(startContext);
+        messenger.start(startContext);
         rosterReceiver.start(startContext);
         leadSearch.start(startContext);
         digestSender.start(startContext);
@@ -265,118 +259,27 @@
         return alive * 2 > known;
     }
 
-    /** Returns the entries that are alive and take requests, including this one if it does, ordered by id. */
-    public List<EntryId> serving() {
-        return FleetView.entryIds(view().serving());
-    }
-
-    /** Returns whether the fleet is small enough that every entry sends heartbeats to every other one. */
-    public boolean isMeshed() {
-        return meshed;
-    }
-
-    /**
-     * Returns whether this entry is the first lead of its failure domain, which watches the key-value service on behalf
-     * of the others.
-     */
-    public boolean isFirstLead() {
-        return !meshed
-                && view().leadsOf(ownDomain).stream()
-                        .findFirst()
-                        .equals(Optional.of(context.self().entry()));
-    }
-
-    /** Returns the serving leads of the own failure domain, the first lead first; in a mesh all serving entries. */
-    public List<EntryId> ownLeads() {
-        return meshed ? serving() : view().servingLeadsOf(ownDomain);
-    }
-
-    /** Returns the first serving lead of each failure domain; in a mesh all serving entries. */
-    public List<EntryId> firstLeads() {
-        return meshed ? serving() : view().servingLeadsOfAll(1);
-    }
-
-    /** Returns the serving leads of all failure domains; in a mesh all serving entries. */
-    public List<EntryId> allLeads() {
-        return meshed ? serving() : view().servingLeadsOfAll(LeadOrder.LEADS_PER_DOMAIN);
-    }
-
-    /** Sends to the entries that rely on this one; in a mesh to none. */
-    public void sendToFollowers(PeerMessage message) {
-        if (!meshed) {
-            Set<EntryId> receivers = new LinkedHashSet<>(digestSender.followers());
-            receivers.addAll(ownLeads());
-            sendTo(List.copyOf(receivers), message);
-        }
-    }
-
-    /** Sends to every entry that places requests or may soon: in a mesh all live entries, otherwise all leads. */
-    public void sendToAllLeads(PeerMessage message) {
-        if (meshed) {
-            sendToAlive(message);
-            return;
-        }
-        sendTo(allLeads(), message);
-    }
-
-    /** Sends to the leads of the own failure domain; in a mesh to all live entries. */
-    public void sendToOwnLeads(PeerMessage message) {
-        if (meshed) {
-            sendToAlive(message);
-            return;
-        }
-        sendTo(ownLeads(), message);
+    /** Returns who serves and leads in the fleet. */
+    public FleetTopology topology() {
+        return topology;
     }
 
-    /**
-     * Sends an update of an endpoint to the entries that place requests on it: in a mesh all live entries, otherwise
-     * the first lead of the endpoint's failure domain.
-     */
-    public void sendToFirstLeadOf(FailureDomain domain, PeerMessage message) {
-        if (meshed) {
-            sendToAlive(message);
-            return;
-        }
-        sendTo(view().servingLeadsOf(domain).stream().limit(1).toList(), message);
+    /** Returns the sender of messages to groups of other entries. */
+    public FleetMessenger messenger() {
+        return messenger;
     }
 
     /** Sends this entry's status immediately, for changes that others should receive before the next heartbeat. */
     public void sendStatusNow() {
-        PeerStatus status = status();
-        if (meshed) {
-            sendToAlive(status);
-        } else {
-            sendTo(allLeads(), status);
-        }
-    }
-
-    private void sendToAlive(PeerMessage message) {
-        peers.forEach((entry, peer) -> {
-            if (peer.isAlive()) {
-                context.send(entry, message);
-            }
-        });
-    }
-
-    private void sendTo(List<EntryId> receivers, PeerMessage message) {
-        receivers.stream()
-                .filter(entry -> !entry.equals(context.self().entry()))
-                .forEach(entry -> context.send(entry, message));
-    }
-
-    private boolean isAmongLeads() {
-        return view().leadsOf(ownDomain).contains(context.self().entry());
+        messenger.sendToAllLeads(status());
     }
 
     // ---- View and snapshot
 
-    private FleetView view() {
-        if (view.isEmpty()) {
-            boolean serves = reason().isEmpty();
-            boolean mayLead = serves || (!everReady && !leaving);
-            view = Optional.of(FleetView.of(ownContact(), serves, mayLead, peers.all(), context.nowNanos()));
-        }
-        return view.get();
+    private FleetView createView() {
+        boolean serves = reason().isEmpty();
+        boolean mayLead = serves || (!everReady && !leaving);
+        return FleetView.of(ownContact(), serves, mayLead, peers.all(), context.nowNanos());
     }
 
     private PeersSnapshot snapshot() {
@@ -386,13 +289,13 @@
             addresses.putAll(seedAddresses);
             peers.forEach((entry, peer) -> addresses.put(entry, peer.contact().peers()));
             snapshot = Optional.of(
-                    new PeersSnapshot(view().serving(), reason.isEmpty(), reason, addresses.buildOrThrow()));
+                    new PeersSnapshot(topology.view().serving(), reason.isEmpty(), reason, addresses.buildOrThrow()));
         }
         return snapshot.get();
     }
 
     private void invalidateViews() {
-        view = Optional.empty();
+        topology.invalidate();
         snapshot = Optional.empty();
     }
 
@@ -415,7 +318,7 @@
         peers.detectFailures().forEach(rosters::forgetSent);
         invalidateViews();
         updateReadiness();
-        if (meshed) {
+        if (topology.isMeshed()) {
             sendStatusToAll();
         } else {
             digestSender.updateOwnRoster(ready);
@@ -427,7 +330,7 @@
     }
 
     private Duration interval() {
-        return meshed ? MESH_HEARTBEAT_INTERVAL : LEAD_HEARTBEAT_INTERVAL;
+        return topology.isMeshed() ? MESH_HEARTBEAT_INTERVAL : LEAD_HEARTBEAT_INTERVAL;
     }
 
     private boolean isTurnOfSecondLead() {
@@ -435,7 +338,7 @@
     }
 
     private void scheduleFailureCheck() {
-        if (!isFirstLead() || failureCheckScheduled) {
+        if (!topology.isFirstLead() || failureCheckScheduled) {
             return;
         }
         failureCheckScheduled = true;
@@ -447,15 +350,13 @@
     }
 
     private void updateMode() {
-        int entries = peers.size() + 1;
-        boolean exceedsMesh = meshed ? entries > MAX_MESH_ENTRIES : entries > MAX_ENTRIES_TO_RETURN_TO_MESH;
-        if (exceedsMesh == meshed) {
-            meshed = !exceedsMesh;
+        int entries = knownCount();
+        if (topology.updateMode(entries)) {
             invalidateViews();
             context.perform(Decision.of("heartbeats-changed")
-                    .with("mesh", meshed)
+                    .with("mesh", topology.isMeshed())
                     .with("entries", entries)
-                    .with("leads", ownLeads()));
+                    .with("leads", topology.ownLeads()));
         }
     }
 
@@ -472,19 +373,19 @@
         if (reason.isEmpty() == ready) {
             return;
         }
-        boolean wasLead = isAmongLeads();
+        boolean wasLead = topology.isAmongLeads();
         ready = reason.isEmpty();
         everReady |= ready;
         invalidateViews();
         updateMode();
         context.perform(Decision.of(ready ? "ready" : "not-ready").with("reason", reason));
-        if (meshed) {
+        if (topology.isMeshed()) {
             PeerStatus status = status();
             peers.ids().forEach(entry -> context.send(entry, status));
         } else {
             digestSender.updateOwnRoster(ready);
             sendStatusToLeads();
-            digestSender.send(false, wasLead || isAmongLeads(), round);
+            digestSender.send(false, wasLead || topology.isAmongLeads(), round);
         }
     }
 
@@ -510,16 +411,16 @@
      */
     private void sendStatusToLeads() {
         Set<EntryId> receivers = new LinkedHashSet<>();
-        if (!isAmongLeads()) {
-            leadSearch.follow(view().leadsOf(ownDomain));
+        if (!topology.isAmongLeads()) {
+            leadSearch.follow(topology.leadsOfOwnDomain());
             invalidateViews();
-            view().leadsOf(ownDomain).stream()
+            topology.leadsOfOwnDomain().stream()
                     .limit(isTurnOfSecondLead() ? LeadOrder.LEADS_PER_DOMAIN : 1)
                     .forEach(receivers::add);
             receivers.addAll(leadSearch.fallbackEntries());
         }
         if (!localState.loading().isEmpty() || !localState.weights().isEmpty()) {
-            receivers.addAll(allLeads());
+            receivers.addAll(topology.allLeads());
         }
         receivers.remove(context.self().entry());
         PeerStatus status = status();
@@ -528,18 +429,18 @@
 
     /** Sends the digests of this round: the first lead in each, other entries with followers in every second one. */
     private void sendDigestsInTurn() {
-        if (isFirstLead() || isTurnOfSecondLead()) {
-            digestSender.send(false, isAmongLeads(), round);
+        if (topology.isFirstLead() || isTurnOfSecondLead()) {
+            digestSender.send(false, topology.isAmongLeads(), round);
         }
     }
 
     private void schedulePush() {
-        if (!pushScheduled && !meshed) {
+        if (!pushScheduled && !topology.isMeshed()) {
             pushScheduled = true;
             context.after(ROSTER_PUSH_DELAY, () -> {
                 pushScheduled = false;
                 digestSender.updateOwnRoster(ready);
-                digestSender.send(true, isAmongLeads(), round);
+                digestSender.send(true, topology.isAmongLeads(), round);
             });
         }
     }
@@ -583,7 +484,7 @@
         long now = context.nowNanos();
         boolean alreadyFollows = peer.isFollower(now, FOLLOW_TIMEOUT.toNanos());
         peer.recordStatus(now);
-        if (!meshed && !alreadyFollows && peer.contact().domain().equals(ownDomain)) {
+        if (!topology.isMeshed() && !alreadyFollows && peer.contact().domain().equals(ownDomain)) {
             digestSender.updateOwnRoster(ready);
             digestSender.sendTo(entry);
         }
@@ -612,8 +513,9 @@
         Optional<Peer> updated = peers.update(status.contact());
         updated.ifPresent(peer -> {
             long intervalNanos = Duration.ofMillis(status.intervalMillis()).toNanos();
-            peer.recordHeartbeat(now, now + (meshed ? MISSED_MESH_HEARTBEATS : MISSED_HEARTBEATS) * intervalNanos);
-            if (peers.markAlive(peer, status.ready()) && meshed) {
+            peer.recordHeartbeat(
+                    now, now + (topology.isMeshed() ? MISSED_MESH_HEARTBEATS : MISSED_HEARTBEATS) * intervalNanos);
+            if (peers.markAlive(peer, status.ready()) && topology.isMeshed()) {
                 context.perform(Decision.of("peer-alive")
                         .with("peer", entry)
                         .with("address", peer.contact().peers()));
@@ -630,7 +532,7 @@
         boolean isNew = peers.find(contact.entry()).isEmpty();
         peers.update(contact).ifPresent(peer -> {
             peer.setListed(true);
-            if (isNew && ready && meshed) {
+            if (isNew && ready && topology.isMeshed()) {
                 context.send(contact.entry(), status());
             }
         });
--- a/src/main/java/org/yuccagw/daemon/GatewayComponents.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayComponents.java
@@ -77,13 +77,13 @@
         peers = PeersComponent.of(this, settings.seeds());
         NamedWeightsComponent weights =
                 NamedWeightsComponent.of(settings.bounds().oldWeightsAllowed());
-        stores = StoresComponent.of(peers::firstLeads);
+        stores = StoresComponent.of(peers.topology()::firstLeads);
         RateLimitFleet rateLimitFleet = new RateLimitFleet();
         NoticesComponent notices = NoticesComponent.of(rateLimitFleet);
         RateLimitsComponent rateLimits = RateLimitsComponent.of(rateLimitFleet);
         EndpointConstraints constraints = new EndpointConstraints(rateLimits, notices);
         InternalCalls internalCalls = InternalCalls.of(constraints);
-        EngineCachesComponent caches = EngineCachesComponent.of(peers::ownLeads, internalCalls);
+        EngineCachesComponent caches = EngineCachesComponent.of(peers.topology()::ownLeads, internalCalls);
         PlacementResponder responder = PlacementResponder.of(this::workOf, notices);
         placement = PlacementComponent.of(
                 new PlacementBounds(
@@ -100,7 +100,7 @@
         duty = DutyComponent.of(
                 WEIGHT_ORDERS_DUTY,
                 codec,
-                peers::allLeads,
+                peers.topology()::allLeads,
                 follow::isReachable,
                 settings.bounds().minOrderSeparation());
         orders = WeightOrdersComponent.of(
@@ -148,7 +148,7 @@
 
     /** Returns the leads of the failure domain of this entry. */
     List<EntryId> ownLeads() {
-        return peers.ownLeads();
+        return peers.topology().ownLeads();
     }
 
     /** Returns whether this entry may send requests to the endpoint, according to its local view. */
@@ -179,14 +179,16 @@
         if (placement.isRejectedByAllEndpoints(request)) {
             return List.of();
         }
-        return peers.isMeshed() ? placement.entriesWithRateLimitShare(request) : peers.ownLeads();
+        return peers.topology().isMeshed()
+                ? placement.entriesWithRateLimitShare(request)
+                : peers.topology().ownLeads();
     }
 
     /** The role of this entry in following the key-value service. */
     private final class GatewayWatchRole implements KeyValueFollowComponent.WatchRole {
         @Override
         public boolean reliesOnLeads() {
-            return !peers.isMeshed() && !peers.isFirstLead();
+            return !peers.topology().isMeshed() && !peers.topology().isFirstLead();
         }
 
         @Override
@@ -196,12 +198,12 @@
 
         @Override
         public boolean hasFollowers() {
-            return peers.isFirstLead();
+            return peers.topology().isFirstLead();
         }
 
         @Override
         public void sendToFollowers(FollowMessage.Changes changes) {
-            peers.sendToFollowers(changes);
+            peers.messenger().sendToFollowers(changes);
         }
     }
 
@@ -215,14 +217,14 @@
 
         @Override
         public int placingEntryCount() {
-            return peers.isMeshed()
+            return peers.topology().isMeshed()
                     ? peers.aliveCount()
-                    : Math.max(1, peers.firstLeads().size());
+                    : Math.max(1, peers.topology().firstLeads().size());
         }
 
         @Override
         public boolean isPlacingEntry(EntryId entry) {
-            return peers.isMeshed() || peers.firstLeads().contains(entry);
+            return peers.topology().isMeshed() || peers.topology().firstLeads().contains(entry);
         }
 
         /**
@@ -232,10 +234,10 @@
          */
         @Override
         public int retryShareCount() {
-            if (peers.isMeshed()) {
+            if (peers.topology().isMeshed()) {
                 return peers.aliveCount();
             }
-            List<EntryId> leads = peers.allLeads();
+            List<EntryId> leads = peers.topology().allLeads();
             boolean isLead = leads.contains(self);
             return isLead ? leads.size() : RETRY_SHARES_PER_LONE_ENTRY * peers.aliveCount();
         }
@@ -243,7 +245,7 @@
         /** In a mesh, each known entry has one share. Otherwise each lead of the endpoint's failure domain has one. */
         @Override
         public int coldShareCount(FailureDomain domain) {
-            if (peers.isMeshed()) {
+            if (peers.topology().isMeshed()) {
                 return peers.knownCount();
             }
             return isConnectedLeadOf(domain) ? PeersComponent.MAX_LEADS_PER_DOMAIN : 0;
@@ -251,52 +253,54 @@
 
         @Override
         public void sendToAllPlacers(PeerMessage message) {
-            peers.sendToAllLeads(message);
+            peers.messenger().sendToAllLeads(message);
         }
 
         @Override
         public void sendToPlacersFor(FailureDomain domain, PeerMessage message) {
-            peers.sendToFirstLeadOf(domain, message);
+            peers.messenger().sendToFirstLeadOf(domain, message);
         }
     }
 
     /** Returns whether this entry is a lead of the failure domain and is not partitioned from most of its entries. */
     private boolean isConnectedLeadOf(FailureDomain domain) {
-        return domain.equals(ownDomain) && peers.ownLeads().contains(self) && peers.isMajorityOfOwnDomainAlive();
+        return domain.equals(ownDomain)
+                && peers.topology().ownLeads().contains(self)
+                && peers.isMajorityOfOwnDomainAlive();
     }
 
     /** The entries that send to rate-limited endpoints, and the receivers of endpoint updates. */
     private final class RateLimitFleet implements RateLimitsComponent.Fleet {
         @Override
         public RateLimitShares sharesFor(ListedEndpoint endpoint) {
-            if (peers.isMeshed()) {
+            if (peers.topology().isMeshed()) {
                 return RateLimitShares.ofMesh(peers.servingOrRecentlySilent());
             }
             return isConnectedLeadOf(endpoint.domain())
-                    ? RateLimitShares.ofLeads(peers.ownLeads())
+                    ? RateLimitShares.ofLeads(peers.topology().ownLeads())
                     : RateLimitShares.ofUnknownPlacers();
         }
 
         @Override
         public void broadcast(PeerMessage update) {
-            if (peers.allLeads().contains(self)) {
-                peers.sendToAllLeads(update);
+            if (peers.topology().allLeads().contains(self)) {
+                peers.messenger().sendToAllLeads(update);
             } else {
-                peers.sendToOwnLeads(update);
+                peers.messenger().sendToOwnLeads(update);
             }
         }
 
         @Override
         public void sendToFollowers(PeerMessage update) {
-            if (peers.ownLeads().contains(self)) {
-                peers.sendToFollowers(update);
+            if (peers.topology().ownLeads().contains(self)) {
+                peers.messenger().sendToFollowers(update);
             }
         }
 
         @Override
         public boolean forwardsFor(EntryId from) {
-            List<EntryId> leads = peers.allLeads();
-            return !peers.isMeshed() && leads.contains(self) && !leads.contains(from);
+            List<EntryId> leads = peers.topology().allLeads();
+            return !peers.topology().isMeshed() && leads.contains(self) && !leads.contains(from);
         }
     }
 
