--- a/src/main/java/org/yuccagw/adapters/engine/PlainResponseListener.java
+++ b/src/main/java/org/yuccagw/adapters/engine/PlainResponseListener.java
@@ -82,16 +82,9 @@
         if (failed) {
             return;
         }
-        if (events.isPresent() && isBroken(events.get(), end)) {
-            machine.onFailure(leg, AttemptFailure.BROKEN, "the event stream ended before the end of an event");
-        } else {
-            machine.onDone(leg);
-        }
-    }
-
-    private static boolean isBroken(EventScanner scanner, BodyEnd end) {
-        boolean withoutEvents = scanner.completeEvents() == 0;
-        return scanner.isInsideEvent() || (end == BodyEnd.CONNECTION && withoutEvents);
+        events.flatMap(scanner -> scanner.defectAtEnd(end))
+                .ifPresentOrElse(
+                        defect -> machine.onFailure(leg, AttemptFailure.BROKEN, defect), () -> machine.onDone(leg));
     }
 
     @Override
--- a/src/main/java/org/yuccagw/core/forward/AnswerBody.java
+++ b/src/main/java/org/yuccagw/core/forward/AnswerBody.java
@@ -12,20 +12,15 @@
  *
  * <p>The events of a resumable stream are forwarded when they are complete, so that another endpoint can continue after
  * the last one. Any other body is forwarded as it arrives.
- *
- * <p>The events of every stream show whether it is complete: an endpoint that fails may end its connection, or even its
- * chunks, in the same way as one that has sent everything.
  */
 final class AnswerBody {
     private final Route route;
-    private final long startsAfter;
     private final EventScanner scanner;
     private final EventFramer framer;
     private boolean hasEvents;
 
     private AnswerBody(Route route, long afterEvent) {
         this.route = route;
-        this.startsAfter = afterEvent;
         this.scanner = EventScanner.after(afterEvent);
         this.framer = EventFramer.of(scanner);
     }
@@ -72,21 +67,7 @@
      * @param end what showed the end
      */
     Optional<String> defectAtEnd(BodyEnd end) {
-        if (!hasEvents) {
-            return Optional.empty();
-        }
-        if (scanner.isInsideEvent()) {
-            return Optional.of("the stream ended inside an event");
-        }
-        if (end == BodyEnd.CONNECTION && isWithoutEvents()) {
-            return Optional.of("the connection ended before the first event");
-        }
-        return Optional.empty();
-    }
-
-    /** Returns whether no event was received. A stream that continues after an event may have no further one. */
-    private boolean isWithoutEvents() {
-        return scanner.completeEvents() == 0 && startsAfter == ForwardRequest.FROM_START;
+        return hasEvents ? scanner.defectAtEnd(end) : Optional.empty();
     }
 
     /** Discards the bytes of an incomplete event, since the leg that sent them has ended. */
--- a/src/main/java/org/yuccagw/core/stream/EventScanner.java
+++ b/src/main/java/org/yuccagw/core/stream/EventScanner.java
@@ -2,6 +2,8 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.yuccagw.core.port.BodyEnd;
 
 /**
  * Finds the ends of server-sent events in a stream of bytes and records the id of the last complete one. It keeps no
@@ -19,6 +21,7 @@
     /** Enough for the field name and the digits of a long. A longer line can't hold a valid id. */
     private static final int MAX_ID_LINE_BYTES = 40;
 
+    private final boolean fromStart;
     private final byte[] lineStart = new byte[MAX_ID_LINE_BYTES];
     private int lineBytes;
     private boolean eventHasLines;
@@ -29,6 +32,7 @@
 
     private EventScanner(long lastId) {
         this.lastId = lastId;
+        this.fromStart = lastId == NO_ID;
     }
 
     /** Returns a scanner of a whole stream. */
@@ -78,6 +82,23 @@
         return insideEvent;
     }
 
+    /**
+     * Returns why the stream isn't complete although its sender ended it; empty if it is. A sender that fails may end
+     * its connection, or even its chunks, in the same way as one that has sent everything.
+     *
+     * @param end what showed the end
+     */
+    public Optional<String> defectAtEnd(BodyEnd end) {
+        if (insideEvent) {
+            return Optional.of("the stream ended inside an event");
+        }
+        // A stream that continues after an event may have no further one.
+        boolean withoutEvents = completeEvents == 0 && fromStart;
+        return withoutEvents && end == BodyEnd.CONNECTION
+                ? Optional.of("the connection ended before the first event")
+                : Optional.empty();
+    }
+
     /** Continues as if the bytes of the incomplete event had not arrived. */
     public void discardPartial() {
         lineBytes = 0;
