--- a/src/main/java/org/yuccagw/adapters/endpoint/OrderSender.java
+++ b/src/main/java/org/yuccagw/adapters/endpoint/OrderSender.java
@@ -3,10 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.undertow.util.HeaderMap;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Locale;
 import java.util.concurrent.ThreadLocalRandom;
@@ -14,11 +11,12 @@
 import org.xnio.XnioIoThread;
 import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.adapters.http.HttpRequest;
-import org.yuccagw.adapters.http.HttpResponseListener;
+import org.yuccagw.adapters.http.HttpResponse;
+import org.yuccagw.adapters.http.HttpResponseListener.Phase;
+import org.yuccagw.adapters.http.ResponseCollector;
 import org.yuccagw.core.control.ActionHandler;
 import org.yuccagw.core.control.ControlAction;
 import org.yuccagw.core.control.ControlInput;
-import org.yuccagw.core.port.BodyEnd;
 import org.yuccagw.core.swap.OrderEnded;
 import org.yuccagw.core.swap.OrderEnded.Outcome;
 import org.yuccagw.core.swap.OrderEndpoint;
@@ -36,6 +34,7 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(2);
     private static final int CONFLICT_STATUS = 409;
+    private static final int FIRST_SERVER_ERROR_STATUS = 500;
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final HttpClient httpClient;
@@ -70,10 +69,16 @@
         HttpRequest httpRequest = HttpRequest.json("POST", order.address(), "/v1/orders", body(order))
                 .withTimeouts(CONNECT_TIMEOUT, SILENCE_TIMEOUT);
         if (monotonicNanos.getAsLong() - order.authorityEndsNanos() >= 0) {
-            input.offer(new OrderEnded(order.endpoint(), order.kind(), order.fencing(), Outcome.NOT_SENT));
+            input.offer(ended(order, Outcome.NOT_SENT));
             return;
         }
-        httpClient.stream(httpRequest, thread, new OrderListener(order, input));
+        httpClient.stream(
+                httpRequest,
+                thread,
+                ResponseCollector.of(
+                        response -> input.offer(ended(order, outcome(response))),
+                        (phase, cause) ->
+                                input.offer(ended(order, phase == Phase.CONNECT ? Outcome.NOT_SENT : Outcome.LOST))));
     }
 
     private static String body(OrderEndpoint order) {
@@ -85,67 +90,33 @@
         return body.toString();
     }
 
-    private static final class OrderListener implements HttpResponseListener {
-        private final OrderEndpoint order;
-        private final ControlInput input;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private int status;
-
-        private OrderListener(OrderEndpoint order, ControlInput input) {
-            this.order = order;
-            this.input = input;
-        }
-
-        @Override
-        public void onHead(int receivedStatus, HeaderMap headers) {
-            status = receivedStatus;
-        }
-
-        @Override
-        public void onBytes(ByteBuffer bytes) {
-            byte[] chunk = new byte[bytes.remaining()];
-            bytes.get(chunk);
-            body.write(chunk, 0, chunk.length);
-        }
-
-        @Override
-        public void onEnd(BodyEnd end) {
-            end(outcome());
+    private static Outcome outcome(HttpResponse response) {
+        if (response.isSuccess()) {
+            return Outcome.ACCEPTED;
         }
-
-        @Override
-        public void onFailure(Phase phase, boolean silent, IOException cause) {
-            end(phase == Phase.CONNECT ? Outcome.NOT_SENT : Outcome.LOST);
+        if (response.status() >= FIRST_SERVER_ERROR_STATUS) {
+            return Outcome.LOST;
         }
-
-        private Outcome outcome() {
-            if (status >= 200 && status < 300) {
-                return Outcome.ACCEPTED;
-            }
-            if (status >= 500) {
-                return Outcome.LOST;
-            }
-            if (status != CONFLICT_STATUS) {
-                return Outcome.REFUSED;
-            }
-            return switch (errorCode()) {
-                case "stale_fencing" -> Outcome.STALE_FENCING;
-                case "busy" -> Outcome.BUSY;
-                default -> Outcome.REFUSED;
-            };
+        if (response.status() != CONFLICT_STATUS) {
+            return Outcome.REFUSED;
         }
+        return switch (errorCode(response)) {
+            case "stale_fencing" -> Outcome.STALE_FENCING;
+            case "busy" -> Outcome.BUSY;
+            default -> Outcome.REFUSED;
+        };
+    }
 
-        private String errorCode() {
-            try {
-                JsonNode answer = JSON.readTree(body.toByteArray());
-                return answer.path("error").path("code").asText("");
-            } catch (IOException e) {
-                return "";
-            }
+    private static String errorCode(HttpResponse response) {
+        try {
+            JsonNode answer = JSON.readTree(response.body());
+            return answer.path("error").path("code").asText("");
+        } catch (IOException e) {
+            return "";
         }
+    }
 
-        private void end(Outcome outcome) {
-            input.offer(new OrderEnded(order.endpoint(), order.kind(), order.fencing(), outcome));
-        }
+    private static OrderEnded ended(OrderEndpoint order, Outcome outcome) {
+        return new OrderEnded(order.endpoint(), order.kind(), order.fencing(), outcome);
     }
 }
--- a/src/main/java/org/yuccagw/adapters/http/HttpClient.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpClient.java
@@ -6,10 +6,8 @@
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.protocols.ssl.UndertowXnioSsl;
 import io.undertow.server.DefaultByteBufferPool;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.URI;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Map;
@@ -26,7 +24,6 @@
 import org.xnio.XnioWorker;
 import org.xnio.ssl.XnioSsl;
 import org.yuccagw.core.id.NetworkAddress;
-import org.yuccagw.core.port.BodyEnd;
 
 /**
  * Non-blocking HTTP client over Undertow's. Every request is confined to one I/O thread.
@@ -126,7 +123,9 @@
     /** Sends the request and returns its complete response; the future fails with an IOException. */
     public CompletableFuture<HttpResponse> send(HttpRequest request) {
         CompletableFuture<HttpResponse> response = new CompletableFuture<>();
-        stream(request, worker.getIoThread(ThreadLocalRandom.current().nextInt()), new ResponseCollector(response));
+        ResponseCollector collector =
+                ResponseCollector.of(response::complete, (phase, cause) -> response.completeExceptionally(cause));
+        stream(request, worker.getIoThread(ThreadLocalRandom.current().nextInt()), collector);
         return response;
     }
 
@@ -229,39 +228,4 @@
                 .computeIfAbsent(thread, key -> new ConcurrentHashMap<>())
                 .computeIfAbsent(address, key -> new ArrayDeque<>());
     }
-
-    /** Collects a response in memory. */
-    private static final class ResponseCollector implements HttpResponseListener {
-        private final CompletableFuture<HttpResponse> response;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private int status;
-        private io.undertow.util.HeaderMap headers;
-
-        private ResponseCollector(CompletableFuture<HttpResponse> response) {
-            this.response = response;
-        }
-
-        @Override
-        public void onHead(int receivedStatus, io.undertow.util.HeaderMap receivedHeaders) {
-            status = receivedStatus;
-            headers = receivedHeaders;
-        }
-
-        @Override
-        public void onBytes(ByteBuffer bytes) {
-            while (bytes.hasRemaining()) {
-                body.write(bytes.get());
-            }
-        }
-
-        @Override
-        public void onEnd(BodyEnd end) {
-            response.complete(new HttpResponse(status, headers, body.toByteArray(), end));
-        }
-
-        @Override
-        public void onFailure(Phase phase, boolean silent, IOException cause) {
-            response.completeExceptionally(cause);
-        }
-    }
 }
--- a/src/main/java/org/yuccagw/platform/KeyValueClient.java
+++ b/src/main/java/org/yuccagw/platform/KeyValueClient.java
@@ -1,10 +1,7 @@
 package org.yuccagw.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.undertow.util.HeaderMap;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,10 +10,11 @@
 import java.util.function.Consumer;
 import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.adapters.http.HttpRequest;
+import org.yuccagw.adapters.http.HttpResponse;
 import org.yuccagw.adapters.http.HttpResponseListener;
 import org.yuccagw.adapters.http.JsonText;
+import org.yuccagw.adapters.http.ResponseCollector;
 import org.yuccagw.core.id.NetworkAddress;
-import org.yuccagw.core.port.BodyEnd;
 import org.yuccagw.core.port.KeyValueAnswer;
 import org.yuccagw.core.port.KeyValueAnswer.Item;
 import org.yuccagw.core.port.KeyValueCall;
@@ -129,12 +127,36 @@
             httpClient.stream(
                     request.withTimeouts(CONNECT_TIMEOUT, readTimeout),
                     httpClient.worker().getIoThread(ThreadLocalRandom.current().nextInt()),
-                    new CallListener(call, answer));
+                    ResponseCollector.of(
+                            response -> answer.accept(readResponse(call, response)),
+                            (phase, cause) -> answer.accept(readFailure(phase, cause))));
         } catch (RuntimeException e) {
             answer.accept(new KeyValueAnswer.Refused("the call could not be sent: " + e));
         }
     }
 
+    private KeyValueAnswer readResponse(KeyValueCall call, HttpResponse response) {
+        KeyValueAnswer read;
+        try {
+            read = readAnswer(call, response.status(), response.body());
+        } catch (IOException e) {
+            read = new KeyValueAnswer.Lost("the key-value service's answer can't be read: " + e.getMessage());
+        }
+        if (read instanceof KeyValueAnswer.Lost || response.status() == SERVICE_UNAVAILABLE) {
+            breaker.recordFailure(System.nanoTime());
+        } else {
+            breaker.recordSuccess();
+        }
+        return read;
+    }
+
+    private KeyValueAnswer readFailure(HttpResponseListener.Phase phase, IOException cause) {
+        breaker.recordFailure(System.nanoTime());
+        return phase == HttpResponseListener.Phase.CONNECT
+                ? new KeyValueAnswer.Refused(cause.getMessage())
+                : new KeyValueAnswer.Lost(cause.getMessage());
+    }
+
     /** Returns the number of calls sent since the start. */
     public long callsSent() {
         return sentCalls.sum();
@@ -231,55 +253,4 @@
         }
         return value.asLong();
     }
-
-    /** Collects the answer to one call and completes the call once. */
-    private final class CallListener implements HttpResponseListener {
-        private final KeyValueCall call;
-        private final Consumer<KeyValueAnswer> answer;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-        private int status;
-
-        private CallListener(KeyValueCall call, Consumer<KeyValueAnswer> answer) {
-            this.call = call;
-            this.answer = answer;
-        }
-
-        @Override
-        public void onHead(int responseStatus, HeaderMap headers) {
-            status = responseStatus;
-        }
-
-        @Override
-        public void onBytes(ByteBuffer bytes) {
-            byte[] chunk = new byte[bytes.remaining()];
-            bytes.get(chunk);
-            body.write(chunk, 0, chunk.length);
-        }
-
-        @Override
-        public void onEnd(BodyEnd end) {
-            KeyValueAnswer read;
-            try {
-                read = readAnswer(call, status, body.toByteArray());
-            } catch (IOException e) {
-                read = new KeyValueAnswer.Lost("the key-value service's answer can't be read: " + e.getMessage());
-            }
-            if (read instanceof KeyValueAnswer.Lost || status == SERVICE_UNAVAILABLE) {
-                breaker.recordFailure(System.nanoTime());
-            } else {
-                breaker.recordSuccess();
-            }
-            answer.accept(read);
-        }
-
-        @Override
-        public void onFailure(Phase phase, boolean silent, IOException cause) {
-            breaker.recordFailure(System.nanoTime());
-            if (phase == Phase.CONNECT) {
-                answer.accept(new KeyValueAnswer.Refused(cause.getMessage()));
-            } else {
-                answer.accept(new KeyValueAnswer.Lost(cause.getMessage()));
-            }
-        }
-    }
 }
