--- a/src/test/java/org/yuccagw/daemon/EndingEndpoint.java
+++ b/src/test/java/org/yuccagw/daemon/EndingEndpoint.java
@@ -4,14 +4,13 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.faults.RawServer;
 
 /**
  * An endpoint that ends each answer as the headers of the request say: {@code body} with newlines as {@code |},
@@ -34,18 +33,13 @@
         RESET
     }
 
-    private final ServerSocket server;
+    private final RawServer server = RawServer.start(this::serve);
     private final List<String> receivedIds = new CopyOnWriteArrayList<>();
 
-    EndingEndpoint() throws IOException {
-        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        Thread accepting = new Thread(this::accept, "ending-endpoint");
-        accepting.setDaemon(true);
-        accepting.start();
-    }
+    EndingEndpoint() throws IOException {}
 
     NetworkAddress address() {
-        return NetworkAddress.of("127.0.0.1", server.getLocalPort());
+        return server.address();
     }
 
     /** Returns the ids of the requests that arrived. */
@@ -58,32 +52,15 @@
         server.close();
     }
 
-    private void accept() {
-        while (!server.isClosed()) {
-            try {
-                Socket socket = server.accept();
-                Thread serving = new Thread(() -> serve(socket), "ending-connection");
-                serving.setDaemon(true);
-                serving.start();
-            } catch (IOException ignored) {
-                // The server socket was closed: the loop ends.
-            }
-        }
-    }
-
-    private void serve(Socket socket) {
-        try (socket) {
-            BufferedReader reader =
-                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-            for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-                Map<String, String> request = ScriptedEndpoint.readRequest(line, reader);
-                receivedIds.add(request.get("yuccagw-request-id"));
-                if (answer(request, socket)) {
-                    return;
-                }
+    private void serve(Socket socket) throws IOException {
+        BufferedReader reader =
+                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+        for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+            Map<String, String> request = ScriptedEndpoint.readRequest(line, reader);
+            receivedIds.add(request.get("yuccagw-request-id"));
+            if (answer(request, socket)) {
+                return;
             }
-        } catch (IOException ignored) {
-            // The peer closed the connection.
         }
     }
 
--- a/src/test/java/org/yuccagw/daemon/ScriptedEndpoint.java
+++ b/src/test/java/org/yuccagw/daemon/ScriptedEndpoint.java
@@ -4,8 +4,6 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -17,6 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.faults.RawServer;
 
 /**
  * An endpoint on a plain socket that answers each request as the last word of its path says. It writes raw bytes, so
@@ -31,20 +30,14 @@
 
     private static final String NOT_RUN = "HTTP/1.1 503 Unavailable\r\nYuccagw-Not-Executed: 1\r\n";
 
-    private final ServerSocket server;
+    private final RawServer server = RawServer.start(this::serve);
     private final List<Map<String, String>> requests = new CopyOnWriteArrayList<>();
-    private final List<Socket> openSockets = new CopyOnWriteArrayList<>();
     private final CountDownLatch callerDisconnected = new CountDownLatch(1);
 
-    public ScriptedEndpoint() throws IOException {
-        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        Thread accepting = new Thread(this::accept, "scripted-endpoint");
-        accepting.setDaemon(true);
-        accepting.start();
-    }
+    public ScriptedEndpoint() throws IOException {}
 
     public NetworkAddress address() {
-        return NetworkAddress.of("127.0.0.1", server.getLocalPort());
+        return server.address();
     }
 
     /**
@@ -63,39 +56,18 @@
     @Override
     public void close() throws IOException {
         server.close();
-        for (Socket socket : openSockets) {
-            socket.close();
-        }
-    }
-
-    private void accept() {
-        while (!server.isClosed()) {
-            try {
-                Socket socket = server.accept();
-                openSockets.add(socket);
-                Thread serving = new Thread(() -> serve(socket), "scripted-connection");
-                serving.setDaemon(true);
-                serving.start();
-            } catch (IOException ignored) {
-                // The server socket was closed: the loop ends.
-            }
-        }
     }
 
-    private void serve(Socket socket) {
-        try (socket) {
-            BufferedReader reader =
-                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
-            for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-                Map<String, String> request = readRequest(line, reader);
-                requests.add(request);
-                if (!answer(request, reader, socket.getOutputStream())) {
-                    socket.setSoLinger(request.get(":line").contains("-reset"), 0);
-                    return;
-                }
+    private void serve(Socket socket) throws IOException, InterruptedException {
+        BufferedReader reader =
+                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+        for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+            Map<String, String> request = readRequest(line, reader);
+            requests.add(request);
+            if (!answer(request, reader, socket.getOutputStream())) {
+                socket.setSoLinger(request.get(":line").contains("-reset"), 0);
+                return;
             }
-        } catch (IOException | InterruptedException ignored) {
-            // The peer closed the connection, which some scripts wait for.
         }
     }
 
