--- a/src/main/java/org/yuccagw/adapters/http/HttpCall.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpCall.java
@@ -270,7 +270,14 @@
         if (silent) {
             client.closeIdleConnections(request.address(), thread);
         }
-        listener.onFailure(phase, silent, cause);
+        listener.onFailure(phase, silent, withMessage(cause));
+    }
+
+    /** Returns a failure whose message can be logged. The end of a connection in the middle of a response has none. */
+    private IOException withMessage(IOException cause) {
+        return cause.getMessage() == null
+                ? new IOException(request.address() + " ended the connection before the end of the response", cause)
+                : cause;
     }
 
     private void finishWithoutCallback() {
--- a/src/test/java/org/yuccagw/adapters/http/HttpClientTest.java
+++ b/src/test/java/org/yuccagw/adapters/http/HttpClientTest.java
@@ -87,6 +87,17 @@
         }
     }
 
+    @Test
+    public void aResponseThatEndsBeforeItsLastChunkFailsWithAMessage() throws Exception {
+        String half = "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n4\nhalf\n";
+        try (FixedAnswerServer server = FixedAnswerServer.start(half)) {
+            ExecutionException failure = expectThrows(
+                    ExecutionException.class,
+                    () -> client.send(HttpRequest.get(server.address(), "/")).get(10, TimeUnit.SECONDS));
+            assertTrue(failure.getCause().getMessage().contains("before the end of the response"));
+        }
+    }
+
     // Guards against requests that wait forever on a connection whose state was dropped on the path. The listener here
     // accepts the connection and never sends a byte; the silence timeout must fail the request and name the cause.
     @Test
