--- a/src/main/java/org/yuccagw/adapters/http/HttpRequest.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpRequest.java
@@ -34,30 +34,12 @@
 
     /** Returns a GET request with the default timeouts: 2 s to connect, 10 s of silence. */
     public static HttpRequest get(NetworkAddress address, String path) {
-        return new HttpRequest(
-                address,
-                "GET",
-                path,
-                new HeaderMap(),
-                EMPTY_BODY,
-                DEFAULT_CONNECT_TIMEOUT,
-                DEFAULT_SILENCE_TIMEOUT,
-                false,
-                false);
+        return of("GET", address, path);
     }
 
     /** Returns a request without a body, with the default timeouts. */
     public static HttpRequest of(String method, NetworkAddress address, String path) {
-        return new HttpRequest(
-                address,
-                method,
-                path,
-                new HeaderMap(),
-                EMPTY_BODY,
-                DEFAULT_CONNECT_TIMEOUT,
-                DEFAULT_SILENCE_TIMEOUT,
-                false,
-                false);
+        return of(method, address, path, EMPTY_BODY);
     }
 
     /** Returns a request with a body of any type, with the default timeouts. */
