Break off a resumed stream whose next endpoint ends before it continues

What callers would see: a short stream that looks complete. An engine fails inside an event, the stream is resumed at another one, and that one's connection ends after its head.

Change: EventScanner.continueWithOtherSender: a stream that has not ended isn't complete without an event of the endpoint that continues it, unless that one states its end.

Test: BrokenStreamTest.aStreamThatIsContinuedIsNotCompleteBeforeTheNextEvent failed before; RandomEndingsTest has the case too.

--- a/src/main/java/org/yuccagw/core/forward/AnswerBody.java
+++ b/src/main/java/org/yuccagw/core/forward/AnswerBody.java
@@ -70,9 +70,11 @@
         return hasEvents ? scanner.defectAtEnd(end) : Optional.empty();
     }
 
-    /** Discards the bytes of an incomplete event, since the leg that sent them has ended. */
-    void discardPartial() {
-        framer.discardPartial();
+    /** Continues with another leg after the last complete event, since the present one has ended or is given up. */
+    void continueWithOtherLeg() {
+        if (hasEvents) {
+            framer.continueWithOtherSender();
+        }
     }
 
     /** Returns how far the events of the body have arrived. */
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -355,7 +355,7 @@
         legs.endSilence(previous, SilenceOutcome.REPLACED);
         legs.endCurrent(holdingError ? End.FAULT : End.SILENT);
         holdingError = false;
-        answerBody.discardPartial();
+        answerBody.continueWithOtherLeg();
     }
 
     private void endOverlap(long ofLeg) {
@@ -499,7 +499,7 @@
         }
         legs.endCurrent(holdingError ? End.FAULT : end);
         holdingError = false;
-        answerBody.discardPartial();
+        answerBody.continueWithOtherLeg();
         if (continueWithReplacement()) {
             return;
         }
--- a/src/main/java/org/yuccagw/core/stream/EventFramer.java
+++ b/src/main/java/org/yuccagw/core/stream/EventFramer.java
@@ -47,10 +47,10 @@
         return partialBytes > MAX_EVENT_BYTES;
     }
 
-    /** Discards the bytes of an incomplete event. */
-    public void discardPartial() {
+    /** Continues with another sender; see {@link EventScanner#continueWithOtherSender}. */
+    public void continueWithOtherSender() {
         partialBytes = 0;
-        scanner.discardPartial();
+        scanner.continueWithOtherSender();
     }
 
     private void keep(ByteBuffer bytes) {
--- a/src/main/java/org/yuccagw/core/stream/EventScanner.java
+++ b/src/main/java/org/yuccagw/core/stream/EventScanner.java
@@ -21,7 +21,6 @@
     /** Enough for the field name and the digits of a long. A longer line can't hold a valid id. */
     private static final int MAX_ID_LINE_BYTES = 40;
 
-    private final boolean fromStart;
     private final byte[] lineStart = new byte[MAX_ID_LINE_BYTES];
     private int lineBytes;
     private boolean eventHasLines;
@@ -29,10 +28,12 @@
     private long eventId = NO_ID;
     private long lastId;
     private long completeEvents;
+    private boolean senderHasEvents;
+    private boolean mayBeEmpty;
 
     private EventScanner(long lastId) {
         this.lastId = lastId;
-        this.fromStart = lastId == NO_ID;
+        this.mayBeEmpty = lastId != NO_ID;
     }
 
     /** Returns a scanner of a whole stream. */
@@ -92,15 +93,23 @@
         if (insideEvent) {
             return Optional.of("the stream ended inside an event");
         }
-        // A stream that continues after an event may have no further one.
-        boolean withoutEvents = completeEvents == 0 && fromStart;
-        return withoutEvents && end == BodyEnd.CONNECTION
-                ? Optional.of("the connection ended before the first event")
+        boolean lacksEvents = !senderHasEvents && !mayBeEmpty;
+        return lacksEvents && end == BodyEnd.CONNECTION
+                ? Optional.of("the connection ended before its first event")
                 : Optional.empty();
     }
 
-    /** Continues as if the bytes of the incomplete event had not arrived. */
-    public void discardPartial() {
+    /**
+     * Continues with the bytes of another sender, which follow the last complete event. The bytes of the incomplete one
+     * are discarded. The stream had not ended, so it isn't complete without an event of the new sender.
+     */
+    public void continueWithOtherSender() {
+        beginEvent();
+        senderHasEvents = false;
+        mayBeEmpty = false;
+    }
+
+    private void beginEvent() {
         lineBytes = 0;
         eventHasLines = false;
         insideEvent = false;
@@ -124,9 +133,10 @@
         }
         if (eventHasLines) {
             completeEvents++;
+            senderHasEvents = true;
             lastId = Math.max(lastId, eventId);
         }
-        discardPartial();
+        beginEvent();
         return true;
     }
 
--- a/src/test/java/org/yuccagw/core/forward/BrokenStreamTest.java
+++ b/src/test/java/org/yuccagw/core/forward/BrokenStreamTest.java
@@ -51,6 +51,30 @@
         assertEquals(effects.attempts, ImmutableList.of(End.BROKEN, End.ANSWERED));
     }
 
+    // Guards against a short stream whose second endpoint fails before it continues, and that looks complete.
+    @Test
+    public void aStreamThatIsContinuedIsNotCompleteBeforeTheNextEvent() {
+        ForwardMachine machine = answered(true);
+        machine.onBytes(1, bytes("id: 1\ndata: a\n\nid: 2\nda"));
+        machine.onEnd(1, BodyEnd.CONNECTION);
+        machine.onPlacementDecision(placed("e2"));
+        machine.onHead(2, ok());
+        machine.onEnd(2, BodyEnd.CONNECTION);
+        assertEquals(effects.lines.get(effects.lines.size() - 1), "cut");
+        assertEquals(effects.attempts, ImmutableList.of(End.BROKEN, End.BROKEN));
+    }
+
+    @Test
+    public void aStreamThatStartsAfterItsLastEventMayBeEmpty() {
+        ForwardMachine machine = begin(RouteKind.STREAM, true, 2, 7);
+        machine.onPlacementDecision(placed("e1"));
+        machine.onFailure(1, End.BROKEN, "reset");
+        machine.onPlacementDecision(placed("e2"));
+        machine.onHead(2, ok());
+        machine.onEnd(2, BodyEnd.CONNECTION);
+        assertTrue(effects.lines.contains("end"), effects.lines.toString());
+    }
+
     @Test(dataProvider = "ends")
     public void aStreamThatEndsAfterAWholeEventIsComplete(BodyEnd end) {
         ForwardMachine machine = answered(false);
--- a/src/test/java/org/yuccagw/core/forward/ForwardScenario.java
+++ b/src/test/java/org/yuccagw/core/forward/ForwardScenario.java
@@ -39,6 +39,10 @@
     }
 
     ForwardMachine begin(RouteKind kind, boolean resumable, int attempts) {
+        return begin(kind, resumable, attempts, ForwardRequest.FROM_START);
+    }
+
+    ForwardMachine begin(RouteKind kind, boolean resumable, int attempts, long afterEvent) {
         Route route = new Route(
                 "route",
                 "a.example",
@@ -62,7 +66,7 @@
                 Optional.empty(),
                 Duration.ofMillis(1500),
                 "fingerprint",
-                ForwardRequest.FROM_START);
+                afterEvent);
         ForwardMachine machine = ForwardMachine.of(request, effects);
         machine.begin();
         return machine;
--- a/src/test/java/org/yuccagw/core/forward/RandomEndingsTest.java
+++ b/src/test/java/org/yuccagw/core/forward/RandomEndingsTest.java
@@ -29,10 +29,14 @@
             machine.onPlacementDecision(placed("e1"));
             boolean broken = random.nextBoolean();
             answer(machine, 1, 0, events, broken);
-            boolean resumed = broken && resumable;
+            boolean resumed = broken && resumable && random.nextInt(4) > 0;
             if (resumed) {
                 machine.onPlacementDecision(placed("e2"));
                 answer(machine, 2, sentAfter(), events, false);
+            } else if (broken && resumable) {
+                machine.onPlacementDecision(placed("e2"));
+                machine.onHead(2, ok());
+                machine.onEnd(2, BodyEnd.CONNECTION);
             }
             boolean complete = effects.lines.contains("end");
             assertEquals(complete, !broken || resumed, "run " + run + ": " + effects.lines);
--- a/src/test/java/org/yuccagw/core/stream/EventScannerTest.java
+++ b/src/test/java/org/yuccagw/core/stream/EventScannerTest.java
@@ -42,10 +42,10 @@
     }
 
     @Test
-    public void aDiscardedEventDoesNotCount() {
+    public void theIncompleteEventOfAnEarlierSenderDoesNotCount() {
         EventScanner scanner = EventScanner.after(5);
         scanner.scan(bytes("id: 6\ndata: a"));
-        scanner.discardPartial();
+        scanner.continueWithOtherSender();
         assertFalse(scanner.isInsideEvent());
         scanner.scan(bytes("data: b\n\n"));
         assertEquals(scanner.lastId(), 5);
