Split the HTTP calls to endpoints from a caller's run

EndpointCalls holds the connections. No behaviour is changed. EndToEndTest, CallerErrorsTest, CallerDisconnectTest, SecureEntriesTest, EntryFailuresTest and LayersTest pass.

--- a/src/main/java/org/yuccagw/adapters/caller/CallerRun.java
+++ b/src/main/java/org/yuccagw/adapters/caller/CallerRun.java
@@ -6,20 +6,13 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.xnio.XnioIoThread;
 import org.yuccagw.adapters.engine.CompletionBody;
-import org.yuccagw.adapters.engine.EngineResponseListener;
 import org.yuccagw.adapters.engine.PlainRequest;
-import org.yuccagw.adapters.engine.PlainResponseListener;
-import org.yuccagw.adapters.http.HttpCall;
-import org.yuccagw.adapters.http.HttpRequest;
-import org.yuccagw.adapters.http.HttpResponseListener;
 import org.yuccagw.core.admission.AdmissionRequested;
 import org.yuccagw.core.cache.BlockChain;
 import org.yuccagw.core.cache.BlockKey;
@@ -56,8 +49,6 @@
  * then each later one as it occurs.
  */
 final class CallerRun implements RequestEffects, CallerResponse.FlowControl {
-    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
-    private static final Duration PROBE_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration KEEP_ALIVE_INTERVAL = Duration.ofSeconds(2);
 
     private final CallerServices services;
@@ -67,12 +58,11 @@
     private final RequestSpans spans;
     private final String authorization;
     private final RequestMachine machine;
+    private final EndpointCalls calls;
     private final long startNanos = System.nanoTime();
-    private final Map<Long, HttpCall> callsByLeg = new HashMap<>();
     private final List<Consumer<CallerAnswer>> steps = new ArrayList<>();
     private final List<Consumer<Consumer<CallerAnswer>>> subscribers = new ArrayList<>();
     private CallerAnswer answer;
-    private HttpCall activeCall;
     private String outcome = "left";
     private long pieces;
 
@@ -88,12 +78,12 @@
             RequestClass requestClass,
             Optional<CompletionBody> completionBody,
             Optional<PlainRequest> plainRequest) {
-        private String salt(String version) {
+        String salt(String version) {
             String adapter = service.model().map(Service.ModelSettings::adapter).orElse("");
             return BlockChain.salt(workspace.cacheSecret(), service.name().value(), version, adapter);
         }
 
-        private String catalogueVersion() {
+        String catalogueVersion() {
             return service.model().map(settings -> settings.version().value()).orElse("");
         }
     }
@@ -112,6 +102,7 @@
         this.target = target;
         this.spans = RequestSpans.of(services.tracer(), span, profile.request().value());
         this.machine = RequestMachine.of(profile, this);
+        this.calls = EndpointCalls.of(services.endpointClient(), thread, profile, target, spans, machine);
     }
 
     /**
@@ -296,72 +287,28 @@
     public void send(long leg, long attempt, EndpointStatus endpoint, String textSoFar, long piecesSoFar) {
         spans.begin("attempt");
         spans.setAttribute("attempt", "endpoint", endpoint.id().value());
-        if (target.completionBody().isPresent()) {
-            String version = endpoint.version().map(WeightVersion::value).orElse(target.catalogueVersion());
-            byte[] body = target.completionBody()
-                    .get()
-                    .bodyForEngine(
-                            target.salt(version), version, target.requestClass().priority(), textSoFar, piecesSoFar);
-            String path = target.completionBody().get().isChat() ? "/v1/chat/completions" : "/v1/completions";
-            HttpRequest httpRequest = HttpRequest.of("POST", endpoint.address(), path, body)
-                    .withHeader("Content-Type", "application/json")
-                    .withHeader("X-Request-Id", profile.request().value())
-                    .withHeader("traceparent", spans.traceParent());
-            open(leg, httpRequest, EngineResponseListener.sending(machine, leg));
-        } else {
-            HttpRequest httpRequest = target.plainRequest()
-                    .orElseThrow()
-                    .toHttpRequest(endpoint.address(), profile.request().value(), spans.traceParent());
-            open(leg, httpRequest, PlainResponseListener.of(machine, leg, profile.idempotent()));
-        }
+        calls.send(leg, endpoint, textSoFar, piecesSoFar);
     }
 
     @Override
     public void resume(long leg, EndpointStatus endpoint, String stream, long from) {
         spans.addEvent("resume from " + from + " at " + endpoint.id());
-        HttpRequest httpRequest = HttpRequest.get(endpoint.address(), "/v1/streams/" + stream + "?from=" + from)
-                .withNewConnection();
-        open(leg, httpRequest, EngineResponseListener.resuming(machine, leg));
-    }
-
-    private void open(long leg, HttpRequest httpRequest, HttpResponseListener listener) {
-        HttpRequest timedRequest =
-                httpRequest.withTimeouts(CONNECT_TIMEOUT, target.requestClass().progressTimeout());
-        HttpRequest finalRequest = profile.idempotent() ? timedRequest : timedRequest.withNewConnection();
-        activeCall = services.endpointClient().stream(finalRequest, thread, listener);
-        callsByLeg.put(leg, activeCall);
+        calls.resumeStream(leg, endpoint, stream, from);
     }
 
     @Override
     public void abandon(long leg) {
-        HttpCall call = callsByLeg.remove(leg);
-        if (call != null) {
-            call.cancel();
-        }
+        calls.abandon(leg);
     }
 
-    /** A plain service is probed with a connection only, because any request might have an effect there. */
     @Override
     public void probe(long leg, EndpointStatus endpoint) {
-        if (target.completionBody().isEmpty() && !profile.model()) {
-            services.endpointClient()
-                    .canConnect(endpoint.address(), thread)
-                    .thenAccept(alive -> runOnThread(() -> machine.onProbed(leg, alive)));
-            return;
-        }
-        HttpRequest httpRequest = HttpRequest.get(endpoint.address(), "/v1/state")
-                .withTimeouts(CONNECT_TIMEOUT, PROBE_TIMEOUT)
-                .withNewConnection();
-        services.endpointClient()
-                .send(httpRequest)
-                .whenComplete((reply, failure) -> runOnThread(() -> machine.onProbed(leg, failure == null)));
+        calls.probe(endpoint).thenAccept(alive -> runOnThread(() -> machine.onProbed(leg, alive)));
     }
 
     @Override
     public void cancelStream(EndpointStatus endpoint, String stream, Duration delay) {
-        String condition = delay.isZero() ? "" : "?if=unread";
-        HttpRequest httpRequest = HttpRequest.of("DELETE", endpoint.address(), "/v1/streams/" + stream + condition);
-        thread.executeAfter(() -> services.endpointClient().send(httpRequest), delay.toMillis(), TimeUnit.MILLISECONDS);
+        calls.cancelStream(endpoint, stream, delay);
     }
 
     @Override
@@ -495,24 +442,18 @@
 
     @Override
     public void pause() {
-        if (activeCall != null) {
-            activeCall.pause();
-        }
+        calls.pauseReading();
     }
 
     @Override
     public void resume() {
-        if (activeCall != null) {
-            activeCall.resume();
-        }
+        calls.resumeReading();
     }
 
     @Override
     public void callerDisconnected() {
         runOnThread(() -> {
-            if (activeCall != null) {
-                activeCall.resume();
-            }
+            calls.resumeReading();
             machine.onCallerDisconnected();
         });
     }
