--- a/src/test/java/org/yuccagw/faults/ProxiedConnection.java
+++ b/src/test/java/org/yuccagw/faults/ProxiedConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
@@ -42,7 +43,11 @@
     }
 
     private static void resetOnClose(Channel channel) {
-        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        try {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        } catch (ChannelException ignored) {
+            // The channel was closed already.
+        }
     }
 
     void close() {
