--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -33,6 +33,7 @@
  *       answers, or at the latest {@link #MAX_OVERLAP} after the replacement was delivered. While there is none, it
  *       stays the current leg until the deadline.
  *   <li>A resumed stream continues after the last complete event that was forwarded, with the same weight version.
+ *   <li>A stream is complete only if its last event is, whatever shows the end of the answer.
  * </ul>
  *
  * <p>Example: a resumable stream pauses after event 12. Another endpoint with the same weight version is requested, and
