Hold late answers of the soak against the limit that applies to them

The check held them against 5,000 ms, the shortest timeout of all configurations put until the call ended, also those that came after the request. Any of them may apply, so an answer is late only beyond the longest. The check names the late calls now.

--- a/src/test/java/org/yuccagw/process/SoakChecks.java
+++ b/src/test/java/org/yuccagw/process/SoakChecks.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /** Holds the calls of a soak against the runs of its endpoints. */
@@ -29,7 +30,7 @@
     private final List<String> violations = new ArrayList<>();
     private final Map<String, Integer> outcomes = new TreeMap<>();
     private int unanswered;
-    private int late;
+    private final List<String> late = new ArrayList<>();
     private int denied;
 
     private SoakChecks(SoakDeployment deployment) {
@@ -80,9 +81,15 @@
         boolean givenUp =
                 call.complete() && !call.isSealed() && own.stream().anyMatch(run -> run.wasAtWork(call.endNanos()));
         report(givenUp && !excused && !call.entry().endedAtStop(call), "GIVEN UP", call, own);
-        if (call.millis() > limit && call.entry().wasInTouch(call)) {
+        int longestLimit = longestLimitMillis(call);
+        if (call.millis() > longestLimit && call.entry().wasInTouch(call)) {
             unanswered++;
-            late += call.millis() > limit + LATE.toMillis() ? 1 : 0;
+            if (call.millis() > longestLimit + LATE.toMillis()) {
+                late.add(call.describe() + ", limit " + longestLimit + " ms; runs "
+                        + own.stream()
+                                .map(run -> run.describe(call.sentNanos()))
+                                .toList());
+            }
         }
     }
 
@@ -120,8 +127,9 @@
     }
 
     private void checkShares(int count) {
-        if (late >= MIN_LATE && late > unanswered / 2) {
-            violations.add("LATE: " + late + " of " + unanswered + " that had no answer at their limits");
+        if (late.size() >= MIN_LATE && late.size() > unanswered / 2) {
+            violations.add("LATE: " + late.size() + " of " + unanswered + " that had no answer at their limits:\n"
+                    + String.join("\n", late));
         }
         if (denied > ALLOWED_DENIALS + count / 500) {
             violations.add("DENIED: " + denied + " of " + count);
@@ -129,11 +137,16 @@
     }
 
     private int limitMillis(SoakCall call) {
-        int timeout = deployment.configuration().inForce(call).stream()
-                .mapToInt(SoakConfiguration.Version::timeoutMillis)
-                .min()
-                .orElseThrow();
-        return Math.min(call.deadlineMillis(), timeout);
+        return Math.min(call.deadlineMillis(), timeoutsInForce(call).min().orElseThrow());
+    }
+
+    /** Returns the longest time that a request may have, since any of the configurations in force may apply to it. */
+    private int longestLimitMillis(SoakCall call) {
+        return Math.min(call.deadlineMillis(), timeoutsInForce(call).max().orElseThrow());
+    }
+
+    private IntStream timeoutsInForce(SoakCall call) {
+        return deployment.configuration().inForce(call).stream().mapToInt(SoakConfiguration.Version::timeoutMillis);
     }
 
     private static boolean isRightAnswer(SoakCall call, List<SoakRun> own) {
