Take the renewal of a lease as done by its status alone

What could happen: a service that confirms a renewal with status 200 and no body would have cost the entry its lease, since reads no empty answer as a document. A sound answer was lost. Found on reading the change again.

Change: renewals and ends of leases are read by their status before any document is parsed.

Test: KeyValueClientTest.aRenewalNeedsNoDocument failed before (Lost in place of LeaseRenewed). Run after: KeyValueClientTest, JsonTextTest, GatewayPathTest, 59 tests, none failed.

--- a/src/main/java/org/yuccagw/platform/KeyValueClient.java
+++ b/src/main/java/org/yuccagw/platform/KeyValueClient.java
@@ -181,11 +181,16 @@
             case GONE -> new KeyValueAnswer.HistoryGone();
             case NOT_FOUND -> readNotFound(call, body);
             case PRECONDITION_FAILED -> new KeyValueAnswer.Conflict(currentRevision(call, JsonText.read(body)));
-            case OK -> readSuccess(call, JsonText.read(body));
+            case OK ->
+                isProvenByStatus(call) ? new KeyValueAnswer.LeaseRenewed() : readSuccess(call, JsonText.read(body));
             default -> new KeyValueAnswer.Lost("the key-value service answered with status " + status);
         };
     }
 
+    private static boolean isProvenByStatus(KeyValueCall call) {
+        return call instanceof KeyValueCall.RenewLease || call instanceof KeyValueCall.RevokeLease;
+    }
+
     private static KeyValueAnswer readNotFound(KeyValueCall call, byte[] body) throws IOException {
         if (call instanceof KeyValueCall.Read) {
             JsonNode answer = body.length == 0 ? JsonText.object() : JsonText.read(body);
@@ -199,9 +204,6 @@
         if (call instanceof KeyValueCall.GrantLease) {
             return new KeyValueAnswer.LeaseGranted(new LeaseHandle(requiredLong(answer, PlatformNames.LEASE)));
         }
-        if (call instanceof KeyValueCall.RenewLease || call instanceof KeyValueCall.RevokeLease) {
-            return new KeyValueAnswer.LeaseRenewed();
-        }
         if (call instanceof KeyValueCall.CompareAndSwap || call instanceof KeyValueCall.Delete) {
             return new KeyValueAnswer.Written(requiredLong(answer, PlatformNames.REVISION));
         }
--- a/src/test/java/org/yuccagw/platform/KeyValueClientTest.java
+++ b/src/test/java/org/yuccagw/platform/KeyValueClientTest.java
@@ -132,12 +132,23 @@
         assertLost(compareAndSwap("key", 7, "x"), "412 Precondition Failed", "");
     }
 
+    // Guards against losing a lease whose renewal the service confirmed by its status alone.
+    @Test
+    public void aRenewalNeedsNoDocument() throws Exception {
+        KeyValueCall renewal = new KeyValueCall.RenewLease(new KeyValueCall.LeaseHandle(7));
+        assertEquals(receive(renewal, "200 OK", ""), new KeyValueAnswer.LeaseRenewed());
+    }
+
     private void assertLost(KeyValueCall call, String status, String body) throws Exception {
+        KeyValueAnswer received = receive(call, status, body);
+        assertTrue(received instanceof KeyValueAnswer.Lost, received.toString());
+    }
+
+    private KeyValueAnswer receive(KeyValueCall call, String status, String body) throws Exception {
         try (FixedAnswerServer server = FixedAnswerServer.start("HTTP/1.1 " + status + "\n\n" + body)) {
             CompletableFuture<KeyValueAnswer> answer = new CompletableFuture<>();
             KeyValueClient.of(httpClient, server.address()).submit(call, answer::complete);
-            KeyValueAnswer received = answer.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
-            assertTrue(received instanceof KeyValueAnswer.Lost, received.toString());
+            return answer.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         }
     }
 
