Say 'not run' of a repeated key only if no earlier attempt with it ran

What callers saw: a request with an idempotency key ran and broke off, and a repeat of it was refused with 'ran: not-run'. Who believes that sends it again under a new key, and it runs twice.

Cause: every refusal before the claim of the key is decided spoke of the attempt and not of the key: the owner of the shard doesn't answer within 2.5 s or has lost its lease (from ten seconds of an outage of the key-value service on, every repeat), it can't read its log, admission refuses before any claim is asked for, the deadline passes first, the entry isn't ready or stops, or the other entry can't relay the run that is followed.

Change: an error has its own 'ran', which is 'may have run' unless the owner of the claim has read its log and holds the lease. A keyed request that admission refuses is looked up at the owner without a claim, so a repeat gets its answer whatever the limits say. An owner whose lease expired goes on telling what it knows, and says that a key without a record has not run only while every entry of that time is alive and has announced no other owner. InvariantChecker also finds a refusal as not run after a part of the answer.

--- a/src/main/java/org/yuccagw/adapters/caller/CallerRun.java
+++ b/src/main/java/org/yuccagw/adapters/caller/CallerRun.java
@@ -20,6 +20,7 @@
 import org.yuccagw.core.catalogue.Service;
 import org.yuccagw.core.catalogue.Workspace;
 import org.yuccagw.core.claim.ClaimDecision;
+import org.yuccagw.core.claim.ClaimLookupRequested;
 import org.yuccagw.core.claim.ClaimRequested;
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.endpoint.EndpointStatus;
@@ -195,6 +196,13 @@
                         })));
     }
 
+    @Override
+    public void lookUpClaim() {
+        services.control()
+                .offer(new ClaimLookupRequested(
+                        profile.claim().orElseThrow(), decision -> runOnThread(() -> machine.onClaimLookup(decision))));
+    }
+
     @Override
     public void requestQuarantineDecision() {
         services.control()
--- a/src/main/java/org/yuccagw/adapters/caller/CallerServer.java
+++ b/src/main/java/org/yuccagw/adapters/caller/CallerServer.java
@@ -126,12 +126,14 @@
             answerDirectory(exchange);
             return;
         }
+        if (path.startsWith(FOLLOW)) {
+            dispatchFollow(exchange, RequestId.of(path.substring(FOLLOW.length())));
+            return;
+        }
         Catalogue catalogue = requireReadyCatalogue();
         Workspace workspace =
                 keysFor(catalogue).require(exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION));
-        if (path.startsWith(FOLLOW)) {
-            relayRun(exchange, workspace, RequestId.of(path.substring(FOLLOW.length())));
-        } else if (refusingNewRequests) {
+        if (refusingNewRequests) {
             throw ErrorKind.STOPPING.raise();
         } else if (path.equals(COMPLETIONS) || path.equals(CHAT)) {
             requirePost(exchange, path);
@@ -148,6 +150,17 @@
         }
     }
 
+    /** Relays a run to another entry. It has a claim, so no error here may say that it did not run. */
+    private void dispatchFollow(HttpServerExchange exchange, RequestId request) throws YuccagwException {
+        try {
+            Workspace workspace = keysFor(requireReadyCatalogue())
+                    .require(exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION));
+            relayRun(exchange, workspace, request);
+        } catch (YuccagwException e) {
+            throw ErrorKind.ALREADY_RUNNING.raiseFrom(e);
+        }
+    }
+
     /** Handles a request body, which may be invalid. */
     private interface BodyHandler {
         void accept(byte[] body) throws YuccagwException;
--- a/src/main/java/org/yuccagw/adapters/http/ErrorAnswers.java
+++ b/src/main/java/org/yuccagw/adapters/http/ErrorAnswers.java
@@ -5,8 +5,10 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.time.Duration;
+import java.util.EnumSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
 
@@ -21,6 +23,18 @@
 public final class ErrorAnswers {
     private static final String JSON = "application/json";
     private static final int UNAUTHORIZED = 401;
+    private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+
+    /** Errors of a request that no entry has ever accepted, whatever its state and catalogue. */
+    private static final Set<ErrorKind> NEVER_ACCEPTED = EnumSet.of(
+            ErrorKind.MALFORMED_BODY,
+            ErrorKind.MALFORMED_UTF8,
+            ErrorKind.MALFORMED_HEAD,
+            ErrorKind.WRONG_FIELD,
+            ErrorKind.WRONG_IDEMPOTENCY_KEY,
+            ErrorKind.WRONG_RESUME_TOKEN,
+            ErrorKind.METHOD_NOT_ALLOWED,
+            ErrorKind.MISSING_KEY);
 
     private ErrorAnswers() {}
 
@@ -32,7 +46,7 @@
                 .put("message", error.getMessage())
                 .put("type", type(kind))
                 .put("code", kind.code())
-                .put("ran", kind.ran().text())
+                .put("ran", error.ran().text())
                 .put("retry", kind.retry().text());
         return JsonText.write(root);
     }
@@ -54,8 +68,14 @@
         return headers;
     }
 
-    /** Sends the error as the whole answer. The answer must not have been started. */
-    public static void send(HttpServerExchange exchange, YuccagwException error) {
+    /**
+     * Sends the error as the whole answer to a request that was refused before the claim of its idempotency key, if it
+     * has one, was requested. The answer must not have been started.
+     */
+    public static void send(HttpServerExchange exchange, YuccagwException refusal) {
+        boolean mayBeRepeated = exchange.getRequestHeaders().contains(IDEMPOTENCY_KEY);
+        YuccagwException error =
+                mayBeRepeated && !NEVER_ACCEPTED.contains(refusal.kind()) ? refusal.mayHaveRunBefore() : refusal;
         exchange.setStatusCode(error.kind().status());
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, JSON);
         headers(error)
--- a/src/main/java/org/yuccagw/adapters/peer/ClaimCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/ClaimCodec.java
@@ -8,6 +8,7 @@
 import org.yuccagw.core.claim.ClaimPeerMessage.Decision;
 import org.yuccagw.core.claim.ClaimPeerMessage.EndRecorded;
 import org.yuccagw.core.claim.ClaimPeerMessage.Ended;
+import org.yuccagw.core.claim.ClaimPeerMessage.Lookup;
 import org.yuccagw.core.claim.ClaimPeerMessage.Request;
 import org.yuccagw.core.claim.ClaimPeerMessage.StatusQuery;
 import org.yuccagw.core.error.ErrorKind;
@@ -27,11 +28,14 @@
     private static final int ENDED = 2;
     private static final int END_RECORDED = 3;
     private static final int STILL_RUNNING = 4;
+    private static final int LOOKUP = 5;
 
     private static final int GRANTED = 0;
     private static final int RUNNING = 1;
     private static final int ANSWERED = 2;
     private static final int REFUSED = 3;
+    private static final int UNCLAIMED = 4;
+    private static final int UNDECIDED = 5;
 
     /** The index of an outcome is its number on the wire. */
     private static final List<Outcome> OUTCOMES = List.of(Outcome.NOT_SENT, Outcome.ANSWERED, Outcome.UNKNOWN);
@@ -51,6 +55,8 @@
                 ClaimMessage.newBuilder().setShard(claimMessage.shard().value());
         if (message instanceof Request request) {
             wire.setKind(REQUEST).setRecord(ClaimRecords.toWire(request.record()));
+        } else if (message instanceof Lookup lookup) {
+            wire.setKind(LOOKUP).setRecord(ClaimRecords.toWire(lookup.record()));
         } else if (message instanceof Decided decided) {
             wire.setKind(DECISION);
             writeDecision(decided, wire);
@@ -82,6 +88,10 @@
             ClaimRecords.writeAnswer(answered.answer(), record);
         } else if (decision instanceof Decision.Refused refused) {
             wire.setDecision(REFUSED).setErrorKind(refused.kind().name()).setErrorMessage(refused.detail());
+        } else if (decision instanceof Decision.Unclaimed) {
+            wire.setDecision(UNCLAIMED);
+        } else if (decision instanceof Decision.Undecided undecided) {
+            wire.setDecision(UNDECIDED).setErrorMessage(undecided.detail());
         }
         wire.setRecord(record);
     }
@@ -103,6 +113,7 @@
         PeerProtocol.ClaimRecord record = wire.getRecord();
         return switch (wire.getKind()) {
             case REQUEST -> new Request(shard, ClaimRecords.fromWire(record));
+            case LOOKUP -> new Lookup(shard, ClaimRecords.fromWire(record));
             case DECISION -> new Decided(shard, ClaimRecords.attempt(record), decision(wire));
             case ENDED ->
                 new Ended(
@@ -127,6 +138,8 @@
                         .orElseThrow(
                                 () -> new IllegalArgumentException("claim decision 'answered' without an answer")));
             case REFUSED -> new Decision.Refused(ErrorKind.valueOf(wire.getErrorKind()), wire.getErrorMessage());
+            case UNCLAIMED -> new Decision.Unclaimed();
+            case UNDECIDED -> new Decision.Undecided(wire.getErrorMessage());
             default -> throw new IllegalArgumentException("claim decision of unknown kind " + wire.getDecision());
         };
     }
--- a/src/main/java/org/yuccagw/bench/fuzz/FuzzCalls.java
+++ b/src/main/java/org/yuccagw/bench/fuzz/FuzzCalls.java
@@ -77,7 +77,7 @@
         if (decision instanceof ClaimDecision.Granted) {
             bench.time().after(SEND_DELAY, () -> node.offer(new FuzzWorld.TrafficWork(() -> run(node, claim))));
         } else if (decision instanceof ClaimDecision.Refused refused
-                && refused.error().kind().ran() == Ran.NOT_RUN) {
+                && refused.error().ran() == Ran.NOT_RUN) {
             toldNotRun.add(claim.request());
         }
     }
--- a/src/main/java/org/yuccagw/bench/invariant/InvariantChecker.java
+++ b/src/main/java/org/yuccagw/bench/invariant/InvariantChecker.java
@@ -22,7 +22,8 @@
  * <ol>
  *   <li>a non-idempotent request's marker occurs in one run at most, and so does its key within the requests that share
  *       it;
- *   <li>the marker of a request whose every sending was refused as "not run" occurs in no run;
+ *   <li>the marker of a request whose every sending was refused as "not run" occurs in no run, and no sending of a
+ *       non-idempotent request is refused so after an earlier one received a part of the answer;
  *   <li>an answer that ended well is the expected text with tokens numbered 1, 2, 3, ...; one that broke off is a start
  *       of it;
  *   <li>no run holds markers of two workspaces, no salt serves two workspaces, no answer holds another one's marker.
@@ -69,9 +70,23 @@
         if (refused && count > 0) {
             breach(Promise.TRUE_REFUSALS, request.marker() + " was refused as not run and ran at " + places(request));
         }
+        if (request.nonIdempotent() && deniesEarlierRun(request.sendings())) {
+            breach(Promise.TRUE_REFUSALS, request.marker() + " was refused as not run after it had run");
+        }
         request.sendings().forEach(sending -> checkAnswer(request, sending));
     }
 
+    private static boolean deniesEarlierRun(List<Sending> sendings) {
+        boolean ran = false;
+        for (Sending sending : sendings) {
+            if (ran && sending.verdict() == Verdict.NOT_RUN) {
+                return true;
+            }
+            ran |= sending.verdict() == Verdict.ANSWERED || !sending.text().isEmpty();
+        }
+        return false;
+    }
+
     private void checkAnswer(ObservedRequest request, Sending sending) {
         boolean whole = sending.verdict() == Verdict.ANSWERED;
         boolean right = whole
--- a/src/main/java/org/yuccagw/bench/requests/KeyedCalls.java
+++ b/src/main/java/org/yuccagw/bench/requests/KeyedCalls.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -42,6 +43,7 @@
 
     private final VirtualEntries entries;
     private final List<Run> runs = new ArrayList<>();
+    private final Map<String, Long> firstRunNanos = new HashMap<>();
     private final List<Attempt> attempts = new ArrayList<>();
     private Duration runTime = USUAL_RUN;
     private boolean endpointRefuses;
@@ -140,7 +142,7 @@
             attempt.told = Told.ANSWERED;
             attempt.text = new String(answered.answer().body(), StandardCharsets.UTF_8);
         } else if (decision instanceof ClaimDecision.Refused refused) {
-            attempt.told = refused.error().kind().ran() == Ran.NOT_RUN ? Told.NOT_RUN : Told.MAY_HAVE_RUN;
+            attempt.told = refused.error().ran() == Ran.NOT_RUN ? Told.NOT_RUN : Told.MAY_HAVE_RUN;
         }
     }
 
@@ -157,6 +159,7 @@
             entries.tell(entry, new ClaimEnded(attempt.claim, Outcome.NOT_SENT, Optional.empty()));
         } else {
             runs.add(new Run(attempt.key(), attempt.number()));
+            firstRunNanos.putIfAbsent(attempt.key(), entries.nowNanos());
             entries.after(runTime, () -> answer(attempt, incarnation));
         }
     }
@@ -199,10 +202,21 @@
                 .count();
     }
 
+    /** Attempts whose caller was told "not run" after the endpoint had begun to run their key. */
+    public List<Attempt> refusalsThatDenyARun() {
+        return attempts.stream()
+                .filter(attempt -> attempt.told() == Told.NOT_RUN)
+                .filter(attempt -> firstRunNanos.getOrDefault(attempt.key(), Long.MAX_VALUE) < attempt.decidedNanos())
+                .toList();
+    }
+
     /** What the shared checker finds broken, answers included. */
     public List<Violation> violations() {
         Map<String, List<Sending>> sendings = new LinkedHashMap<>();
-        for (Attempt attempt : attempts) {
+        List<Attempt> byDecision = attempts.stream()
+                .sorted(Comparator.comparingLong(Attempt::decidedNanos))
+                .toList();
+        for (Attempt attempt : byDecision) {
             sendings.computeIfAbsent(attempt.key(), key -> new ArrayList<>()).add(sending(attempt));
         }
         List<ObservedRequest> requests = new ArrayList<>();
--- a/src/main/java/org/yuccagw/bench/requests/VirtualEntries.java
+++ b/src/main/java/org/yuccagw/bench/requests/VirtualEntries.java
@@ -288,7 +288,7 @@
     public void loseLease(ShardNumber shard, EntryId holder) {
         Long epoch = entries.get(holder).epochs.remove(shard);
         if (epoch != null) {
-            tell(holder, new ShardLost(shard, epoch));
+            tell(holder, new ShardLost(shard, epoch, ShardLost.Cause.LEASE_EXPIRED));
         }
     }
 
--- a/src/main/java/org/yuccagw/core/claim/ClaimClient.java
+++ b/src/main/java/org/yuccagw/core/claim/ClaimClient.java
@@ -14,10 +14,12 @@
 import org.yuccagw.core.claim.ClaimPeerMessage.Decision;
 import org.yuccagw.core.claim.ClaimPeerMessage.EndRecorded;
 import org.yuccagw.core.claim.ClaimPeerMessage.Ended;
+import org.yuccagw.core.claim.ClaimPeerMessage.Lookup;
 import org.yuccagw.core.claim.ClaimPeerMessage.Request;
 import org.yuccagw.core.claim.ClaimPeerMessage.StatusQuery;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.error.ErrorKind;
+import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.ShardNumber;
 
@@ -69,24 +71,41 @@
         void send(EntryId to, ClaimPeerMessage message);
     }
 
-    private record PendingRequest(ShardNumber shard, Claim claim, ClaimRecord record, Consumer<ClaimDecision> reply) {}
+    private record PendingRequest(
+            ShardNumber shard, Claim claim, ClaimRecord record, boolean lookup, Consumer<ClaimDecision> reply) {
+        ClaimPeerMessage message() {
+            return lookup ? new Lookup(shard, record) : new Request(shard, record);
+        }
+    }
 
     void onClaimRequested(ClaimRequested requested) {
         Claim claim = requested.claim();
-        ClaimKey key = ClaimKey.of(claim);
-        Optional<ShardNumber> shard = ownerResolver.shardOf(key);
         if (isPendingOrHeld(claim)) {
             answer(requested.reply(), new ClaimDecision.Running(claim.entry(), claim.request()));
-        } else if (shard.isEmpty() || ownerResolver.ownerOf(shard.get()).isEmpty()) {
-            answer(requested.reply(), unavailable("the shard of the key has no owner now"));
         } else {
-            long number = nextNumber++;
-            ClaimRecord record = ClaimRecord.running(claim, attempt(number), context.wallMillis());
-            pendingRequests.put(number, new PendingRequest(shard.get(), claim, record, requested.reply()));
+            askOwner(claim, false, requested.reply());
+        }
+    }
+
+    void onLookupRequested(ClaimLookupRequested requested) {
+        askOwner(requested.claim(), true, requested.reply());
+    }
+
+    /** Sends a request or a lookup to the owner of the key's shard; answers it if there is none. */
+    private void askOwner(Claim claim, boolean lookup, Consumer<ClaimDecision> reply) {
+        Optional<ShardNumber> shard = ownerResolver.shardOf(ClaimKey.of(claim));
+        if (shard.isEmpty() || ownerResolver.ownerOf(shard.get()).isEmpty()) {
+            answer(reply, undecided("the shard of the key has no owner now"));
+            return;
+        }
+        long number = nextNumber++;
+        ClaimRecord record = ClaimRecord.running(claim, attempt(number), context.wallMillis());
+        pendingRequests.put(number, new PendingRequest(shard.get(), claim, record, lookup, reply));
+        if (!lookup) {
             pendingClaims.add(claim);
-            sendRequest(number);
-            context.after(DECISION_TIMEOUT, () -> abandon(number, "the owner of the shard did not answer"));
         }
+        sendRequest(number);
+        context.after(DECISION_TIMEOUT, () -> abandon(number, "the owner of the shard did not answer"));
     }
 
     /** Whether the same claim, with the same request identifier, is already pending or held. */
@@ -108,16 +127,19 @@
             abandon(number, "the shard of the key has no owner now");
             return;
         }
-        ownerResolver.send(owner.get(), new Request(request.shard(), request.record()));
+        ownerResolver.send(owner.get(), request.message());
         context.after(REQUEST_RESEND_INTERVAL, () -> sendRequest(number));
     }
 
-    /** Refuses the request as not run. The refusal is final: a claim that is granted later is released. */
+    /** Refuses the request. The refusal is final: a claim that is granted later is released. */
     private void abandon(long number, String reason) {
         PendingRequest request = pendingRequests.remove(number);
-        if (request != null) {
+        if (request == null) {
+            return;
+        }
+        answer(request.reply(), undecided(reason));
+        if (!request.lookup()) {
             pendingClaims.remove(request.claim());
-            answer(request.reply(), unavailable(reason));
             addUnrecordedEnd(
                     number,
                     new Ended(request.shard(), request.record().key(), attempt(number), Outcome.NOT_SENT, noAnswer()));
@@ -139,7 +161,9 @@
             return;
         }
         pendingRequests.remove(number);
-        pendingClaims.remove(request.claim());
+        if (!request.lookup()) {
+            pendingClaims.remove(request.claim());
+        }
         if (decision instanceof Decision.Granted) {
             heldClaims.put(request.claim(), number);
         }
@@ -156,15 +180,25 @@
         if (decision instanceof Decision.Answered answered) {
             return new ClaimDecision.Answered(answered.answer());
         }
+        if (decision instanceof Decision.Unclaimed) {
+            return new ClaimDecision.Unclaimed();
+        }
+        if (decision instanceof Decision.Undecided undecided) {
+            return undecided(undecided.detail());
+        }
         Decision.Refused refused = (Decision.Refused) decision;
         return refused.kind() == ErrorKind.CLAIM_UNAVAILABLE
-                ? unavailable(refused.detail())
+                ? new ClaimDecision.Refused(unavailable(refused.detail()))
                 : new ClaimDecision.Refused(refused.kind().raise(refused.detail()));
     }
 
-    private static ClaimDecision unavailable(String reason) {
-        return new ClaimDecision.Refused(
-                ErrorKind.CLAIM_UNAVAILABLE.raise(reason).withRetryAfter(RETRY_AFTER));
+    /** Returns the refusal of a request whose key may have run in an earlier attempt. */
+    private static ClaimDecision undecided(String reason) {
+        return new ClaimDecision.Refused(unavailable(reason).mayHaveRunBefore());
+    }
+
+    private static YuccagwException unavailable(String reason) {
+        return ErrorKind.CLAIM_UNAVAILABLE.raise(reason).withRetryAfter(RETRY_AFTER);
     }
 
     void onClaimEnded(ClaimEnded ended) {
--- a/src/main/java/org/yuccagw/core/claim/ClaimComponent.java
+++ b/src/main/java/org/yuccagw/core/claim/ClaimComponent.java
@@ -11,6 +11,7 @@
 import org.yuccagw.core.claim.ClaimPeerMessage.Decided;
 import org.yuccagw.core.claim.ClaimPeerMessage.EndRecorded;
 import org.yuccagw.core.claim.ClaimPeerMessage.Ended;
+import org.yuccagw.core.claim.ClaimPeerMessage.Lookup;
 import org.yuccagw.core.claim.ClaimPeerMessage.Request;
 import org.yuccagw.core.claim.ClaimPeerMessage.StatusQuery;
 import org.yuccagw.core.control.ControlComponent;
@@ -30,7 +31,8 @@
 
 /**
  * Claims of requests with an idempotency key. {@link ClaimClient} requests claims for the traffic of this entry, and a
- * {@link ClaimShard} for each owned shard decides on them.
+ * {@link ClaimShard} for each owned shard decides on them. A {@link FormerClaimShard} tells what is known of a shard
+ * whose lease expired.
  *
  * <p>Guarantees: for one key, at most one request is granted over all entries while the record is retained; and a
  * request that was refused as not run is never granted afterwards.
@@ -43,6 +45,8 @@
     private final ClaimLogCodec codec;
     private final ClaimGuards guards;
     private final Map<ShardNumber, ClaimShard> ownedShards = new HashMap<>();
+    private final Map<ShardNumber, FormerClaimShard> formerShards = new HashMap<>();
+    private final Map<ShardNumber, FormerOwnership> formerOwnerships = new HashMap<>();
     private final Map<EntryId, EntryStatus> members = new HashMap<>();
     private SystemLimits limits = SystemLimits.defaults();
     private ControlContext context;
@@ -83,6 +87,8 @@
     public void handle(ControlEvent event, ControlContext ignored) {
         if (event instanceof ClaimRequested requested) {
             client.onClaimRequested(requested);
+        } else if (event instanceof ClaimLookupRequested requested) {
+            client.onLookupRequested(requested);
         } else if (event instanceof ClaimEnded ended) {
             client.onClaimEnded(ended);
         } else if (event instanceof PeerReceived received && received.message() instanceof ClaimPeerMessage message) {
@@ -90,7 +96,7 @@
         } else if (event instanceof ShardGained gained) {
             startShard(gained);
         } else if (event instanceof ShardLost lost) {
-            retireShard(lost.shard());
+            loseShard(lost);
         } else if (event instanceof MembersChanged changed) {
             updateMembers(changed);
         } else if (event instanceof CatalogueChanged changed) {
@@ -114,24 +120,64 @@
             client.onStatusQuery(query);
         } else if (ownedShards.containsKey(message.shard())) {
             receiveAsOwner(message, ownedShards.get(message.shard()));
+        } else if (formerShards.containsKey(message.shard())) {
+            receiveAsFormerOwner(message);
         }
     }
 
     private static void receiveAsOwner(ClaimPeerMessage message, ClaimShard shard) {
         if (message instanceof Request request) {
             shard.handleRequest(request);
+        } else if (message instanceof Lookup lookup) {
+            shard.handleLookup(lookup);
         } else if (message instanceof Ended ended) {
             shard.handleEnded(ended);
         }
     }
 
+    private void receiveAsFormerOwner(ClaimPeerMessage message) {
+        if (hasNextOwner(message.shard())) {
+            forgetFormerShard(message.shard());
+            return;
+        }
+        FormerClaimShard former = formerShards.get(message.shard());
+        if (message instanceof Request request) {
+            former.handleRequest(request);
+        } else if (message instanceof Lookup lookup) {
+            former.handleLookup(lookup);
+        } else if (message instanceof Ended ended) {
+            former.handleEnded(ended);
+        }
+    }
+
+    private boolean hasNextOwner(ShardNumber shard) {
+        long epoch = formerOwnerships.get(shard).epoch();
+        return shards.get().owner(shard).filter(owner -> owner.epoch() > epoch).isPresent();
+    }
+
+    private void forgetFormerShard(ShardNumber shard) {
+        formerShards.remove(shard);
+        formerOwnerships.remove(shard);
+    }
+
     private void startShard(ShardGained gained) {
         retireShard(gained.shard());
+        forgetFormerShard(gained.shard());
         ClaimShard shard = new ClaimShard(gained.shard(), gained.epoch(), new ShardHost(), context);
         ownedShards.put(gained.shard(), shard);
         shard.start();
     }
 
+    private void loseShard(ShardLost lost) {
+        if (lost.cause() == ShardLost.Cause.LEASE_EXPIRED && ownedShards.containsKey(lost.shard())) {
+            ownedShards.get(lost.shard()).toFormer().ifPresent(former -> {
+                formerShards.put(lost.shard(), former);
+                formerOwnerships.put(lost.shard(), FormerOwnership.at(context.nowNanos(), lost.epoch(), members));
+            });
+        }
+        retireShard(lost.shard());
+    }
+
     private void retireShard(ShardNumber number) {
         ClaimShard shard = ownedShards.remove(number);
         if (shard != null) {
@@ -182,6 +228,15 @@
             return held.isPresent() && held.getAsLong() == epoch;
         }
 
+        @Override
+        public boolean excludesOtherOwnerSince(ShardNumber shard, long epoch) {
+            FormerOwnership former = formerOwnerships.get(shard);
+            return former != null
+                    && former.epoch() == epoch
+                    && !hasNextOwner(shard)
+                    && former.wouldKnowOfNextOwner(members, context.nowNanos());
+        }
+
         @Override
         public boolean mayBeRunning(ClaimAttempt attempt) {
             if (attempt.entry().equals(context.self().entry())) {
--- a/src/main/java/org/yuccagw/core/claim/ClaimDecision.java
+++ b/src/main/java/org/yuccagw/core/claim/ClaimDecision.java
@@ -15,6 +15,9 @@
     /** An earlier attempt with the same key and body has ended, and its whole answer was retained. */
     record Answered(KeptAnswer answer) implements ClaimDecision {}
 
+    /** The answer to a lookup: the key has no record, so the request has not run. */
+    record Unclaimed() implements ClaimDecision {}
+
     /** The request must not run. The error is of kind KEY_REUSED, OUTCOME_UNKNOWN or CLAIM_UNAVAILABLE. */
     record Refused(YuccagwException error) implements ClaimDecision {}
 
--- a/src/main/java/org/yuccagw/core/claim/ClaimPeerMessage.java
+++ b/src/main/java/org/yuccagw/core/claim/ClaimPeerMessage.java
@@ -19,7 +19,10 @@
     /** Requests a claim from the owner; sent again under the same attempt until it is decided. */
     record Request(ShardNumber shard, ClaimRecord record) implements ClaimPeerMessage {}
 
-    /** The decision of the owner on a request. */
+    /** Asks the owner what it would decide, without a claim; sent again under the same attempt until it is answered. */
+    record Lookup(ShardNumber shard, ClaimRecord record) implements ClaimPeerMessage {}
+
+    /** The decision of the owner on a request or a lookup. */
     record Decided(ShardNumber shard, ClaimAttempt attempt, Decision decision) implements ClaimPeerMessage {}
 
     /** Reports to the owner how the run ended; sent again until {@link EndRecorded} is received. */
@@ -40,11 +43,17 @@
 
         record Answered(KeptAnswer answer) implements Decision {}
 
+        /** The answer to a lookup: the key has no record. */
+        record Unclaimed() implements Decision {}
+
+        /** The attempt must not run, and it isn't known whether an earlier one with the key has. */
+        record Undecided(String detail) implements Decision {}
+
         /**
          * The attempt must not run.
          *
-         * @param kind KEY_REUSED, OUTCOME_UNKNOWN, CLAIM_UNAVAILABLE, or STALE_OWNER if the sender is no longer the
-         *     owner and the request must be sent to the present one
+         * @param kind KEY_REUSED, OUTCOME_UNKNOWN, CLAIM_UNAVAILABLE if the key has no record, or STALE_OWNER if the
+         *     sender is no longer the owner and the request must be sent to the present one
          * @param detail argument of the message template of the kind; empty if it has none
          */
         record Refused(ErrorKind kind, String detail) implements Decision {}
--- a/src/main/java/org/yuccagw/core/claim/ClaimShard.java
+++ b/src/main/java/org/yuccagw/core/claim/ClaimShard.java
@@ -2,11 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.yuccagw.core.claim.ClaimHead.Segment;
 import org.yuccagw.core.claim.ClaimLog.PendingSegment;
@@ -14,9 +12,8 @@
 import org.yuccagw.core.claim.ClaimPeerMessage.Decision;
 import org.yuccagw.core.claim.ClaimPeerMessage.EndRecorded;
 import org.yuccagw.core.claim.ClaimPeerMessage.Ended;
+import org.yuccagw.core.claim.ClaimPeerMessage.Lookup;
 import org.yuccagw.core.claim.ClaimPeerMessage.Request;
-import org.yuccagw.core.claim.ClaimPeerMessage.StatusQuery;
-import org.yuccagw.core.claim.ClaimRecord.State;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
@@ -50,7 +47,8 @@
  *       this owner whose answer was lost. The two needn't be distinguished: the log is read again, and each waiting
  *       request is decided by its content. A request finds its own record, and is granted, exactly if its commit took
  *       effect.
- *   <li>Refused: the commit had no effect. The requests are refused at once, as not run.
+ *   <li>Refused: the commit had no effect. The requests are refused at once, as not run: their keys have no record in
+ *       the log, which no other entry can have changed while this one holds the lease.
  *   <li>Lost, for the first time: the commit took effect, or it didn't, or it will later. A read can't determine which,
  *       as the commit may take effect after the read. A second commit on the same revision can: at most one of the two
  *       ever takes effect, and the answer is then case 1 or 2.
@@ -64,6 +62,9 @@
  *   <li>No answer within the call timeout: treated as lost. An answer after that is ignored.
  * </ol>
  *
+ * <p>A request is refused as not run only by an owner that has read the log and holds the lease. Otherwise an earlier
+ * attempt with its key may have run, and the refusal says so.
+ *
  * <p>An end is acknowledged only by a confirmed commit that came after it, even if the commit changes nothing.
  * Otherwise an owner that has been replaced without knowing it could make an entry discard how a run ended, and the
  * entry would answer a later query about the discarded attempt with NOT_SENT.
@@ -86,8 +87,7 @@
     private final ClaimShardHost host;
     private final ControlContext context;
     private final LinkedHashMap<ClaimAttempt, Request> waitingRequests = new LinkedHashMap<>();
-    private final LinkedHashMap<ClaimAttempt, Ended> uncommittedEnds = new LinkedHashMap<>();
-    private final Set<ClaimAttempt> refusedAttempts = new HashSet<>();
+    private final RecordDecider records;
 
     private Optional<ClaimLog> log = Optional.empty();
     private Optional<PendingSegment> pendingSegment = Optional.empty();
@@ -107,6 +107,7 @@
         this.epoch = epoch;
         this.host = host;
         this.context = context;
+        this.records = RecordDecider.of(shard, host);
         this.earliestCommitNanos = context.nowNanos();
     }
 
@@ -123,76 +124,74 @@
         redirectWaiting();
     }
 
+    /** Returns what is known of the shard, for the time after its loss; empty if its log has not been read. */
+    Optional<FormerClaimShard> toFormer() {
+        return log.map(lastRead -> FormerClaimShard.of(shard, epoch, lastRead, records, host));
+    }
+
     void handleRequest(Request request) {
         if (!holdsLease()) {
             refuse(request, ErrorKind.STALE_OWNER, shard.toString());
         } else if (waitingRequests.size() >= MAX_WAITING_REQUESTS) {
-            refuse(request, ErrorKind.CLAIM_UNAVAILABLE, "too many claims wait");
+            refuseNow(request, "too many claims wait");
         } else if (!decideWithoutCommit(request)) {
             waitingRequests.put(request.record().attempt(), request);
             startNextCall();
         }
     }
 
+    void handleLookup(Lookup lookup) {
+        Decision decision;
+        if (!holdsLease()) {
+            decision = new Decision.Refused(ErrorKind.STALE_OWNER, shard.toString());
+        } else {
+            decision = log.map(
+                            current -> records.decide(current, lookup.record()).orElseGet(Decision.Unclaimed::new))
+                    .orElseGet(() -> new Decision.Undecided("the claims of the shard are not read yet"));
+        }
+        decide(lookup.record().attempt(), decision);
+    }
+
     void handleEnded(Ended ended) {
         waitingRequests.remove(ended.attempt());
-        uncommittedEnds.putIfAbsent(ended.attempt(), ended);
+        records.addEnd(ended);
         endsCommitNanos = Math.min(endsCommitNanos, context.nowNanos() + END_COMMIT_DELAY.toNanos());
         startNextCall();
     }
 
     /** Decides on the request if that requires no commit; returns whether it has been decided. */
     private boolean decideWithoutCommit(Request request) {
-        Optional<ClaimRecord> found =
-                log.flatMap(current -> current.find(request.record().key()));
-        if (found.isPresent() && !isBeingReleased(found.get())) {
-            decide(request, decisionOn(withUncommittedEnd(found.get()), request.record()));
+        Optional<Decision> byRecord = decisionByRecord(request);
+        if (byRecord.isPresent()) {
+            decide(request, byRecord.get());
             return true;
         }
         if (unavailable) {
-            refuse(request, ErrorKind.CLAIM_UNAVAILABLE, "the key-value service does not answer");
+            refuseNow(request, "the key-value service does not answer");
             return true;
         }
         return false;
     }
 
-    /** Returns the record with its end if that isn't committed yet; such an end is final and may be sent in answers. */
-    private ClaimRecord withUncommittedEnd(ClaimRecord record) {
-        Ended ended = uncommittedEnds.get(record.attempt());
-        if (ended == null || record.state() == State.ANSWERED) {
-            return record;
-        }
-        boolean answered = ended.outcome() == ClaimEnded.Outcome.ANSWERED;
-        return record.ended(answered ? State.ANSWERED : State.UNKNOWN, ended.answer());
+    private Optional<Decision> decisionByRecord(Request request) {
+        return log.flatMap(current -> records.decide(current, request.record()));
     }
 
-    private boolean isBeingReleased(ClaimRecord record) {
-        Ended ended = uncommittedEnds.get(record.attempt());
-        boolean notSent = ended != null && ended.outcome() == ClaimEnded.Outcome.NOT_SENT;
-        return record.state() == State.RUNNING && (notSent || refusedAttempts.contains(record.attempt()));
+    private void decide(Request request, Decision decision) {
+        decide(request.record().attempt(), decision);
     }
 
-    private Decision decisionOn(ClaimRecord record, ClaimRecord requested) {
-        if (!record.bodyHash().equals(requested.bodyHash())) {
-            return new Decision.Refused(ErrorKind.KEY_REUSED, "");
-        }
-        boolean running = record.state() == State.RUNNING;
-        if (running && record.attempt().equals(requested.attempt())) {
-            return new Decision.Granted();
-        }
-        if (running && host.mayBeRunning(record.attempt())) {
-            host.send(record.attempt().entry(), new StatusQuery(shard, record.key(), record.attempt()));
-            return new Decision.Running(record.attempt().entry(), record.request());
-        }
-        if (record.answer().isPresent()) {
-            return new Decision.Answered(record.answer().get());
-        }
-        return new Decision.Refused(ErrorKind.OUTCOME_UNKNOWN, "");
+    private void decide(ClaimAttempt attempt, Decision decision) {
+        host.send(attempt.entry(), new Decided(shard, attempt, decision));
     }
 
-    private void decide(Request request, Decision decision) {
-        ClaimAttempt attempt = request.record().attempt();
-        host.send(attempt.entry(), new Decided(shard, attempt, decision));
+    /** Refuses a request for now, by the record of its key if there is one. */
+    private void refuseNow(Request request, String reason) {
+        boolean logIsCurrent = log.isPresent() && holdsLease();
+        Decision unclaimed = logIsCurrent
+                ? new Decision.Refused(ErrorKind.CLAIM_UNAVAILABLE, reason)
+                : new Decision.Undecided(reason);
+        decide(request, decisionByRecord(request).orElse(unclaimed));
     }
 
     private void refuse(Request request, ErrorKind kind, String detail) {
@@ -201,8 +200,8 @@
 
     private void refuseWaiting(String reason) {
         for (Request request : waitingRequests.values()) {
-            refuse(request, ErrorKind.CLAIM_UNAVAILABLE, reason);
-            refusedAttempts.add(request.record().attempt());
+            refuseNow(request, reason);
+            records.addRefused(request.record().attempt());
         }
         waitingRequests.clear();
     }
@@ -219,8 +218,8 @@
         }
         waitingRequests.values().removeIf(this::decideWithoutCommit);
         long now = context.nowNanos();
-        long due = waitingRequests.isEmpty() && refusedAttempts.isEmpty() ? endsCommitNanos : now;
-        if (uncommittedEnds.isEmpty() && due == endsCommitNanos) {
+        long due = waitingRequests.isEmpty() && records.refusedAttempts().isEmpty() ? endsCommitNanos : now;
+        if (records.uncommittedEnds().isEmpty() && due == endsCommitNanos) {
             return;
         }
         long start = Math.max(due, earliestCommitNanos);
@@ -285,9 +284,9 @@
         }
         ClaimLog base = log.orElseThrow();
         ClaimLog.Draft draft = base.draft();
-        List<Ended> endsInCommit = List.copyOf(uncommittedEnds.values());
+        List<Ended> endsInCommit = records.uncommittedEnds();
         endsInCommit.forEach(draft::end);
-        draft.release(refusedAttempts);
+        draft.release(records.refusedAttempts());
         pendingSegment.ifPresent(draft::moveToSegment);
         draft.expire(host.oldestRetainedWallMillis());
         List<Request> requestsInCommit =
@@ -335,13 +334,14 @@
         log = Optional.of(current);
         unavailable = false;
         consecutiveFailures = 0;
-        refusedAttempts.clear();
+        records.refusedAttempts().clear();
         pendingSegment = Optional.empty();
         for (Ended ended : commit.ends()) {
-            uncommittedEnds.remove(ended.attempt());
+            records.removeEnd(ended);
             host.send(ended.attempt().entry(), new EndRecorded(shard, ended.attempt()));
         }
-        endsCommitNanos = uncommittedEnds.isEmpty() ? Long.MAX_VALUE : context.nowNanos() + END_COMMIT_DELAY.toNanos();
+        boolean noEndsLeft = records.uncommittedEnds().isEmpty();
+        endsCommitNanos = noEndsLeft ? Long.MAX_VALUE : context.nowNanos() + END_COMMIT_DELAY.toNanos();
         for (Request request : commit.requests()) {
             if (waitingRequests.containsKey(request.record().attempt()) && decideWithoutCommit(request)) {
                 waitingRequests.remove(request.record().attempt());
--- a/src/main/java/org/yuccagw/core/error/ErrorKind.java
+++ b/src/main/java/org/yuccagw/core/error/ErrorKind.java
@@ -5,7 +5,9 @@
  *
  * <p>Each kind defines the HTTP status, whether the request ran, where the request may be retried, and the message
  * template. {@link Ran#NOT_RUN} is a guarantee: no byte of the request reached an endpoint, or the endpoint itself
- * refused the request before running it. Code that can't prove this uses a kind with {@link Ran#MAY_HAVE_RUN}.
+ * refused the request before running it. Code that can't prove this uses a kind with {@link Ran#MAY_HAVE_RUN}. All
+ * attempts with one idempotency key are one request: an error that is raised before the claim of the key was decided is
+ * sent as {@link YuccagwException#mayHaveRunBefore}.
  *
  * <p>Example: {@code ErrorKind.UNKNOWN_MODEL.raise("gtp-4")} creates an error with status 404, not run, and the message
  * {@code no service of the catalogue is named 'gtp-4'}.
--- a/src/main/java/org/yuccagw/core/request/RequestEffects.java
+++ b/src/main/java/org/yuccagw/core/request/RequestEffects.java
@@ -28,6 +28,9 @@
     /** Requests the claim of the idempotency key. Answered by {@link RequestMachine#onClaim}. */
     void requestClaim();
 
+    /** Looks up the idempotency key without a claim. Answered by {@link RequestMachine#onClaimLookup}. */
+    void lookUpClaim();
+
     /** Requests the decision of the quarantine. Answered by {@link RequestMachine#onQuarantineDecision}. */
     void requestQuarantineDecision();
 
--- a/src/main/java/org/yuccagw/core/request/RequestMachine.java
+++ b/src/main/java/org/yuccagw/core/request/RequestMachine.java
@@ -60,6 +60,7 @@
     private final StringBuilder text = new StringBuilder();
 
     private RequestState state = RequestState.NEW;
+    private Optional<YuccagwException> refusal = Optional.empty();
     private boolean admitted;
     private boolean claimHeld;
     private boolean mayHaveRun;
@@ -130,7 +131,7 @@
             return;
         }
         if (refusal.isPresent()) {
-            fail(refusal.get());
+            refuse(refusal.get());
             return;
         }
         admitted = true;
@@ -142,6 +143,33 @@
         }
     }
 
+    /** Refuses the request. One that repeats an idempotency key is answered by what is recorded of the key. */
+    private void refuse(YuccagwException error) {
+        if (profile.claim().isEmpty()) {
+            fail(error);
+            return;
+        }
+        refusal = Optional.of(error);
+        state = RequestState.LOOKING_UP;
+        effects.lookUpClaim();
+    }
+
+    public void onClaimLookup(ClaimDecision decision) {
+        if (state != RequestState.LOOKING_UP) {
+            return;
+        }
+        YuccagwException error = refusal.orElseThrow();
+        boolean unknown = decision instanceof ClaimDecision.Refused refused
+                && refused.error().kind() == ErrorKind.CLAIM_UNAVAILABLE;
+        if (decision instanceof ClaimDecision.Unclaimed) {
+            fail(error);
+        } else if (unknown) {
+            fail(error.mayHaveRunBefore());
+        } else {
+            endWithEarlierAttempt(decision);
+        }
+    }
+
     public void onClaim(ClaimDecision decision) {
         if (state != RequestState.CLAIMING) {
             // The deadline passed while the claim was being committed. Nothing was sent, so it is released.
@@ -153,7 +181,13 @@
         if (decision instanceof ClaimDecision.Granted) {
             claimHeld = true;
             checkQuarantine();
-        } else if (decision instanceof ClaimDecision.Running running) {
+        } else {
+            endWithEarlierAttempt(decision);
+        }
+    }
+
+    private void endWithEarlierAttempt(ClaimDecision decision) {
+        if (decision instanceof ClaimDecision.Running running) {
             effects.follow(running.entry(), running.request());
             complete();
         } else if (decision instanceof ClaimDecision.Answered answered) {
@@ -531,8 +565,10 @@
             effects.report(new AdmissionRequested.Withdrawn(profile.request()));
         }
         mayHaveRun |= state == RequestState.SENDING;
-        YuccagwException error =
-                mayHaveRun ? ErrorKind.DEADLINE_PASSED.raise(millis) : ErrorKind.OVERLOADED.raise(millis);
+        boolean keyUndecided = profile.claim().isPresent() && !claimHeld;
+        YuccagwException notRun = ErrorKind.OVERLOADED.raise(millis);
+        YuccagwException notSent = keyUndecided ? notRun.mayHaveRunBefore() : notRun;
+        YuccagwException error = mayHaveRun ? ErrorKind.DEADLINE_PASSED.raise(millis) : notSent;
         releaseEndpoint(Duration.ZERO);
         fail(error);
     }
--- a/src/main/java/org/yuccagw/core/request/RequestState.java
+++ b/src/main/java/org/yuccagw/core/request/RequestState.java
@@ -5,6 +5,8 @@
     NEW,
     ADMITTING,
     CLAIMING,
+    /** Refused by admission; waits to learn whether an earlier attempt with its idempotency key has run. */
+    LOOKING_UP,
     JUDGING,
     ROUTING,
     IMPORTING,
--- a/src/main/java/org/yuccagw/core/shard/ShardLost.java
+++ b/src/main/java/org/yuccagw/core/shard/ShardLost.java
@@ -8,4 +8,12 @@
  *
  * @param epoch fencing number of the ownership that ended
  */
-public record ShardLost(ShardNumber shard, long epoch) implements ControlEvent {}
+public record ShardLost(ShardNumber shard, long epoch, Cause cause) implements ControlEvent {
+    /** Why the ownership ended. */
+    public enum Cause {
+        /** The shard is assigned to another entry. */
+        HANDED_OVER,
+        /** The lease couldn't be renewed. Perhaps no entry owns the shard now. */
+        LEASE_EXPIRED
+    }
+}
--- a/src/main/java/org/yuccagw/core/shard/ShardsComponent.java
+++ b/src/main/java/org/yuccagw/core/shard/ShardsComponent.java
@@ -311,13 +311,13 @@
         pendingDeletes.clear();
         pendingCallNanos.clear();
         updateSnapshot();
-        lost.forEach((shard, epoch) -> context.raise(new ShardLost(shard, epoch)));
+        lost.forEach((shard, epoch) -> context.raise(new ShardLost(shard, epoch, ShardLost.Cause.LEASE_EXPIRED)));
     }
 
     private void handOver(ShardNumber shard) {
         long epoch = ownedEpochs.remove(shard);
         pendingDeletes.put(shard, epoch);
-        context.raise(new ShardLost(shard, epoch));
+        context.raise(new ShardLost(shard, epoch, ShardLost.Cause.HANDED_OVER));
     }
 
     private void delete(ShardNumber shard, long epoch) {
--- a/src/test/java/org/yuccagw/adapters/peer/RequestCodecsTest.java
+++ b/src/test/java/org/yuccagw/adapters/peer/RequestCodecsTest.java
@@ -47,12 +47,15 @@
                 KEY, "00ff", RequestId.of("request-1"), ATTEMPT, ClaimRecord.State.RUNNING, 9, Optional.empty());
         return new Object[][] {
             {new ClaimPeerMessage.Request(SHARD, wanted)},
+            {new ClaimPeerMessage.Lookup(SHARD, wanted)},
             {new ClaimPeerMessage.Decided(SHARD, ATTEMPT, new Decision.Granted())},
             {
                 new ClaimPeerMessage.Decided(
                         SHARD, ATTEMPT, new Decision.Running(EntryId.of("entry-2"), RequestId.of("request-2")))
             },
             {new ClaimPeerMessage.Decided(SHARD, ATTEMPT, new Decision.Refused(ErrorKind.KEY_REUSED, ""))},
+            {new ClaimPeerMessage.Decided(SHARD, ATTEMPT, new Decision.Unclaimed())},
+            {new ClaimPeerMessage.Decided(SHARD, ATTEMPT, new Decision.Undecided("no owner"))},
             {new ClaimPeerMessage.Ended(SHARD, KEY, ATTEMPT, Outcome.UNKNOWN, Optional.empty())},
             {new ClaimPeerMessage.EndRecorded(SHARD, ATTEMPT)},
             {new ClaimPeerMessage.StatusQuery(SHARD, KEY, ATTEMPT)},
--- a/src/test/java/org/yuccagw/bench/invariant/InvariantCheckerTest.java
+++ b/src/test/java/org/yuccagw/bench/invariant/InvariantCheckerTest.java
@@ -42,6 +42,12 @@
                 second);
     }
 
+    @Test
+    public void aRefusalAfterAPartOfTheAnswerIsFound() {
+        Sending cut = Sending.unclear("a", "a b", List.of(1));
+        assertBroken(List.of(request("w1", 1, true, cut, Sending.notRun())), List.of(Promise.TRUE_REFUSALS), run(1));
+    }
+
     @Test
     public void aRunBehindARefusalIsFound() {
         assertBroken(List.of(request("w1", 1, false, Sending.notRun())), List.of(Promise.TRUE_REFUSALS), run(1));
--- a/src/test/java/org/yuccagw/core/request/RecordedEffects.java
+++ b/src/test/java/org/yuccagw/core/request/RecordedEffects.java
@@ -38,6 +38,11 @@
         lines.add("request admission");
     }
 
+    @Override
+    public void lookUpClaim() {
+        lines.add("look up");
+    }
+
     @Override
     public void requestClaim() {
         lines.add("request claim");
--- a/src/test/java/org/yuccagw/core/request/RequestMachineTest.java
+++ b/src/test/java/org/yuccagw/core/request/RequestMachineTest.java
@@ -15,6 +15,7 @@
 import org.yuccagw.core.claim.ClaimDecision;
 import org.yuccagw.core.claim.ClaimEnded;
 import org.yuccagw.core.error.ErrorKind;
+import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.RequestId;
 import org.yuccagw.core.quarantine.EndpointTerminated;
@@ -253,6 +254,43 @@
         assertEquals(effects.reports(ClaimEnded.class).get(0).outcome(), ClaimEnded.Outcome.NOT_SENT);
     }
 
+    // Guards against "not run" for a key whose earlier attempt may have run, when the claim isn't decided in time.
+    @Test
+    public void aDeadlineBeforeTheClaimIsDecidedDoesNotDenyAnEarlierRun() {
+        RequestMachine machine = machine(false, true);
+        machine.begin();
+        machine.onAdmitted(Optional.empty());
+        machine.onTimer(RequestMachine.TimerKind.DEADLINE, 0);
+        assertEquals(effects.error.ran(), ErrorKind.Ran.MAY_HAVE_RUN);
+    }
+
+    // Guards against "not run" for a key whose earlier attempt ran, when admission refuses the repeat.
+    @Test
+    public void aRepeatThatAdmissionRefusesIsAnsweredByTheRecordOfItsKey() {
+        RequestMachine machine = machine(false, true);
+        machine.begin();
+        machine.onAdmitted(Optional.of(ErrorKind.WORKSPACE_LIMIT.raise("w", "requests")));
+        machine.onClaimLookup(new ClaimDecision.Refused(ErrorKind.OUTCOME_UNKNOWN.raise()));
+        assertEquals(effects.error.kind(), ErrorKind.OUTCOME_UNKNOWN);
+    }
+
+    @Test
+    public void aRefusalOfAdmissionSaysNotRunOnlyIfTheKeyHasNoRecord() {
+        assertEquals(ranAfterLookup(new ClaimDecision.Unclaimed()), ErrorKind.Ran.NOT_RUN);
+        YuccagwException undecided =
+                ErrorKind.CLAIM_UNAVAILABLE.raise("no owner").mayHaveRunBefore();
+        assertEquals(ranAfterLookup(new ClaimDecision.Refused(undecided)), ErrorKind.Ran.MAY_HAVE_RUN);
+    }
+
+    private ErrorKind.Ran ranAfterLookup(ClaimDecision decision) {
+        RequestMachine machine = machine(false, true);
+        machine.begin();
+        machine.onAdmitted(Optional.of(ErrorKind.WORKSPACE_LIMIT.raise("w", "requests")));
+        machine.onClaimLookup(decision);
+        assertEquals(effects.error.kind(), ErrorKind.WORKSPACE_LIMIT);
+        return effects.error.ran();
+    }
+
     @Test
     public void aRetryWithTheSameKeyFollowsTheRunInProgress() {
         RequestMachine machine = machine(false, true);
