Let a restarted entry learn which prompts are quarantined before it decides

What callers saw: a prompt that had ended two engines ran a third time, through an entry that had been killed and started again (EntryFailuresTest#aPromptThatCrashesEngines..., 3 runs where 2 are allowed, once beside load). All others on that engine lose their streams.

Cause: the records were sent to entries that are new by id. An entry that is back before the others saw it dead isn't new to them, and until the exchange with one random entry every 2 s reached it, it let the prompt run; and any started entry decided before it had heard from anyone.

That the listed failure was this one isn't shown: its run kept no log.

Change: a process that has started asks up to five entries for their records, and requests wait for the first answer of one that has them, 2 s at the most. Others recognize a new process by its incarnation. ShardsComponent announced its shards to new entries by id as well, with the same gap of seconds for claims and permits.

--- a/src/main/java/org/yuccagw/adapters/peer/QuarantineCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/QuarantineCodec.java
@@ -1,6 +1,7 @@
 package org.yuccagw.adapters.peer;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
@@ -13,6 +14,8 @@
 import org.yuccagw.core.quarantine.QuarantinePeerMessage.PermitDecided;
 import org.yuccagw.core.quarantine.QuarantinePeerMessage.PermitReleased;
 import org.yuccagw.core.quarantine.QuarantinePeerMessage.PermitRequested;
+import org.yuccagw.core.quarantine.QuarantinePeerMessage.RecordsRequested;
+import org.yuccagw.core.quarantine.QuarantinePeerMessage.RecordsSent;
 import org.yuccagw.wire.PeerProtocol;
 import org.yuccagw.wire.PeerProtocol.Envelope;
 import org.yuccagw.wire.PeerProtocol.QuarantineMessage;
@@ -23,6 +26,8 @@
     private static final int PERMIT_REQUEST = 1;
     private static final int PERMIT_DECISION = 2;
     private static final int PERMIT_RELEASED = 3;
+    private static final int RECORDS_REQUEST = 4;
+    private static final int RECORDS_SENT = 5;
 
     private QuarantineCodec() {}
 
@@ -47,6 +52,11 @@
                     .setGranted(decided.granted());
         } else if (message instanceof PermitReleased released) {
             writePermit(wire, PERMIT_RELEASED, released.fingerprint(), released.number());
+        } else if (message instanceof RecordsRequested) {
+            wire.setKind(RECORDS_REQUEST);
+        } else if (message instanceof RecordsSent sent) {
+            wire.setKind(RECORDS_SENT).setComplete(sent.complete());
+            sent.deaths().forEach(death -> wire.addDeaths(toWire(death)));
         }
         envelope.setQuarantine(wire);
         return true;
@@ -81,17 +91,20 @@
     private static PeerMessage read(QuarantineMessage wire) {
         PromptFingerprint fingerprint = new PromptFingerprint(wire.getFingerprint());
         return switch (wire.getKind()) {
-            case TERMINATIONS ->
-                new Deaths(wire.getDeathsList().stream()
-                        .map(QuarantineCodec::fromWire)
-                        .toList());
+            case TERMINATIONS -> new Deaths(deaths(wire));
             case PERMIT_REQUEST -> new PermitRequested(fingerprint, wire.getPermit(), wire.getGranted());
             case PERMIT_DECISION -> new PermitDecided(fingerprint, wire.getPermit(), wire.getGranted());
             case PERMIT_RELEASED -> new PermitReleased(fingerprint, wire.getPermit());
+            case RECORDS_REQUEST -> new RecordsRequested();
+            case RECORDS_SENT -> new RecordsSent(deaths(wire), wire.getComplete());
             default -> throw new IllegalArgumentException("quarantine message of unknown kind " + wire.getKind());
         };
     }
 
+    private static List<Death> deaths(QuarantineMessage wire) {
+        return wire.getDeathsList().stream().map(QuarantineCodec::fromWire).toList();
+    }
+
     private static Death fromWire(PeerProtocol.Death wire) {
         if (wire.getAgeMillis() < 0) {
             throw new IllegalArgumentException("the age of an endpoint termination is negative");
--- a/src/main/java/org/yuccagw/core/quarantine/QuarantineComponent.java
+++ b/src/main/java/org/yuccagw/core/quarantine/QuarantineComponent.java
@@ -1,8 +1,8 @@
 package org.yuccagw.core.quarantine;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,6 +24,8 @@
 import org.yuccagw.core.quarantine.QuarantinePeerMessage.PermitDecided;
 import org.yuccagw.core.quarantine.QuarantinePeerMessage.PermitReleased;
 import org.yuccagw.core.quarantine.QuarantinePeerMessage.PermitRequested;
+import org.yuccagw.core.quarantine.QuarantinePeerMessage.RecordsRequested;
+import org.yuccagw.core.quarantine.QuarantinePeerMessage.RecordsSent;
 import org.yuccagw.core.quarantine.QuarantineRequested.Decision;
 import org.yuccagw.core.quarantine.QuarantineRequested.PermitReturned;
 import org.yuccagw.core.shard.ShardAuthority;
@@ -42,8 +44,10 @@
  *
  * <p>A termination is pushed to all entries when it is observed, before the caller can learn of it. Each entry also
  * periodically sends the terminations that it knows to one random entry, so a lost push is repaired and the record
- * remains if the entry that observed the termination fails. Other prompts that ran on the same endpoint are counted
- * too, because the one that terminated it can't be identified; running isolated, they don't cause a second termination.
+ * remains if the entry that observed the termination fails. A process that has started asks others for their records
+ * before it decides anything, and every new process of an entry is sent them. Other prompts that ran on the same
+ * endpoint are counted too, because the one that terminated it can't be identified; running isolated, they don't cause
+ * a second termination.
  */
 public final class QuarantineComponent implements ControlComponent {
     private static final Duration EXCHANGE_INTERVAL = Duration.ofSeconds(2);
@@ -60,7 +64,8 @@
     private final PermitIssuer issuer = new PermitIssuer();
     private final Map<Long, WaitingAttempt> waitingByPermit = new HashMap<>();
     private final Map<Long, PromptFingerprint> heldPermits = new HashMap<>();
-    private List<EntryId> otherEntries = List.of();
+    private final StartupTransfer startup = StartupTransfer.of(this::handleRequest);
+    private Map<EntryId, Long> otherEntries = Map.of();
     private SystemLimits limits = SystemLimits.defaults();
     private ControlContext context;
     private long nextPermitNumber;
@@ -87,6 +92,7 @@
         context = startContext;
         // A restarted entry must not use permit numbers of its previous process.
         nextPermitNumber = context.self().incarnation() << PERMIT_NUMBER_BITS;
+        startup.start(context);
         context.after(EXCHANGE_INTERVAL, this::exchangeDeaths);
         context.after(RENEWAL_INTERVAL, this::renewPermits);
     }
@@ -94,7 +100,7 @@
     @Override
     public void handle(ControlEvent event, ControlContext ignored) {
         if (event instanceof QuarantineRequested request) {
-            handleRequest(request);
+            startup.submit(request);
         } else if (event instanceof EndpointTerminated terminated) {
             recordTermination(terminated);
         } else if (event instanceof PermitReturned returned) {
@@ -178,7 +184,7 @@
                 new Death(terminated.fingerprint(), terminated.endpoint(), terminated.incarnation(), Duration.ZERO);
         if (deaths.add(death, context.nowNanos())) {
             Deaths message = new Deaths(List.of(death));
-            otherEntries.forEach(peer -> context.send(peer, message));
+            otherEntries.keySet().forEach(peer -> context.send(peer, message));
             refuseWaitingAttempts(terminated.fingerprint());
         }
     }
@@ -203,11 +209,12 @@
 
     private void receive(EntryId from, QuarantinePeerMessage message) {
         if (message instanceof Deaths received) {
-            for (Death death : received.deaths()) {
-                if (deaths.add(death, context.nowNanos())) {
-                    refuseWaitingAttempts(death.fingerprint());
-                }
-            }
+            addAll(received.deaths());
+        } else if (message instanceof RecordsRequested) {
+            context.send(from, new RecordsSent(allDeaths(), startup.isComplete()));
+        } else if (message instanceof RecordsSent sent) {
+            addAll(sent.deaths());
+            startup.onRecordsSent(from, sent);
         } else if (message instanceof PermitRequested request) {
             decideOnPermit(from, request);
         } else if (message instanceof PermitDecided decided) {
@@ -217,6 +224,14 @@
         }
     }
 
+    private void addAll(List<Death> received) {
+        for (Death death : received) {
+            if (deaths.add(death, context.nowNanos())) {
+                refuseWaitingAttempts(death.fingerprint());
+            }
+        }
+    }
+
     private void decideOnPermit(EntryId from, PermitRequested request) {
         Optional<ShardNumber> shard = shardOf(request.fingerprint());
         boolean ownsShard = shard.isPresent() && issuer.ownsShard(shard.get());
@@ -255,30 +270,33 @@
     private void exchangeDeaths() {
         deaths.expire(limits.quarantine(), context.nowNanos());
         if (deaths.size() > 0 && !otherEntries.isEmpty()) {
-            EntryId peer = otherEntries.get(context.random().nextInt(otherEntries.size()));
-            context.send(peer, knownDeaths());
+            List<EntryId> peers = List.copyOf(otherEntries.keySet());
+            EntryId peer = peers.get(context.random().nextInt(peers.size()));
+            context.send(peer, new Deaths(deaths.newest(MAX_FINGERPRINTS_PER_MESSAGE, context.nowNanos())));
         }
         context.after(EXCHANGE_INTERVAL, this::exchangeDeaths);
     }
 
-    private Deaths knownDeaths() {
-        return new Deaths(deaths.newest(MAX_FINGERPRINTS_PER_MESSAGE, context.nowNanos()));
+    private List<Death> allDeaths() {
+        return deaths.newest(deaths.size(), context.nowNanos());
     }
 
     private void updateMembers(MembersChanged changed) {
-        List<EntryId> liveEntries = new ArrayList<>();
+        Map<EntryId, Long> liveEntries = new LinkedHashMap<>();
         for (EntryStatus status : changed.entries()) {
             boolean other = !status.entry().equals(context.self().entry());
             if (other && status.state() != EntryStatus.State.DEAD) {
-                liveEntries.add(status.entry());
+                liveEntries.put(status.entry(), status.incarnation());
             }
         }
-        if (deaths.size() > 0) {
-            liveEntries.stream()
-                    .filter(peer -> !otherEntries.contains(peer))
-                    .forEach(peer -> context.send(peer, knownDeaths()));
-        }
-        otherEntries = List.copyOf(liveEntries);
+        liveEntries.forEach((peer, incarnation) -> {
+            boolean sameProcess = incarnation.equals(otherEntries.get(peer));
+            if (!sameProcess && deaths.size() > 0) {
+                context.send(peer, new Deaths(allDeaths()));
+            }
+        });
+        otherEntries = liveEntries;
+        startup.updatePeers(liveEntries.keySet());
     }
 
     private Optional<ShardNumber> shardOf(PromptFingerprint fingerprint) {
--- a/src/main/java/org/yuccagw/core/quarantine/QuarantinePeerMessage.java
+++ b/src/main/java/org/yuccagw/core/quarantine/QuarantinePeerMessage.java
@@ -16,6 +16,20 @@
         }
     }
 
+    /** Asks for all terminations that the receiver knows. Sent by a process that has started. */
+    record RecordsRequested() implements QuarantinePeerMessage {}
+
+    /**
+     * All terminations that the sender knows.
+     *
+     * @param complete whether the sender has learned before which terminations others know
+     */
+    record RecordsSent(List<Death> deaths, boolean complete) implements QuarantinePeerMessage {
+        public RecordsSent {
+            deaths = List.copyOf(deaths);
+        }
+    }
+
     /**
      * The termination of one endpoint while it ran the prompt.
      *
--- a/src/main/java/org/yuccagw/core/shard/ShardsComponent.java
+++ b/src/main/java/org/yuccagw/core/shard/ShardsComponent.java
@@ -4,12 +4,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.TreeMap;
 import org.yuccagw.core.catalogue.CatalogueChanged;
 import org.yuccagw.core.control.ControlComponent;
@@ -72,7 +70,7 @@
     private final Map<ShardNumber, Ownership> reportedOwners = new HashMap<>();
     private final Map<ShardNumber, Long> pendingCallNanos = new HashMap<>();
     private final Map<ShardNumber, EntryId> assignedOwners = new HashMap<>();
-    private final Set<EntryId> knownEntries = new HashSet<>();
+    private final Map<EntryId, Long> knownEntries = new HashMap<>();
     private ControlContext context;
     private LeaseRenewer lease;
     private List<EntryId> candidates = List.of();
@@ -153,16 +151,17 @@
                 .filter(entry -> entry.state() == State.ALIVE || entry.state() == State.SUSPECT)
                 .map(EntryStatus::entry)
                 .toList();
-        Set<EntryId> present = new HashSet<>();
-        changed.entries().forEach(entry -> present.add(entry.entry()));
-        for (EntryId entry : present) {
-            if (!knownEntries.contains(entry)) {
+        Map<EntryId, Long> present = new HashMap<>();
+        changed.entries().forEach(entry -> present.put(entry.entry(), entry.incarnation()));
+        present.forEach((entry, incarnation) -> {
+            boolean sameProcess = incarnation.equals(knownEntries.get(entry));
+            if (!sameProcess) {
                 announceTo(entry);
             }
-        }
+        });
         knownEntries.clear();
-        knownEntries.addAll(present);
-        reportedOwners.values().removeIf(ownership -> !present.contains(ownership.owner()));
+        knownEntries.putAll(present);
+        reportedOwners.values().removeIf(ownership -> !present.containsKey(ownership.owner()));
         if (!assignmentScheduled) {
             assignmentScheduled = true;
             context.after(ASSIGNMENT_DELAY, this::runScheduledAssignment);
@@ -290,7 +289,7 @@
         updateSnapshot();
         context.raise(new ShardGained(shard, epoch));
         ShardOwned message = new ShardOwned(shard, epoch);
-        for (EntryId entry : knownEntries) {
+        for (EntryId entry : knownEntries.keySet()) {
             if (!entry.equals(context.self().entry())) {
                 context.send(entry, message);
             }
@@ -355,7 +354,7 @@
 
     private void announceToRandomEntry() {
         context.after(ANNOUNCEMENT_INTERVAL, this::announceToRandomEntry);
-        List<EntryId> others = new ArrayList<>(knownEntries);
+        List<EntryId> others = new ArrayList<>(knownEntries.keySet());
         others.remove(context.self().entry());
         if (!others.isEmpty()) {
             others.sort(null);
--- a/src/test/java/org/yuccagw/adapters/peer/RequestCodecsTest.java
+++ b/src/test/java/org/yuccagw/adapters/peer/RequestCodecsTest.java
@@ -66,6 +66,7 @@
             {new QuarantinePeerMessage.PermitRequested(FINGERPRINT, 1L << 60, true)},
             {new QuarantinePeerMessage.PermitDecided(FINGERPRINT, 8, true)},
             {new QuarantinePeerMessage.PermitReleased(FINGERPRINT, 8)},
+            {new QuarantinePeerMessage.RecordsRequested()},
             {new SharePeerMessage.Ask(SHARD, LIMIT, new Share(2, 0.25), 6, 7, 1, 3)},
             {new SharePeerMessage.Grant(SHARD, 6, LIMIT, new Share(3, 0.5), 8, Duration.ofSeconds(5))},
             {new SharePeerMessage.Present(SHARD)},
