Keep a stream that has begun while no endpoint is free for it

Cause: a refusal that holds only for now ended an answer that has begun, and the limit of attempts counted sends where the route limits endpoints, so the second endpoint of a pause, which had the request for a moment, took the last attempt.

Change: while a stream that has begun is refused an endpoint for now, one is requested again, after 50 ms at first and 400 ms at most, until the deadline. Endpoints that were silent or rejected it are permitted again then; those that failed it never are. Once the limit of endpoints is reached, the stream may return to one of them that hasn't failed it. What no endpoint will accept (suspect, all have failed) is still ended at once.

--- a/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
@@ -107,6 +107,20 @@
     @Override
     public void requestPlacement(
             ImmutableSet<EndpointId> excluded, PlacementRequest.Kind kind, OptionalLong pinned, Duration remaining) {
+        requestPlacement(excluded, ImmutableSet.of(), kind, pinned, remaining);
+    }
+
+    @Override
+    public void requestReturn(ImmutableSet<EndpointId> permitted, OptionalLong pinned, Duration remaining) {
+        requestPlacement(ImmutableSet.of(), permitted, PlacementRequest.Kind.REPEAT, pinned, remaining);
+    }
+
+    private void requestPlacement(
+            ImmutableSet<EndpointId> excluded,
+            ImmutableSet<EndpointId> permitted,
+            PlacementRequest.Kind kind,
+            OptionalLong pinned,
+            Duration remaining) {
         services.control()
                 .offer(new PlacementRequest(
                         request.id(),
@@ -116,6 +130,7 @@
                         request.prompt(),
                         request.fingerprint(),
                         excluded,
+                        permitted,
                         kind,
                         pinned,
                         remaining.toMillis(),
--- a/src/main/java/org/yuccagw/core/forward/AttemptHistory.java
+++ b/src/main/java/org/yuccagw/core/forward/AttemptHistory.java
@@ -1,8 +1,10 @@
 package org.yuccagw.core.forward;
 
 import com.google.common.collect.ImmutableSet;
-import java.util.HashSet;
+import com.google.common.collect.Sets;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.Map;
 import java.util.Set;
 import org.yuccagw.core.deployment.Route;
 import org.yuccagw.core.id.EndpointId;
@@ -16,8 +18,9 @@
     private static final int MAX_SENDS = 4;
 
     private final Route route;
-    private final Set<EndpointId> excluded = new LinkedHashSet<>();
-    private final Set<Long> runLegs = new HashSet<>();
+    private final Set<EndpointId> failed = new LinkedHashSet<>();
+    private final Set<EndpointId> excludedForNow = new LinkedHashSet<>();
+    private final Map<Long, EndpointId> runLegs = new HashMap<>();
     private int sends;
     private String lastFailure = "";
     private String lastEndpoint = "none";
@@ -47,7 +50,7 @@
 
     /** Records that the request may have run on the leg. */
     void recordRun(Leg leg) {
-        runLegs.add(leg.number());
+        runLegs.put(leg.number(), leg.endpoint());
     }
 
     /** Records that the request has not run on the leg, whatever was assumed before. */
@@ -68,6 +71,23 @@
         return route.repeatable() && runLegs.size() < route.attemptLimit() && maySendAgain();
     }
 
+    /** Returns whether the route permits that the request runs on an endpoint on which it hasn't run yet. */
+    boolean mayRunElsewhere() {
+        return route.repeatable() && runEndpoints().size() < route.attemptLimit();
+    }
+
+    /**
+     * Returns the endpoints on which the request may have run and that haven't failed it. It may run there again
+     * whatever the limit of attempts, which is one of endpoints.
+     */
+    ImmutableSet<EndpointId> returnable() {
+        return Sets.difference(runEndpoints(), failed).immutableCopy();
+    }
+
+    private ImmutableSet<EndpointId> runEndpoints() {
+        return ImmutableSet.copyOf(runLegs.values());
+    }
+
     /** Records why the request may have to leave its endpoint. */
     void recordFailure(Leg leg, String detail) {
         lastFailure = detail;
@@ -83,15 +103,31 @@
         return lastEndpoint;
     }
 
+    /** Excludes an endpoint that has failed the request. */
     void exclude(EndpointId endpoint) {
-        excluded.add(endpoint);
+        failed.add(endpoint);
+    }
+
+    /** Excludes an endpoint that was silent or rejected the request, until there is no other one. */
+    void excludeForNow(EndpointId endpoint) {
+        excludedForNow.add(endpoint);
+    }
+
+    /** Returns whether any endpoint is excluded that may be permitted again. */
+    boolean hasExcludedForNow() {
+        return !excludedForNow.isEmpty();
+    }
+
+    /** Permits the endpoints again that were excluded for now, since no other one is available. */
+    void permitExcludedForNow() {
+        excludedForNow.clear();
     }
 
     boolean isExcluded(EndpointId endpoint) {
-        return excluded.contains(endpoint);
+        return failed.contains(endpoint) || excludedForNow.contains(endpoint);
     }
 
     ImmutableSet<EndpointId> excluded() {
-        return ImmutableSet.copyOf(excluded);
+        return Sets.union(failed, excludedForNow).immutableCopy();
     }
 }
--- a/src/main/java/org/yuccagw/core/forward/ForwardEffects.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardEffects.java
@@ -30,6 +30,14 @@
             OptionalLong pinnedVersion,
             Duration remaining);
 
+    /**
+     * Requests one of the endpoints on which the request has run before. The result is passed to {@link
+     * ForwardMachine#onPlacementDecision}.
+     *
+     * @param permitted endpoints of which one must be chosen
+     */
+    void requestReturn(ImmutableSet<EndpointId> permitted, OptionalLong pinnedVersion, Duration remaining);
+
     /**
      * Sends the request to the chosen endpoint.
      *
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -32,6 +32,8 @@
  *   <li>Silence ends no leg. A leg that is silent, or whose error answer is held, is given up when its replacement
  *       answers, or at the latest {@link #MAX_OVERLAP} after the replacement was delivered. While there is none, it
  *       stays the current leg until the deadline.
+ *   <li>A stream that has begun and can be resumed isn't ended by a refusal: while there is no endpoint for it, one is
+ *       requested again and again until the deadline.
  *   <li>A resumed stream continues after the last complete event that was forwarded, with the same weight version.
  *   <li>A stream is complete only if its last event is, whatever shows the end of the answer.
  * </ul>
@@ -73,7 +75,9 @@
         /** The timeout for the next event of a resumable stream. */
         GAP,
         /** The time for which a silent leg is kept beside its replacement. */
-        OVERLAP
+        OVERLAP,
+        /** The delay before another endpoint is requested for a stream that was refused one. */
+        PLACEMENT
     }
 
     private ForwardMachine(ForwardRequest request, ForwardEffects effects) {
@@ -246,6 +250,7 @@
                         .filter(silenceWatch::isSilent)
                         .ifPresent(leg -> handleSilence(leg, "the stream paused"));
             case OVERLAP -> endOverlap(ofLeg);
+            case PLACEMENT -> retryPlacement();
             default -> throw new AssertionError(kind);
         }
     }
@@ -306,11 +311,46 @@
     private void handleRefusal(YuccagwException error) {
         if (legs.current().isPresent()) {
             keepCurrent();
+        } else if (error.kind() != ErrorKind.SUSPECT_REQUEST && mayContinueLater(isTemporary(error))) {
+            waitForEndpoint("refused: " + error.getMessage());
         } else {
             answerEnd.giveUp("no endpoint to go on with: " + error.getMessage(), error);
         }
     }
 
+    /** Returns whether a stream has begun and may return to an endpoint that hasn't failed it. */
+    private boolean mayReturn() {
+        return headSent && answerBody.isResumable() && !history.returnable().isEmpty() && deadline.permitsAttempt();
+    }
+
+    /** Returns whether a stream has begun and some endpoint may accept it later. */
+    private boolean mayContinueLater(boolean refusalIsTemporary) {
+        boolean elsewhere = history.mayRunElsewhere() && (refusalIsTemporary || history.hasExcludedForNow());
+        return headSent
+                && answerBody.isResumable()
+                && (elsewhere || !history.returnable().isEmpty());
+    }
+
+    /** Returns whether a placement that was refused may succeed without any endpoint that is excluded now. */
+    private static boolean isTemporary(YuccagwException refusal) {
+        return refusal.kind() != ErrorKind.NO_ENDPOINT && refusal.kind() != ErrorKind.SUSPECT_REQUEST;
+    }
+
+    /** Keeps the caller until an endpoint accepts the stream, or until the deadline. */
+    private void waitForEndpoint(String reason) {
+        if (deadline.permitsAttempt()) {
+            effects.explain("wait-for-endpoint", reason);
+            inquiry.retryLater();
+        }
+    }
+
+    private void retryPlacement() {
+        if (legs.current().isEmpty() && !inquiry.isWanted() && deadline.permitsAttempt()) {
+            history.permitExcludedForNow();
+            requestPlacement(Kind.REPEAT);
+        }
+    }
+
     // ---- Replacement of a leg
 
     /** Handles a leg without progress. It stays the current one, since its endpoint may still go on. */
@@ -320,7 +360,7 @@
         effects.explain("endpoint-silent", pause + " at " + leg.endpoint());
         history.recordRun(leg);
         history.recordFailure(leg, pause);
-        history.exclude(leg.endpoint());
+        history.excludeForNow(leg.endpoint());
         if (legs.isReplacement(leg.number()) && mayRetry()) {
             promoteReplacement();
         }
@@ -454,7 +494,7 @@
         history.recordFailure(leg, "status " + head.status() + ", not run");
         history.recordNotRun(leg);
         if (end != End.WRONG_VERSION) {
-            history.exclude(leg.endpoint());
+            history.excludeForNow(leg.endpoint());
         }
         if (legs.isReplacement(leg.number())) {
             endReplacement(ended);
@@ -470,6 +510,8 @@
         if (history.maySendAgain() && deadline.permitsAttempt()) {
             effects.explain("try-elsewhere", history.lastFailure());
             requestPlacement(kind);
+        } else if (mayContinueLater(false)) {
+            waitForEndpoint(history.lastFailure());
         } else {
             answerEnd.giveUp(history.lastFailure(), ErrorKind.NO_ENDPOINT.raise(request.service()));
         }
@@ -482,8 +524,8 @@
      *   <li>It is the replacement: another one is requested, or the current leg is kept.
      *   <li>There is a replacement, or one is being sought: continue with that.
      *   <li>Nothing was sent: retry on another endpoint, even if the request is not repeatable.
-     *   <li>The answer has started and the stream is resumable: continue on another endpoint after the last complete
-     *       event.
+     *   <li>The answer has started and the stream is resumable: continue after the last complete event on another
+     *       endpoint or, if the limit of endpoints is reached, on one of those that had the request and haven't failed.
      *   <li>The answer has started otherwise: abort it, so that it does not appear complete.
      *   <li>Nothing was sent to the caller and the request is repeatable: retry on another endpoint, within the limits
      *       of attempts and budget.
@@ -509,6 +551,9 @@
         } else if (mayRetry()) {
             effects.explain(headSent ? "resume-elsewhere" : "try-elsewhere", detail);
             requestPlacement(Kind.REPEAT);
+        } else if (mayReturn()) {
+            effects.explain("resume-elsewhere", detail);
+            requestPlacement(Kind.REPEAT);
         } else {
             answerEnd.giveUp();
         }
--- a/src/main/java/org/yuccagw/core/forward/PlacementInquiry.java
+++ b/src/main/java/org/yuccagw/core/forward/PlacementInquiry.java
@@ -1,8 +1,10 @@
 package org.yuccagw.core.forward;
 
+import com.google.common.collect.Comparators;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.yuccagw.core.forward.ForwardMachine.TimerKind;
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.AttemptEnded.End;
 import org.yuccagw.core.placing.PlacementDecision;
@@ -15,8 +17,13 @@
  * that was asked for before other endpoints failed. Such a placement is released.
  */
 final class PlacementInquiry {
+    private static final long NO_LEG = 0;
+    private static final Duration INITIAL_RETRY_DELAY = Duration.ofMillis(50);
+    private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(400);
+
     private final ForwardEffects effects;
     private final AttemptHistory history;
+    private Duration retryDelay = INITIAL_RETRY_DELAY;
     private boolean pending;
     private boolean wanted;
     private boolean outdated;
@@ -36,10 +43,20 @@
         outdated = pending;
         if (!pending) {
             pending = true;
-            effects.requestPlacement(history.excluded(), kind, pinnedVersion, remaining);
+            if (history.mayHaveRun() && !history.mayRunElsewhere()) {
+                effects.requestReturn(history.returnable(), pinnedVersion, remaining);
+            } else {
+                effects.requestPlacement(history.excluded(), kind, pinnedVersion, remaining);
+            }
         }
     }
 
+    /** Schedules the next request after a refusal. */
+    void retryLater() {
+        effects.schedule(TimerKind.PLACEMENT, NO_LEG, retryDelay);
+        retryDelay = Comparators.min(retryDelay.multipliedBy(2), MAX_RETRY_DELAY);
+    }
+
     /** The decision in progress, if there is one, isn't wanted any more. */
     void cancel() {
         wanted = false;
--- a/src/main/java/org/yuccagw/core/placing/Candidates.java
+++ b/src/main/java/org/yuccagw/core/placing/Candidates.java
@@ -149,13 +149,13 @@
                         .noneMatch(each -> isIn(permittedRegions, each.listed().domain()))) {
             return true;
         }
-        if (request.excluded().isEmpty()) {
+        if (request.excluded().isEmpty() && request.permitted().isEmpty()) {
             return false;
         }
         List<EndpointId> usable = usable(request.service())
                 .map(endpoint -> endpoint.listed().id())
                 .toList();
-        return !usable.isEmpty() && request.excluded().containsAll(usable);
+        return !usable.isEmpty() && usable.stream().noneMatch(request::permits);
     }
 
     /**
@@ -249,7 +249,7 @@
         return endpoint.listed().service().equals(request.service())
                 && endpoint.isUsable(context.nowNanos())
                 && isIn(permittedRegions, endpoint.listed().domain())
-                && !request.excluded().contains(endpoint.listed().id())
+                && request.permits(endpoint.listed().id())
                 && runsAcceptableVersion(endpoint, request);
     }
 
--- a/src/main/java/org/yuccagw/core/placing/PlacementClient.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementClient.java
@@ -35,7 +35,8 @@
  * <p>The cases:
  *
  * <ol>
- *   <li>In a mesh, and at the first lead itself, everything is decided locally. The exception: if only other entries of
+ *   <li>In a mesh, and at the first lead itself, everything is decided locally, and so is everywhere a request that may
+ *       run on certain endpoints only. The exception: if only other entries of
  *       the mesh may send to the endpoints, since all of these have rate limits, one of those entries is queried like a
  *       lead.
  *   <li>A lead that doesn't answer within {@link #LEAD_TIMEOUT} is passed over: it isn't queried for {@link
@@ -173,7 +174,7 @@
     // Requests to leads
 
     private void onRequested(PlacementRequest request) {
-        Optional<EntryId> lead = availableLead(request);
+        Optional<EntryId> lead = request.permitted().isEmpty() ? availableLead(request) : Optional.empty();
         if (lead.isEmpty()) {
             context.raise(new LocalPlacementRequested(request));
             return;
--- a/src/main/java/org/yuccagw/core/placing/PlacementRequest.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementRequest.java
@@ -19,6 +19,7 @@
  * @param service selected for the request, the same for all its attempts
  * @param fingerprint equal for requests that may be the same one, sent again by the caller
  * @param excluded endpoints that have already failed this request
+ * @param permitted endpoints of which one must be chosen; empty if any may be
  * @param kind whether an earlier attempt reached an endpoint
  * @param pinned the weight version with which its answer started, if one did
  * @param leftMillis time left for the whole answer, in milliseconds
@@ -32,12 +33,41 @@
         Optional<PromptShape> prompt,
         String fingerprint,
         ImmutableSet<EndpointId> excluded,
+        ImmutableSet<EndpointId> permitted,
         Kind kind,
         OptionalLong pinned,
         long leftMillis,
         Consumer<PlacementDecision> reply)
         implements ControlEvent {
 
+    /** Creates a request for any endpoint that isn't excluded. */
+    public PlacementRequest(
+            RequestId request,
+            Route route,
+            ServiceName service,
+            Optional<WorkspaceAccess> workspace,
+            Optional<PromptShape> prompt,
+            String fingerprint,
+            ImmutableSet<EndpointId> excluded,
+            Kind kind,
+            OptionalLong pinned,
+            long leftMillis,
+            Consumer<PlacementDecision> reply) {
+        this(
+                request,
+                route,
+                service,
+                workspace,
+                prompt,
+                fingerprint,
+                excluded,
+                ImmutableSet.of(),
+                kind,
+                pinned,
+                leftMillis,
+                reply);
+    }
+
     /** What preceded this attempt. */
     public enum Kind {
         /** No other attempt. */
@@ -58,6 +88,7 @@
                 prompt,
                 fingerprint,
                 excluded,
+                permitted,
                 kind,
                 pinned,
                 Math.max(0, leftMillis - elapsedMillis),
@@ -74,6 +105,7 @@
                 prompt,
                 fingerprint,
                 excluded,
+                permitted,
                 Kind.UNSENT,
                 pinned,
                 leftMillis,
@@ -86,6 +118,11 @@
                 .intersect(workspace.map(WorkspaceAccess::permittedRegions).orElse(PermittedRegions.ANYWHERE));
     }
 
+    /** Returns whether the request may be placed on the endpoint, whatever its state. */
+    boolean permits(EndpointId endpoint) {
+        return !excluded.contains(endpoint) && (permitted.isEmpty() || permitted.contains(endpoint));
+    }
+
     boolean isRetry() {
         return kind == Kind.REPEAT;
     }
--- a/src/test/java/org/yuccagw/core/forward/RecordedForwardEffects.java
+++ b/src/test/java/org/yuccagw/core/forward/RecordedForwardEffects.java
@@ -49,6 +49,11 @@
         lines.add("place " + kind + " without " + excluded + version);
     }
 
+    @Override
+    public void requestReturn(ImmutableSet<EndpointId> permitted, OptionalLong pinnedVersion, Duration remaining) {
+        lines.add("return to " + permitted);
+    }
+
     @Override
     public void send(
             long leg, PlacementDecision.Placed placed, Duration remaining, long afterEvent, boolean newConnection) {
--- a/src/test/java/org/yuccagw/daemon/VirtualCaller.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualCaller.java
@@ -268,6 +268,24 @@
                 decision -> time.after(Duration.ZERO, () -> onDecision(decision))));
     }
 
+    @Override
+    public void requestReturn(ImmutableSet<EndpointId> permitted, OptionalLong pinned, Duration remaining) {
+        note("return to " + permitted);
+        node.offer(new PlacementRequest(
+                request.id(),
+                request.route(),
+                request.service(),
+                request.workspace(),
+                request.prompt(),
+                request.fingerprint(),
+                ImmutableSet.of(),
+                permitted,
+                PlacementRequest.Kind.REPEAT,
+                pinned,
+                remaining.toMillis(),
+                decision -> time.after(Duration.ZERO, () -> onDecision(decision))));
+    }
+
     private void onDecision(PlacementDecision decision) {
         if (decision instanceof PlacementDecision.Placed placed) {
             openTickets.merge(placed.ticket(), 1, Integer::sum);
