Spare an endpoint that may have said it leaves before its start was seen

What callers saw: after an outage of the key-value service, entries sent requests to an endpoint that had told them in its answers that it leaves (LeavingEndpointTest#anEndpointThatLeavesIsSparedThough..., 4 requests).

Cause: an answer doesn't tell of which start of its endpoint it is, so a notice is held against the start that the entry knew. The endpoint had started again under its id during the outage, and its later start counted as sound.

UnseenStartTest, the same at 8, 20, 66 and 95 entries cut off from each other: 4 of 8 cases failed before, with 4 to 33 requests.

Change: a registration that is seen after an outage tells until when writes had been seen before it. A notice from after that time may be of the start that is listed now, so that one is spared until its registration tells, 30 s at the most. A notice from before is of the earlier start, and the endpoint is used at once (the other 4 cases).

--- a/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
+++ b/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
@@ -478,8 +478,8 @@
         }
         try {
             codec.decode(item.key(), item.value())
-                    .ifPresent(record ->
-                            context.raise(new KeyValueRecordUpdated(record, item.revision(), !everConfirmed)));
+                    .ifPresent(record -> context.raise(new KeyValueRecordUpdated(
+                            record, item.revision(), !everConfirmed, unseenSince(afterOutage))));
         } catch (YuccagwException unreadable) {
             onUnreadable(item);
             context.perform(Decision.of("value-unreadable")
@@ -489,6 +489,10 @@
         }
     }
 
+    private OptionalLong unseenSince(boolean afterOutage) {
+        return afterOutage && everConfirmed ? OptionalLong.of(confirmedNanos) : OptionalLong.empty();
+    }
+
     /**
      * Handles a value that can't be decoded, which another program must have written. A registration of an endpoint
      * counts as removed, since the value describes no endpoint. For all other keys the previous state stays in force,
--- a/src/main/java/org/yuccagw/core/notice/NoticesComponent.java
+++ b/src/main/java/org/yuccagw/core/notice/NoticesComponent.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.yuccagw.core.control.ControlComponent;
 import org.yuccagw.core.control.ControlContext;
@@ -13,6 +14,7 @@
 import org.yuccagw.core.control.ControlSnapshot;
 import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.control.PeerReceived;
+import org.yuccagw.core.fleet.ListedEndpoint;
 import org.yuccagw.core.follow.KeyValueRecord;
 import org.yuccagw.core.follow.KeyValueRecordUpdated;
 import org.yuccagw.core.id.EndpointIncarnation;
@@ -43,6 +45,7 @@
     private final UpdateBroadcaster broadcaster;
     private final Map<EndpointIncarnation, Long> leavingNanos = new HashMap<>();
     private final Map<EndpointIncarnation, EndpointBackOff> backOffs = new HashMap<>();
+    private final UnseenStarts unseenStarts = new UnseenStarts();
     private final Set<String> unknownNames = new HashSet<>();
     private ControlContext context;
     private boolean sweepScheduled;
@@ -72,9 +75,8 @@
         } else if (event instanceof PeerReceived received && received.message() instanceof EndpointUpdate update) {
             onUpdate(received.from(), update);
         } else if (event instanceof KeyValueRecordUpdated updated
-                && updated.record() instanceof KeyValueRecord.EndpointListed listed
-                && listed.endpoint().leaving()) {
-            rememberLeaving(listed.endpoint().incarnation());
+                && updated.record() instanceof KeyValueRecord.EndpointListed listed) {
+            onListed(listed.endpoint(), updated.unseenSinceNanos());
         }
     }
 
@@ -92,6 +94,14 @@
         return leavingNanos.containsKey(endpoint);
     }
 
+    /**
+     * Returns whether the endpoint may have announced that it is leaving, in an answer that can also be one of its
+     * earlier start.
+     */
+    public boolean mayBeLeaving(EndpointIncarnation endpoint) {
+        return unseenStarts.mayBeLeaving(endpoint, context.nowNanos());
+    }
+
     /** Returns whether the endpoint's back-off for this entry is active. */
     public boolean isBackingOff(EndpointIncarnation endpoint) {
         return !remainingBackOff(endpoint).isZero();
@@ -109,6 +119,9 @@
      * @param local whether this entry sends the request itself
      */
     public boolean allowsPlacement(EndpointIncarnation endpoint, boolean local) {
+        if (mayBeLeaving(endpoint)) {
+            return false;
+        }
         EndpointBackOff known = backOffs.get(endpoint);
         if (known == null) {
             return true;
@@ -196,7 +209,16 @@
         }
     }
 
-    // Notices and updates
+    // Registrations, notices and updates
+
+    private void onListed(ListedEndpoint listed, OptionalLong unseenSinceNanos) {
+        EndpointIncarnation start = listed.incarnation();
+        if (listed.leaving()) {
+            rememberLeaving(start);
+        } else if (!isLeaving(start) && unseenStarts.recordStart(start, unseenSinceNanos, context.nowNanos())) {
+            context.perform(Decision.of("endpoint-may-be-leaving").with("endpoint", start));
+        }
+    }
 
     private void onNotice(NoticeReceived received) {
         EndpointNotice notice = received.notice();
@@ -216,6 +238,7 @@
     }
 
     private void markLeaving(EndpointIncarnation endpoint, EntryId from) {
+        unseenStarts.recordNotice(endpoint.endpoint(), context.nowNanos());
         if (!rememberLeaving(endpoint)) {
             return;
         }
@@ -274,9 +297,10 @@
     private void sweep() {
         sweepScheduled = false;
         long now = context.nowNanos();
+        unseenStarts.expire(LEAVING_RETENTION, now);
         leavingNanos.values().removeIf(since -> now - since > LEAVING_RETENTION.toNanos());
         backOffs.entrySet().removeIf(each -> removeIfInactive(each.getKey(), each.getValue(), now));
-        if (!leavingNanos.isEmpty() || !backOffs.isEmpty()) {
+        if (!leavingNanos.isEmpty() || !backOffs.isEmpty() || !unseenStarts.isEmpty()) {
             scheduleSweep();
         }
     }
--- a/src/main/java/org/yuccagw/core/placing/PlacementComponent.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementComponent.java
@@ -218,6 +218,7 @@
                 .current(incarnation)
                 .filter(endpoint -> endpoint.isUsable(context.nowNanos()))
                 .map(EndpointState::listed)
+                .filter(endpoint -> !notices.mayBeLeaving(endpoint.incarnation()))
                 .filter(endpoint -> !notices.isBackingOff(endpoint.incarnation()));
     }
 
@@ -236,7 +237,8 @@
     }
 
     private boolean isExcluded(EndpointState endpoint) {
-        return endpoint.isLeaving() || notices.isBackingOff(endpoint.listed().incarnation());
+        EndpointIncarnation incarnation = endpoint.listed().incarnation();
+        return endpoint.isLeaving() || notices.mayBeLeaving(incarnation) || notices.isBackingOff(incarnation);
     }
 
     /** Returns the entries that may serve the request if this one may send nothing; empty if this one may. */
