Handle SIGHUP and SIGTERM though the parent process ignores them

With SIGTERM ignored a planned stop was not noticed.

Cause: a process inherits its parent's ignored signals, and the JVM installs no handler for those, without an error.

SIGINT stays as it is, as a shell ignores it for its background jobs.

--- a/src/main/java/org/yuccagw/cli/GatewayCommand.java
+++ b/src/main/java/org/yuccagw/cli/GatewayCommand.java
@@ -41,7 +41,7 @@
         SimpleLogging.configure(System.getProperty(LOG_LEVEL_PROPERTY));
         GatewayDaemon daemon = GatewayDaemon.start(settings);
         GracefulExit.onSignal(daemon::stop);
-        HangUpSignal.handle(() -> reload(daemon));
+        ProcessSignal.HANG_UP.handle(() -> reload(daemon));
         daemon.awaitStopped();
         return ExitCode.OK;
     }
--- a/src/main/java/org/yuccagw/cli/GracefulExit.java
+++ b/src/main/java/org/yuccagw/cli/GracefulExit.java
@@ -13,6 +13,7 @@
      */
     static void onSignal(Runnable stop) {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stopAndExit(stop), "graceful-stop"));
+        ProcessSignal.TERMINATE.handleIfIgnored(() -> Runtime.getRuntime().exit(ExitCode.OK));
     }
 
     private static void stopAndExit(Runnable stop) {
