Let a repeat find its run after the end until the claim's owner knows it

Cause: the run was forgotten at its end, while the message of that end was on its way to the owner of the key, who sends repeats to the run until it arrives.

An answer ALREADY_RUNNING names the time for the next repetition, on which the library comes back.

--- a/src/main/java/org/yuccagw/adapters/caller/AnswerRelay.java
+++ b/src/main/java/org/yuccagw/adapters/caller/AnswerRelay.java
@@ -14,6 +14,7 @@
 import org.yuccagw.adapters.http.HttpResponseListener;
 import org.yuccagw.core.catalogue.Workspace;
 import org.yuccagw.core.error.ErrorKind;
+import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.core.id.RequestId;
@@ -25,13 +26,14 @@
  * Answers a request that repeats the idempotency key of a running request with the answer of that run, which is read
  * locally or relayed from the entry that executes it.
  *
- * <p>If the run has ended in the meantime or its entry is unreachable, the request is answered with ALREADY_RUNNING.
- * The next repetition then receives the stored answer, or an error that the outcome is unknown. In no case is the
- * request executed again.
+ * <p>If the run is no longer known to its entry, or the entry is unreachable, the request is answered with
+ * ALREADY_RUNNING and the time for the next repetition. That one receives the stored answer, or an error that the
+ * outcome is unknown. In no case is the request executed again.
  */
 final class AnswerRelay {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(60);
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
     private static final int NOT_FOUND = 404;
 
     private final CallerServices services;
@@ -62,7 +64,7 @@
         }
         Optional<NetworkAddress> address = addressOf(entry);
         if (address.isEmpty()) {
-            answer.sendError(ErrorKind.ALREADY_RUNNING.raise());
+            answer.sendError(alreadyRunning());
             return;
         }
         String path = "/v1/follow/" + request + "?form=" + answer.form();
@@ -77,12 +79,16 @@
     void relayLocalRun(RequestId request) {
         Optional<CallerRun> run = services.runs().find(request).filter(found -> found.belongsTo(workspace));
         if (run.isEmpty()) {
-            answer.sendError(ErrorKind.ALREADY_RUNNING.raise());
+            answer.sendError(alreadyRunning());
             return;
         }
         run.get().subscribe(step -> thread.execute(() -> step.accept(answer)));
     }
 
+    static YuccagwException alreadyRunning() {
+        return ErrorKind.ALREADY_RUNNING.raise().withRetryAfter(RETRY_AFTER);
+    }
+
     private Optional<NetworkAddress> addressOf(EntryId entry) {
         return services.snapshot()
                 .get()
@@ -124,7 +130,7 @@
             answer.sendError(
                     headReceived
                             ? ErrorKind.STREAM_LOST.raise("the entry that runs it can't be reached")
-                            : ErrorKind.ALREADY_RUNNING.raise());
+                            : alreadyRunning());
         }
     }
 }
--- a/src/main/java/org/yuccagw/adapters/caller/CallerRun.java
+++ b/src/main/java/org/yuccagw/adapters/caller/CallerRun.java
@@ -52,6 +52,9 @@
 final class CallerRun implements RequestEffects, CallerResponse.FlowControl {
     private static final Duration KEEP_ALIVE_INTERVAL = Duration.ofSeconds(2);
 
+    /** Size of an answer that is retained after its end. Larger ones aren't stored with the claim either. */
+    private static final int MAX_RETAINED_BYTES = 64 * 1024;
+
     private final CallerServices services;
     private final XnioIoThread thread;
     private final RequestProfile profile;
@@ -66,6 +69,7 @@
     private CallerAnswer answer;
     private String outcome = "left";
     private long pieces;
+    private long stepBytes;
 
     /**
      * The target of the request.
@@ -260,7 +264,11 @@
 
     @Override
     public void ended() {
-        services.runs().remove(profile.request());
+        if (stepBytes <= MAX_RETAINED_BYTES && profile.claim().isPresent()) {
+            services.runs().removeEnded(profile.request());
+        } else {
+            services.runs().remove(profile.request());
+        }
         services.metrics().recordEnd(profile.service(), target.requestClass().name(), outcome);
         spans.endAll(outcome);
     }
@@ -389,6 +397,7 @@
     @Override
     public void answerPiece(long index, String text) {
         pieces++;
+        stepBytes += text.length();
         publish(callerAnswer -> callerAnswer.writePiece(index, text));
     }
 
@@ -400,6 +409,7 @@
         }
         byte[] copy = new byte[bytes.remaining()];
         bytes.get(copy);
+        stepBytes += copy.length;
         publish(callerAnswer -> callerAnswer.writeBytes(ByteBuffer.wrap(copy)));
     }
 
--- a/src/main/java/org/yuccagw/adapters/caller/CallerServer.java
+++ b/src/main/java/org/yuccagw/adapters/caller/CallerServer.java
@@ -157,7 +157,7 @@
                     .require(exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION));
             relayRun(exchange, workspace, request);
         } catch (YuccagwException e) {
-            throw ErrorKind.ALREADY_RUNNING.raiseFrom(e);
+            throw AnswerRelay.alreadyRunning();
         }
     }
 
