Record in the soak when the process of an entry did not run

Whether the process of the entry ran couldn't be told.

PauseRecordingMain runs the entry beside a thread that only sleeps, and prints when it wakes up late and how long garbage was collected meanwhile. SoakChecks doesn't count the time in which the system did not run the process, garbage collections count; every such overlap is listed with both figures, whether it is excused or not. The bound of 400 ms is as it was, and an overlap while the process runs, or while a thread of it blocks, still counts.

--- a/src/test/java/org/yuccagw/process/SoakChecks.java
+++ b/src/test/java/org/yuccagw/process/SoakChecks.java
@@ -1,5 +1,7 @@
 package org.yuccagw.process;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -31,6 +33,7 @@
     private final Map<String, Integer> outcomes = new TreeMap<>();
     private int unanswered;
     private final List<String> late = new ArrayList<>();
+    private final List<String> pauses = new ArrayList<>();
     private int denied;
 
     private SoakChecks(SoakDeployment deployment) {
@@ -52,6 +55,11 @@
         return violations;
     }
 
+    /** Returns a line for each request that two endpoints worked on for too long, with the pauses of its entry. */
+    List<String> pauses() {
+        return pauses;
+    }
+
     /** Returns how many calls had each outcome. */
     Map<String, Integer> outcomes() {
         return outcomes;
@@ -64,7 +72,7 @@
             report(own.size() > 1, "TWICE", call, own);
         }
         report(call.isRefusal() && !own.isEmpty(), "REFUSED", call, own);
-        report(runsOverlap(own) && call.entry().wasInTouch(call), "BESIDE", call, own);
+        report(runsOverlap(call, own) && call.entry().wasInTouch(call), "BESIDE", call, own);
         report(call.complete() && call.status() == 200 && !isRightAnswer(call, own), "MIXED", call, own);
         checkEnd(call, own);
         checkConfiguration(call, own);
@@ -157,15 +165,32 @@
                         .equals(SoakAnswer.to(call.id(), call.requestLine()).body());
     }
 
-    private static boolean runsOverlap(List<SoakRun> own) {
+    /** Returns whether two endpoints worked on the request for too long while the process of its entry ran. */
+    private boolean runsOverlap(SoakCall call, List<SoakRun> own) {
         for (int index = 0; index + 1 < own.size(); index++) {
-            if (own.get(index).nanosBeside(own.get(index + 1)) > OVERLAP.toNanos()) {
-                return true;
+            SoakRun earlier = own.get(index);
+            SoakRun later = own.get(index + 1);
+            long beside = earlier.nanosBeside(later);
+            if (beside > OVERLAP.toNanos()) {
+                long paused = pausedNanos(call.entry(), later.beginNanos(), earlier.untilNanosBeside(later));
+                pauses.add(call.id() + " ran beside itself for " + beside / 1_000_000 + " ms, in which its entry's"
+                        + " process did not run for " + paused / 1_000_000 + " ms");
+                if (beside - paused > OVERLAP.toNanos()) {
+                    return true;
+                }
             }
         }
         return false;
     }
 
+    private static long pausedNanos(SoakEntry entry, long fromNanos, long untilNanos) {
+        try {
+            return entry.pausedNanos(fromNanos, untilNanos);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private void report(boolean broken, String rule, SoakCall call, List<SoakRun> own) {
         if (broken) {
             long at = (call.sentNanos() - deployment.beginNanos()) / 1_000_000;
--- a/src/test/java/org/yuccagw/process/SoakEntry.java
+++ b/src/test/java/org/yuccagw/process/SoakEntry.java
@@ -13,7 +13,6 @@
 import java.util.stream.Stream;
 import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.adapters.settings.GatewaySettings;
-import org.yuccagw.cli.GatewayMain;
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.platform.GatewaySettingsReader;
 import org.yuccagw.standins.http.StandInJson;
@@ -38,6 +37,7 @@
     private final List<Long> starts = new CopyOnWriteArrayList<>();
     private final List<Kill> kills = new CopyOnWriteArrayList<>();
     private final List<Long> terminations = new CopyOnWriteArrayList<>();
+    private final List<JvmProcess> processes = new CopyOnWriteArrayList<>();
     private volatile JvmProcess process;
 
     /** The time from a SIGKILL to the end of the process. */
@@ -148,9 +148,26 @@
         return afterNanos >= GRACE.toNanos() * 5 / 6 && afterNanos <= GRACE.toNanos() * 7 / 6;
     }
 
+    /** Returns how long the system did not run the process of the entry between the given times. */
+    long pausedNanos(long fromNanos, long untilNanos) throws IOException {
+        long paused = 0;
+        for (JvmProcess each : processes) {
+            paused += each.output()
+                    .lines()
+                    .flatMap(line -> ProcessPause.parse(line).stream())
+                    .mapToLong(pause -> pause.nanosWithin(fromNanos, untilNanos))
+                    .sum();
+        }
+        return paused;
+    }
+
     private void launch() throws IOException {
         starts.add(System.nanoTime());
         process = JvmProcess.start(
-                name, GatewayMain.class, "--settings", file.toAbsolutePath().toString());
+                name,
+                PauseRecordingMain.class,
+                "--settings",
+                file.toAbsolutePath().toString());
+        processes.add(process);
     }
 }
--- a/src/test/java/org/yuccagw/process/SoakRun.java
+++ b/src/test/java/org/yuccagw/process/SoakRun.java
@@ -70,7 +70,12 @@
     /** Returns for how long it ran beside another one that began later; 0 if the connection of one of them was lost. */
     long nanosBeside(SoakRun later) {
         boolean unreachable = connectionLost || later.connectionLost;
-        return unreachable ? 0 : Math.min(untilNanos(), later.untilNanos()) - later.beginNanos;
+        return unreachable ? 0 : untilNanosBeside(later) - later.beginNanos;
+    }
+
+    /** Returns until when it ran beside another one that began later. */
+    long untilNanosBeside(SoakRun later) {
+        return Math.min(untilNanos(), later.untilNanos());
     }
 
     /** Returns its end, or the present time if it has none. */
