--- a/src/main/java/org/yuccagw/core/request/RequestMachine.java
+++ b/src/main/java/org/yuccagw/core/request/RequestMachine.java
@@ -55,6 +55,9 @@
 
     private final RequestProfile profile;
     private final RequestEffects effects;
+    private final KeyedClaim claim;
+    private final IsolationPermit permit;
+    private final RunEvidence evidence = RunEvidence.create();
     private final PlacementRetries placementRetries = PlacementRetries.create();
     private final Set<EndpointId> excluded = new LinkedHashSet<>();
     private final StringBuilder text = new StringBuilder();
@@ -62,12 +65,8 @@
     private RequestState state = RequestState.NEW;
     private Optional<YuccagwException> refusal = Optional.empty();
     private boolean admitted;
-    private boolean claimHeld;
-    private boolean mayHaveRun;
-    private boolean mayHaveRunBefore;
     private boolean callerDisconnected;
     private boolean headSent;
-    private long permit = NO_PERMIT;
 
     private int attemptsMade;
     private EngineRun run = EngineRun.unplaced();
@@ -78,10 +77,6 @@
     private int resumesWithoutProgress;
     private boolean firstTokenReported;
     private Usage usage;
-    private AttemptFailure lastFailure;
-    private String lastDetail = "";
-
-    private static final long NO_PERMIT = -1;
 
     /** The purpose of a timer of the machine. */
     public enum TimerKind {
@@ -92,6 +87,8 @@
     private RequestMachine(RequestProfile profile, RequestEffects effects) {
         this.profile = profile;
         this.effects = effects;
+        this.claim = KeyedClaim.of(profile, effects);
+        this.permit = IsolationPermit.of(profile, effects);
     }
 
     public static RequestMachine of(RequestProfile profile, RequestEffects effects) {
@@ -114,7 +111,7 @@
         version = Optional.of(point.version());
         piecesSent = point.from();
         point.textSoFar().ifPresent(text::append);
-        mayHaveRun = true;
+        evidence.recordRun();
         resumeStream();
     }
 
@@ -123,19 +120,19 @@
         return state == RequestState.OVER;
     }
 
-    public void onAdmitted(Optional<YuccagwException> refusal) {
+    public void onAdmitted(Optional<YuccagwException> error) {
         if (state != RequestState.ADMITTING) {
-            if (refusal.isEmpty()) {
+            if (error.isEmpty()) {
                 effects.report(new AdmissionRequested.Released(profile.request(), 0));
             }
             return;
         }
-        if (refusal.isPresent()) {
-            refuse(refusal.get());
+        if (error.isPresent()) {
+            refuse(error.get());
             return;
         }
         admitted = true;
-        if (profile.claim().isPresent()) {
+        if (claim.isRequired()) {
             state = RequestState.CLAIMING;
             effects.requestClaim();
         } else {
@@ -145,7 +142,7 @@
 
     /** Refuses the request. One that repeats an idempotency key is answered by what is recorded of the key. */
     private void refuse(YuccagwException error) {
-        if (profile.claim().isEmpty()) {
+        if (!claim.isRequired()) {
             fail(error);
             return;
         }
@@ -174,12 +171,12 @@
         if (state != RequestState.CLAIMING) {
             // The deadline passed while the claim was being committed. Nothing was sent, so it is released.
             if (decision instanceof ClaimDecision.Granted) {
-                endClaim(ClaimEnded.Outcome.NOT_SENT);
+                claim.releaseLate();
             }
             return;
         }
         if (decision instanceof ClaimDecision.Granted) {
-            claimHeld = true;
+            claim.hold();
             checkQuarantine();
         } else {
             endWithEarlierAttempt(decision);
@@ -201,7 +198,7 @@
     public void onQuarantineDecision(QuarantineRequested.Decision decision) {
         if (state != RequestState.JUDGING) {
             if (decision instanceof QuarantineRequested.Decision.Isolated isolated) {
-                returnPermit(isolated.permit());
+                permit.release(isolated.permit());
             }
             return;
         }
@@ -210,14 +207,14 @@
                 return;
             }
             // An earlier attempt may have run, so the error of the refused one must not say that nothing ran.
-            fail(mayHaveRun ? attemptError() : refused.error());
+            fail(evidence.mayHaveRun() ? attemptError() : refused.error());
             return;
         }
         if (decision instanceof QuarantineRequested.Decision.Isolated isolated) {
-            permit = isolated.permit();
+            permit.hold(isolated.permit());
         }
         state = RequestState.ROUTING;
-        effects.requestRoute(version, ImmutableSet.copyOf(excluded), permit != NO_PERMIT);
+        effects.requestRoute(version, ImmutableSet.copyOf(excluded), permit.isHeld());
     }
 
     public void onRoute(RouteRequested.Answer answer) {
@@ -255,7 +252,7 @@
         if (isStale(eventLeg)) {
             return;
         }
-        mayHaveRun = true;
+        evidence.recordRun();
         if (profile.model()) {
             if (version.isPresent() && !version.get().value().equals(head.version())) {
                 effects.cancelStream(run.endpoint(), head.stream(), Duration.ZERO);
@@ -323,7 +320,7 @@
         run.observe(effects, AttemptObserved.Outcome.ANSWERED);
         effects.creditRetryBudget();
         effects.answerEnd(Optional.ofNullable(usage).map(last -> last.afterPieces(run.piecesBefore(), piecesSent)));
-        endClaim(ClaimEnded.Outcome.ANSWERED);
+        claim.end(ClaimEnded.Outcome.ANSWERED);
         complete();
     }
 
@@ -352,13 +349,10 @@
         if (isStale(eventLeg)) {
             return;
         }
-        lastFailure = failure;
-        lastDetail = detail;
         boolean resuming = state == RequestState.RESUMING;
         effects.abandon(leg);
         run.observe(effects, failure.observedOutcome());
-        mayHaveRunBefore = mayHaveRun;
-        mayHaveRun |= resuming || !failure.provesNotRun();
+        evidence.recordFailure(failure, resuming, detail);
         if (failure == AttemptFailure.REJECTED && !resuming && held.isEmpty()) {
             endAttempt(false, -1);
             fail(ErrorKind.ENDPOINT_REJECTED.raise(detail));
@@ -415,7 +409,7 @@
             return;
         }
         callerDisconnected = true;
-        if (claimHeld || state == RequestState.CLAIMING) {
+        if (claim.isHeld() || state == RequestState.CLAIMING) {
             return;
         }
         if (state == RequestState.ADMITTING) {
@@ -425,14 +419,14 @@
         complete();
     }
 
-    private boolean schedulePermitRetry(YuccagwException refusal) {
-        Optional<Duration> delay = placementRetries.afterPermitRefusal(refusal, attemptsMade);
+    private boolean schedulePermitRetry(YuccagwException error) {
+        Optional<Duration> delay = placementRetries.afterPermitRefusal(error, attemptsMade);
         delay.ifPresent(value -> waitIn(RequestState.WAITING, value));
         return delay.isPresent();
     }
 
-    private boolean scheduleRouteRetry(YuccagwException refusal) {
-        Optional<Duration> delay = placementRetries.afterRouteRefusal(refusal, mayHaveRun);
+    private boolean scheduleRouteRetry(YuccagwException error) {
+        Optional<Duration> delay = placementRetries.afterRouteRefusal(error, evidence.mayHaveRun());
         if (delay.isPresent()) {
             excluded.clear();
             waitIn(RequestState.WAITING, delay.get());
@@ -472,8 +466,7 @@
         if (returnToHeldRun()) {
             return;
         }
-        boolean streamEnded = lastFailure == AttemptFailure.DIED || lastFailure == AttemptFailure.STREAM_FORGOTTEN;
-        if (!streamEnded) {
+        if (!evidence.endedStream()) {
             run.cancelStream(effects, Duration.ZERO);
         }
         endAttempt(false, -1);
@@ -481,7 +474,7 @@
             fail(attemptError());
             return;
         }
-        RetryDecision decision = effects.decideRetry(lastFailure, mayHaveRunBefore, attemptsMade);
+        RetryDecision decision = decideRetry();
         if (decision instanceof RetryDecision.Retry retry) {
             run = EngineRun.unplaced(run.endpoint());
             waitIn(RequestState.WAITING, retry.delay());
@@ -490,13 +483,14 @@
         }
     }
 
+    private RetryDecision decideRetry() {
+        return effects.decideRetry(evidence.lastFailure(), evidence.mayHaveRunBefore(), attemptsMade);
+    }
+
     /** Requests another endpoint in place of one that is alive but sends nothing, and holds the run there meanwhile. */
     private void requestReplacement() {
-        boolean mayMove = permit == NO_PERMIT && mayRetryOnOtherEndpoint();
-        Optional<Duration> delay = mayMove
-                ? placementRetries.forReplacement(
-                        () -> effects.decideRetry(lastFailure, mayHaveRunBefore, attemptsMade))
-                : Optional.empty();
+        boolean mayMove = !permit.isHeld() && mayRetryOnOtherEndpoint();
+        Optional<Duration> delay = mayMove ? placementRetries.forReplacement(this::decideRetry) : Optional.empty();
         if (delay.isEmpty()) {
             waitIn(RequestState.RETURNING, RETURN_DELAY);
             return;
@@ -535,7 +529,7 @@
 
     /** Whether another endpoint may run the request: it hasn't run, or it is idempotent and its answer can continue. */
     private boolean mayRetryOnOtherEndpoint() {
-        if (!mayHaveRun) {
+        if (!evidence.mayHaveRun()) {
             return true;
         }
         if (!profile.idempotent()) {
@@ -547,10 +541,10 @@
     }
 
     private void reportTermination() {
-        lastFailure = AttemptFailure.DIED;
+        evidence.recordTermination();
         run.observe(effects, AttemptObserved.Outcome.DIED);
         effects.report(new EndpointTerminated(
-                profile.fingerprint(), run.endpoint().id(), run.endpoint().incarnation(), permit != NO_PERMIT));
+                profile.fingerprint(), run.endpoint().id(), run.endpoint().incarnation(), permit.isHeld()));
     }
 
     private void reportFirstToken() {
@@ -564,11 +558,12 @@
         if (state == RequestState.ADMITTING) {
             effects.report(new AdmissionRequested.Withdrawn(profile.request()));
         }
-        mayHaveRun |= state == RequestState.SENDING;
-        boolean keyUndecided = profile.claim().isPresent() && !claimHeld;
-        YuccagwException notRun = ErrorKind.OVERLOADED.raise(millis);
-        YuccagwException notSent = keyUndecided ? notRun.mayHaveRunBefore() : notRun;
-        YuccagwException error = mayHaveRun ? ErrorKind.DEADLINE_PASSED.raise(millis) : notSent;
+        if (state == RequestState.SENDING) {
+            evidence.recordRun();
+        }
+        YuccagwException error = evidence.mayHaveRun()
+                ? ErrorKind.DEADLINE_PASSED.raise(millis)
+                : claim.refusal(ErrorKind.OVERLOADED.raise(millis));
         releaseEndpoint(Duration.ZERO);
         fail(error);
     }
@@ -583,58 +578,35 @@
     }
 
     private YuccagwException routeError(YuccagwException error) {
-        boolean answerStarted = piecesSent > 0 || headSent;
-        if (answerStarted && version.isPresent()) {
+        if (isAnswerStarted() && version.isPresent()) {
             return ErrorKind.VERSION_GONE.raise(version.get());
         }
-        return mayHaveRun ? attemptError() : error;
+        return evidence.mayHaveRun() ? attemptError() : error;
+    }
+
+    private boolean isAnswerStarted() {
+        return headSent || piecesSent > 0;
     }
 
     private YuccagwException attemptError() {
-        String detail = lastFailure == null ? lastDetail : lastFailure + ": " + lastDetail;
-        if (headSent || piecesSent > 0) {
-            return ErrorKind.STREAM_LOST.raise(detail);
-        }
-        return mayHaveRun
-                ? ErrorKind.ENDPOINT_FAILED.raise(run.endpoint().id(), detail)
-                : ErrorKind.ENDPOINT_REFUSED.raise(run.endpoint().id(), detail);
+        return evidence.attemptError(isAnswerStarted(), run.endpoint().id());
     }
 
     private YuccagwException retryError(RetryDecision.GiveUp decision) {
-        boolean budgetSpent = decision.error() == ErrorKind.RETRY_BUDGET_SPENT && !mayHaveRun;
-        return budgetSpent ? ErrorKind.RETRY_BUDGET_SPENT.raise(profile.service()) : attemptError();
+        return evidence.isBudgetSpent(decision)
+                ? ErrorKind.RETRY_BUDGET_SPENT.raise(profile.service())
+                : attemptError();
     }
 
     private void fail(YuccagwException error) {
-        endClaim(mayHaveRun ? ClaimEnded.Outcome.UNKNOWN : ClaimEnded.Outcome.NOT_SENT);
+        claim.end(evidence.mayHaveRun() ? ClaimEnded.Outcome.UNKNOWN : ClaimEnded.Outcome.NOT_SENT);
         effects.answerError(error);
         complete();
     }
 
-    private void endClaim(ClaimEnded.Outcome outcome) {
-        boolean late = state == RequestState.OVER;
-        if (claimHeld || late) {
-            claimHeld = false;
-            Optional<ClaimDecision.KeptAnswer> answer =
-                    outcome == ClaimEnded.Outcome.ANSWERED ? effects.keptAnswer() : Optional.empty();
-            profile.claim().ifPresent(claim -> effects.report(new ClaimEnded(claim, outcome, answer)));
-        }
-    }
-
     private void endAttempt(boolean answered, long cachedTokens) {
         run.end(effects, answered, cachedTokens, piecesSent);
-        giveBackPermit();
-    }
-
-    private void giveBackPermit() {
-        if (permit != NO_PERMIT) {
-            returnPermit(permit);
-            permit = NO_PERMIT;
-        }
-    }
-
-    private void returnPermit(long number) {
-        effects.report(new QuarantineRequested.PermitReturned(profile.fingerprint(), number));
+        permit.release();
     }
 
     private void complete() {
@@ -644,7 +616,7 @@
             long usedTokens = usage == null ? piecesSent : usage.promptTokens() + usage.answerTokens();
             effects.report(new AdmissionRequested.Released(profile.request(), usedTokens));
         }
-        giveBackPermit();
+        permit.release();
         effects.ended();
     }
 
