Round timers of forwarded requests up to whole milliseconds

Cause: the delay of a timer was truncated to milliseconds, so the deadline expired up to a millisecond early.

--- a/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
@@ -194,10 +194,13 @@
     @Override
     public void schedule(TimerKind kind, long leg, Duration delay) {
         cancel(kind);
-        timers.put(
-                kind,
-                thread.executeAfter(
-                        () -> machine.onTimer(kind, leg), Math.max(1, delay.toMillis()), TimeUnit.MILLISECONDS));
+        long millis = Math.max(1, roundedUpMillis(delay));
+        timers.put(kind, thread.executeAfter(() -> machine.onTimer(kind, leg), millis, TimeUnit.MILLISECONDS));
+    }
+
+    /** Rounds up, since a timer that expires early would end an answer before its deadline. */
+    private static long roundedUpMillis(Duration delay) {
+        return delay.plusMillis(1).minusNanos(1).toMillis();
     }
 
     @Override
