--- a/src/test/java/org/yuccagw/process/SoakChecks.java
+++ b/src/test/java/org/yuccagw/process/SoakChecks.java
@@ -174,7 +174,9 @@
             if (beside > OVERLAP.toNanos()) {
                 long paused = pausedNanos(call.entry(), later.beginNanos(), earlier.untilNanosBeside(later));
                 pauses.add(call.id() + " ran beside itself for " + beside / 1_000_000 + " ms, in which its entry's"
-                        + " process did not run for " + paused / 1_000_000 + " ms");
+                        + " process did not run for " + paused / 1_000_000 + " ms, and that of the endpoints for "
+                        + deployment.pausedNanos(later.beginNanos(), earlier.untilNanosBeside(later)) / 1_000_000
+                        + " ms");
                 if (beside - paused > OVERLAP.toNanos()) {
                     return true;
                 }
--- a/src/test/java/org/yuccagw/process/SoakDeployment.java
+++ b/src/test/java/org/yuccagw/process/SoakDeployment.java
@@ -43,6 +43,9 @@
     private final AtomicInteger callNumbers = new AtomicInteger();
     private long beginNanos;
 
+    private final List<ProcessPause> pauses = new CopyOnWriteArrayList<>();
+    private final PauseRecorder pauseRecorder = PauseRecorder.start(pauses::add);
+
     private SoakDeployment(long seed) throws Exception {
         random = new SplittableRandom(seed);
     }
@@ -105,6 +108,7 @@
     }
 
     void stop() throws Exception {
+        pauseRecorder.stop();
         stopping.set(true);
         steps.shutdownNow();
         callers.shutdownNow();
@@ -126,6 +130,13 @@
         return calls;
     }
 
+    /** Returns how long the system did not run the endpoints, which are in this process, between the given times. */
+    long pausedNanos(long fromNanos, long untilNanos) {
+        return pauses.stream()
+                .mapToLong(pause -> pause.nanosWithin(fromNanos, untilNanos))
+                .sum();
+    }
+
     List<SoakRun> runs() {
         return endpoints.stream().flatMap(each -> each.runs().stream()).toList();
     }
