--- /dev/null
+++ b/src/main/java/org/yuccagw/core/forward/Continuation.java
@@ -0,0 +1,67 @@
+package org.yuccagw.core.forward;
+
+import org.yuccagw.core.error.ErrorKind;
+import org.yuccagw.core.error.YuccagwException;
+
+/**
+ * Decides whether a request may go on after a failure or a refusal: on another endpoint, on one that had it before, or
+ * later.
+ *
+ * <p>A refusal is temporary if an endpoint may accept the request later. A request whose answer has not begun doesn't
+ * wait for that, since its caller can return. A stream that has begun does, because its caller would lose it.
+ */
+final class Continuation {
+    private final AttemptHistory history;
+    private final RequestDeadline deadline;
+    private final AnswerBody answerBody;
+    private boolean answerBegun;
+
+    private Continuation(AttemptHistory history, RequestDeadline deadline, AnswerBody answerBody) {
+        this.history = history;
+        this.deadline = deadline;
+        this.answerBody = answerBody;
+    }
+
+    static Continuation of(AttemptHistory history, RequestDeadline deadline, AnswerBody answerBody) {
+        return new Continuation(history, deadline, answerBody);
+    }
+
+    /** Records that the head of an answer has been sent to the caller. */
+    void recordAnswerBegun() {
+        answerBegun = true;
+    }
+
+    boolean isAnswerBegun() {
+        return answerBegun;
+    }
+
+    /** Returns whether the request may run on another endpoint, after the events that were forwarded. */
+    boolean mayRetry() {
+        return history.mayRunAgain() && deadline.permitsAttempt() && (!answerBegun || answerBody.isResumable());
+    }
+
+    /** Returns whether a stream has begun and may return to an endpoint that hasn't failed it. */
+    boolean mayReturn() {
+        return hasStreamBegun() && !history.returnable().isEmpty() && deadline.permitsAttempt();
+    }
+
+    /** Returns whether a stream has begun and may be placed later although it was refused now. */
+    boolean mayWaitAfter(YuccagwException refusal) {
+        boolean temporary = refusal.kind() != ErrorKind.NO_ENDPOINT;
+        return refusal.kind() != ErrorKind.SUSPECT_REQUEST && mayWait(temporary);
+    }
+
+    /** Returns whether a stream has begun and an endpoint that rejected it may accept it later. */
+    boolean mayWaitAfterRejection() {
+        return mayWait(false);
+    }
+
+    private boolean mayWait(boolean temporary) {
+        boolean elsewhere = history.mayRunElsewhere() && (temporary || history.hasExcludedForNow());
+        return hasStreamBegun() && (elsewhere || !history.returnable().isEmpty());
+    }
+
+    private boolean hasStreamBegun() {
+        return answerBegun && answerBody.isResumable();
+    }
+}
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -59,11 +59,11 @@
     private final AnswerBody answerBody;
     private final AnswerEnd answerEnd;
     private final PlacementInquiry inquiry;
+    private final Continuation continuation;
     private final AnswerStatistics statistics;
     private final LegPair legs;
 
     private OptionalLong pinnedVersion = OptionalLong.empty();
-    private boolean headSent;
     private boolean holdingError;
 
     /** The purposes of timers. */
@@ -92,6 +92,7 @@
         this.statistics = new AnswerStatistics(effects);
         this.legs = LegPair.of(effects, history, statistics);
         this.answerBody = AnswerBody.of(request);
+        this.continuation = Continuation.of(history, deadline, answerBody);
     }
 
     public static ForwardMachine of(ForwardRequest request, ForwardEffects effects) {
@@ -165,7 +166,7 @@
 
     /** Returns why the answer can't be used; empty if it can. An error doesn't take the place of the current leg. */
     private Optional<LegFailure> failureOf(Leg leg, EndpointAnswerHead head) {
-        if (headSent) {
+        if (continuation.isAnswerBegun()) {
             return LegFailure.ofResumed(head, pinnedVersion);
         }
         return legs.isReplacement(leg.number()) ? LegFailure.ofReplacement(head) : LegFailure.ofFirst(head);
@@ -174,7 +175,7 @@
     /** Called when bytes of the answer body were received on a leg. */
     public void onBytes(long ofLeg, ByteBuffer bytes) {
         Optional<Leg> found = legs.current(ofLeg);
-        if (found.isEmpty() || !headSent || holdingError) {
+        if (found.isEmpty() || !continuation.isAnswerBegun() || holdingError) {
             return;
         }
         Leg leg = found.get();
@@ -311,31 +312,13 @@
     private void handleRefusal(YuccagwException error) {
         if (legs.current().isPresent()) {
             keepCurrent();
-        } else if (error.kind() != ErrorKind.SUSPECT_REQUEST && mayContinueLater(isTemporary(error))) {
+        } else if (continuation.mayWaitAfter(error)) {
             waitForEndpoint("refused: " + error.getMessage());
         } else {
             answerEnd.giveUp("no endpoint to go on with: " + error.getMessage(), error);
         }
     }
 
-    /** Returns whether a stream has begun and may return to an endpoint that hasn't failed it. */
-    private boolean mayReturn() {
-        return headSent && answerBody.isResumable() && !history.returnable().isEmpty() && deadline.permitsAttempt();
-    }
-
-    /** Returns whether a stream has begun and some endpoint may accept it later. */
-    private boolean mayContinueLater(boolean refusalIsTemporary) {
-        boolean elsewhere = history.mayRunElsewhere() && (refusalIsTemporary || history.hasExcludedForNow());
-        return headSent
-                && answerBody.isResumable()
-                && (elsewhere || !history.returnable().isEmpty());
-    }
-
-    /** Returns whether a placement that was refused may succeed without any endpoint that is excluded now. */
-    private static boolean isTemporary(YuccagwException refusal) {
-        return refusal.kind() != ErrorKind.NO_ENDPOINT && refusal.kind() != ErrorKind.SUSPECT_REQUEST;
-    }
-
     /** Keeps the caller until an endpoint accepts the stream, or until the deadline. */
     private void waitForEndpoint(String reason) {
         if (deadline.permitsAttempt()) {
@@ -361,10 +344,10 @@
         history.recordRun(leg);
         history.recordFailure(leg, pause);
         history.excludeForNow(leg.endpoint());
-        if (legs.isReplacement(leg.number()) && mayRetry()) {
+        if (legs.isReplacement(leg.number()) && continuation.mayRetry()) {
             promoteReplacement();
         }
-        if (!isSeekingReplacement() && mayRetry()) {
+        if (!isSeekingReplacement() && continuation.mayRetry()) {
             requestPlacement(Kind.REPEAT);
         }
     }
@@ -391,7 +374,7 @@
     /** Gives up the current leg, now that its replacement answers or was delivered long enough ago. */
     private void promoteReplacement() {
         Leg previous = legs.current().orElseThrow();
-        effects.explain(headSent ? "resume-elsewhere" : "try-elsewhere", history.lastFailure());
+        effects.explain(continuation.isAnswerBegun() ? "resume-elsewhere" : "try-elsewhere", history.lastFailure());
         effects.abandon(previous.number());
         legs.endSilence(previous, SilenceOutcome.REPLACED);
         legs.endCurrent(holdingError ? End.FAULT : End.SILENT);
@@ -409,7 +392,7 @@
     /** Ends a replacement that failed and requests another one if there may be one. */
     private void endReplacement(AttemptEnded ended) {
         legs.endReplacement(ended);
-        if (mayRetry()) {
+        if (continuation.mayRetry()) {
             requestPlacement(ended.end() == End.UNREACHED ? Kind.UNSENT : Kind.REPEAT);
         } else {
             keepCurrent();
@@ -434,10 +417,10 @@
     // ---- Answers
 
     private void acceptHead(Leg leg, EndpointAnswerHead head) {
-        if (headSent) {
+        if (continuation.isAnswerBegun()) {
             stopSeeking();
             silenceWatch.watch(leg);
-        } else if (head.isFault() && (isSeekingReplacement() || mayRetry())) {
+        } else if (head.isFault() && (isSeekingReplacement() || continuation.mayRetry())) {
             holdError(leg, head);
         } else {
             stopSeeking();
@@ -455,7 +438,7 @@
             answerEnd.giveUp();
             return;
         }
-        headSent = true;
+        continuation.recordAnswerBegun();
         answerEnd.recordHeadSent();
         answerBody.begin(head);
         pinnedVersion = head.version();
@@ -510,7 +493,7 @@
         if (history.maySendAgain() && deadline.permitsAttempt()) {
             effects.explain("try-elsewhere", history.lastFailure());
             requestPlacement(kind);
-        } else if (mayContinueLater(false)) {
+        } else if (continuation.mayWaitAfterRejection()) {
             waitForEndpoint(history.lastFailure());
         } else {
             answerEnd.giveUp(history.lastFailure(), ErrorKind.NO_ENDPOINT.raise(request.service()));
@@ -548,10 +531,10 @@
         }
         if (end == End.UNREACHED) {
             retryAfterNotRun(Kind.UNSENT);
-        } else if (mayRetry()) {
-            effects.explain(headSent ? "resume-elsewhere" : "try-elsewhere", detail);
+        } else if (continuation.mayRetry()) {
+            effects.explain(continuation.isAnswerBegun() ? "resume-elsewhere" : "try-elsewhere", detail);
             requestPlacement(Kind.REPEAT);
-        } else if (mayReturn()) {
+        } else if (continuation.mayReturn()) {
             effects.explain("resume-elsewhere", detail);
             requestPlacement(Kind.REPEAT);
         } else {
@@ -573,11 +556,6 @@
 
     // ---- Helpers
 
-    /** Returns whether the request may run on another endpoint, after the events that were forwarded. */
-    private boolean mayRetry() {
-        return history.mayRunAgain() && deadline.permitsAttempt() && (!headSent || answerBody.isResumable());
-    }
-
     private void abandonAll() {
         inquiry.cancel();
         legs.abandonAll();
