--- a/src/main/java/org/yuccagw/core/claim/ClaimComponent.java
+++ b/src/main/java/org/yuccagw/core/claim/ClaimComponent.java
@@ -10,9 +10,6 @@
 import org.yuccagw.core.catalogue.SystemLimits;
 import org.yuccagw.core.claim.ClaimPeerMessage.Decided;
 import org.yuccagw.core.claim.ClaimPeerMessage.EndRecorded;
-import org.yuccagw.core.claim.ClaimPeerMessage.Ended;
-import org.yuccagw.core.claim.ClaimPeerMessage.Lookup;
-import org.yuccagw.core.claim.ClaimPeerMessage.Request;
 import org.yuccagw.core.claim.ClaimPeerMessage.StatusQuery;
 import org.yuccagw.core.control.ControlComponent;
 import org.yuccagw.core.control.ControlContext;
@@ -46,7 +43,6 @@
     private final ClaimGuards guards;
     private final Map<ShardNumber, ClaimShard> ownedShards = new HashMap<>();
     private final Map<ShardNumber, FormerClaimShard> formerShards = new HashMap<>();
-    private final Map<ShardNumber, FormerOwnership> formerOwnerships = new HashMap<>();
     private final Map<EntryId, EntryStatus> members = new HashMap<>();
     private SystemLimits limits = SystemLimits.defaults();
     private ControlContext context;
@@ -119,50 +115,28 @@
         } else if (message instanceof StatusQuery query) {
             client.onStatusQuery(query);
         } else if (ownedShards.containsKey(message.shard())) {
-            receiveAsOwner(message, ownedShards.get(message.shard()));
+            ownedShards.get(message.shard()).handle(message);
         } else if (formerShards.containsKey(message.shard())) {
             receiveAsFormerOwner(message);
         }
     }
 
-    private static void receiveAsOwner(ClaimPeerMessage message, ClaimShard shard) {
-        if (message instanceof Request request) {
-            shard.handleRequest(request);
-        } else if (message instanceof Lookup lookup) {
-            shard.handleLookup(lookup);
-        } else if (message instanceof Ended ended) {
-            shard.handleEnded(ended);
-        }
-    }
-
     private void receiveAsFormerOwner(ClaimPeerMessage message) {
-        if (hasNextOwner(message.shard())) {
-            forgetFormerShard(message.shard());
-            return;
-        }
         FormerClaimShard former = formerShards.get(message.shard());
-        if (message instanceof Request request) {
-            former.handleRequest(request);
-        } else if (message instanceof Lookup lookup) {
-            former.handleLookup(lookup);
-        } else if (message instanceof Ended ended) {
-            former.handleEnded(ended);
+        if (hasOwnerAfter(message.shard(), former.epoch())) {
+            formerShards.remove(message.shard());
+        } else {
+            former.handle(message);
         }
     }
 
-    private boolean hasNextOwner(ShardNumber shard) {
-        long epoch = formerOwnerships.get(shard).epoch();
+    private boolean hasOwnerAfter(ShardNumber shard, long epoch) {
         return shards.get().owner(shard).filter(owner -> owner.epoch() > epoch).isPresent();
     }
 
-    private void forgetFormerShard(ShardNumber shard) {
-        formerShards.remove(shard);
-        formerOwnerships.remove(shard);
-    }
-
     private void startShard(ShardGained gained) {
         retireShard(gained.shard());
-        forgetFormerShard(gained.shard());
+        formerShards.remove(gained.shard());
         ClaimShard shard = new ClaimShard(gained.shard(), gained.epoch(), new ShardHost(), context);
         ownedShards.put(gained.shard(), shard);
         shard.start();
@@ -170,10 +144,11 @@
 
     private void loseShard(ShardLost lost) {
         if (lost.cause() == ShardLost.Cause.LEASE_EXPIRED && ownedShards.containsKey(lost.shard())) {
-            ownedShards.get(lost.shard()).toFormer().ifPresent(former -> {
-                formerShards.put(lost.shard(), former);
-                formerOwnerships.put(lost.shard(), FormerOwnership.at(context.nowNanos(), lost.epoch(), members));
-            });
+            FormerOwnership ownership = FormerOwnership.at(context.nowNanos(), lost.epoch(), members);
+            ownedShards
+                    .get(lost.shard())
+                    .toFormer(ownership)
+                    .ifPresent(former -> formerShards.put(lost.shard(), former));
         }
         retireShard(lost.shard());
     }
@@ -229,12 +204,9 @@
         }
 
         @Override
-        public boolean excludesOtherOwnerSince(ShardNumber shard, long epoch) {
-            FormerOwnership former = formerOwnerships.get(shard);
-            return former != null
-                    && former.epoch() == epoch
-                    && !hasNextOwner(shard)
-                    && former.wouldKnowOfNextOwner(members, context.nowNanos());
+        public boolean excludesOtherOwnerSince(ShardNumber shard, FormerOwnership ownership) {
+            return !hasOwnerAfter(shard, ownership.epoch())
+                    && ownership.wouldKnowOfNextOwner(members, context.nowNanos());
         }
 
         @Override
--- a/src/main/java/org/yuccagw/core/claim/ClaimShard.java
+++ b/src/main/java/org/yuccagw/core/claim/ClaimShard.java
@@ -69,7 +69,7 @@
  * Otherwise an owner that has been replaced without knowing it could make an entry discard how a run ended, and the
  * entry would answer a later query about the discarded attempt with NOT_SENT.
  */
-final class ClaimShard {
+final class ClaimShard implements ShardClaims {
     /** Share of the writes per second granted by the platform that claims may use, over all shards. */
     private static final int WRITES_PER_SECOND = 200;
 
@@ -124,12 +124,17 @@
         redirectWaiting();
     }
 
-    /** Returns what is known of the shard, for the time after its loss; empty if its log has not been read. */
-    Optional<FormerClaimShard> toFormer() {
-        return log.map(lastRead -> FormerClaimShard.of(shard, epoch, lastRead, records, host));
+    /**
+     * Returns what is known of the shard, for the time after its loss; empty if its log has not been read.
+     *
+     * @param ownership the ownership that ends now
+     */
+    Optional<FormerClaimShard> toFormer(FormerOwnership ownership) {
+        return log.map(lastRead -> FormerClaimShard.of(shard, ownership, lastRead, records, host));
     }
 
-    void handleRequest(Request request) {
+    @Override
+    public void handleRequest(Request request) {
         if (!holdsLease()) {
             refuse(request, ErrorKind.STALE_OWNER, shard.toString());
         } else if (waitingRequests.size() >= MAX_WAITING_REQUESTS) {
@@ -140,7 +145,8 @@
         }
     }
 
-    void handleLookup(Lookup lookup) {
+    @Override
+    public void handleLookup(Lookup lookup) {
         Decision decision;
         if (!holdsLease()) {
             decision = new Decision.Refused(ErrorKind.STALE_OWNER, shard.toString());
@@ -152,7 +158,8 @@
         decide(lookup.record().attempt(), decision);
     }
 
-    void handleEnded(Ended ended) {
+    @Override
+    public void handleEnded(Ended ended) {
         waitingRequests.remove(ended.attempt());
         records.addEnd(ended);
         endsCommitNanos = Math.min(endsCommitNanos, context.nowNanos() + END_COMMIT_DELAY.toNanos());
--- a/src/main/java/org/yuccagw/core/claim/ClaimShardHost.java
+++ b/src/main/java/org/yuccagw/core/claim/ClaimShardHost.java
@@ -9,12 +9,8 @@
     /** Whether this entry holds the lease of the shard with this epoch at the present time. */
     boolean holdsLease(ShardNumber shard, long epoch);
 
-    /**
-     * Whether no other entry can have owned the shard since this one lost it.
-     *
-     * @param epoch fencing number of this entry's ownership
-     */
-    boolean excludesOtherOwnerSince(ShardNumber shard, long epoch);
+    /** Whether no other entry can have owned the shard since the ownership of this one ended. */
+    boolean excludesOtherOwnerSince(ShardNumber shard, FormerOwnership ownership);
 
     /** Whether the process that made the attempt may still be running. */
     boolean mayBeRunning(ClaimAttempt attempt);
--- a/src/main/java/org/yuccagw/core/claim/FormerClaimShard.java
+++ b/src/main/java/org/yuccagw/core/claim/FormerClaimShard.java
@@ -17,39 +17,48 @@
  * key without a record has not run if {@link ClaimShardHost#excludesOtherOwnerSince} no other entry has owned the shard
  * since; otherwise it isn't known.
  */
-final class FormerClaimShard {
+final class FormerClaimShard implements ShardClaims {
     private static final String REASON = "the key-value service does not answer";
 
     private final ShardNumber shard;
-    private final long epoch;
+    private final FormerOwnership ownership;
     private final ClaimLog log;
     private final RecordDecider records;
     private final ClaimShardHost host;
 
-    private FormerClaimShard(ShardNumber shard, long epoch, ClaimLog log, RecordDecider records, ClaimShardHost host) {
+    private FormerClaimShard(
+            ShardNumber shard, FormerOwnership ownership, ClaimLog log, RecordDecider records, ClaimShardHost host) {
         this.shard = shard;
-        this.epoch = epoch;
+        this.ownership = ownership;
         this.log = log;
         this.records = records;
         this.host = host;
     }
 
     static FormerClaimShard of(
-            ShardNumber shard, long epoch, ClaimLog log, RecordDecider records, ClaimShardHost host) {
-        return new FormerClaimShard(shard, epoch, log, records, host);
+            ShardNumber shard, FormerOwnership ownership, ClaimLog log, RecordDecider records, ClaimShardHost host) {
+        return new FormerClaimShard(shard, ownership, log, records, host);
     }
 
-    void handleRequest(Request request) {
+    /** Returns the fencing number of the ownership that ended. */
+    long epoch() {
+        return ownership.epoch();
+    }
+
+    @Override
+    public void handleRequest(Request request) {
         Decision unclaimed = new Decision.Refused(ErrorKind.CLAIM_UNAVAILABLE, REASON);
         decide(request.record(), unclaimed);
     }
 
-    void handleLookup(Lookup lookup) {
+    @Override
+    public void handleLookup(Lookup lookup) {
         decide(lookup.record(), new Decision.Unclaimed());
     }
 
     /** Keeps the end for answers to later requests. It isn't acknowledged, so the next owner will receive it too. */
-    void handleEnded(Ended ended) {
+    @Override
+    public void handleEnded(Ended ended) {
         records.addEnd(ended);
     }
 
@@ -64,6 +73,6 @@
         if (byRecord.isPresent() && !grantedNow) {
             return byRecord.get();
         }
-        return host.excludesOtherOwnerSince(shard, epoch) ? unclaimed : new Decision.Undecided(REASON);
+        return host.excludesOtherOwnerSince(shard, ownership) ? unclaimed : new Decision.Undecided(REASON);
     }
 }
