--- a/src/main/java/org/yuccagw/core/claim/ClaimShard.java
+++ b/src/main/java/org/yuccagw/core/claim/ClaimShard.java
@@ -192,13 +192,15 @@
         host.send(attempt.entry(), new Decided(shard, attempt, decision));
     }
 
-    /** Refuses a request for now, by the record of its key if there is one. */
+    /** Refuses a request for now, by the record of its key if there is one of another attempt. */
     private void refuseNow(Request request, String reason) {
         boolean logIsCurrent = log.isPresent() && holdsLease();
         Decision unclaimed = logIsCurrent
                 ? new Decision.Refused(ErrorKind.CLAIM_UNAVAILABLE, reason)
                 : new Decision.Undecided(reason);
-        decide(request, decisionByRecord(request).orElse(unclaimed));
+        Optional<Decision> byOtherAttempt =
+                decisionByRecord(request).filter(decision -> !(decision instanceof Decision.Granted));
+        decide(request, byOtherAttempt.orElse(unclaimed));
     }
 
     private void refuse(Request request, ErrorKind kind, String detail) {
--- a/src/main/java/org/yuccagw/core/claim/FormerClaimShard.java
+++ b/src/main/java/org/yuccagw/core/claim/FormerClaimShard.java
@@ -68,10 +68,10 @@
     }
 
     private Decision decision(ClaimRecord requested, Decision unclaimed) {
-        Optional<Decision> byRecord = records.decide(log, requested);
-        boolean grantedNow = byRecord.filter(Decision.Granted.class::isInstance).isPresent();
-        if (byRecord.isPresent() && !grantedNow) {
-            return byRecord.get();
+        Optional<Decision> byOtherAttempt =
+                records.decide(log, requested).filter(decision -> !(decision instanceof Decision.Granted));
+        if (byOtherAttempt.isPresent()) {
+            return byOtherAttempt.get();
         }
         return host.excludesOtherOwnerSince(shard, ownership) ? unclaimed : new Decision.Undecided(REASON);
     }
--- a/src/test/java/org/yuccagw/process/GatewaySoakTest.java
+++ b/src/test/java/org/yuccagw/process/GatewaySoakTest.java
@@ -45,6 +45,7 @@
         }
         List<String> lines = new ArrayList<>(deployment.trace());
         lines.add("outcomes " + checks.outcomes());
+        lines.addAll(deployment.pauseLines());
         lines.addAll(checks.pauses());
         lines.addAll(checks.violations());
         Path file = Files.write(JvmProcess.directory().resolve("soak-" + seed + ".txt"), lines);
--- a/src/test/java/org/yuccagw/process/SoakDeployment.java
+++ b/src/test/java/org/yuccagw/process/SoakDeployment.java
@@ -137,6 +137,18 @@
                 .sum();
     }
 
+    /** Returns a line for each time in which the system did not run the endpoints and callers of the soak. */
+    List<String> pauseLines() {
+        return pauses.stream()
+                .map(pause -> "endpoints and callers did not run from " + millisSinceBegin(pause.fromNanos()) + " to "
+                        + millisSinceBegin(pause.untilNanos()) + " ms")
+                .toList();
+    }
+
+    private long millisSinceBegin(long nanos) {
+        return (nanos - beginNanos) / 1_000_000;
+    }
+
     List<SoakRun> runs() {
         return endpoints.stream().flatMap(each -> each.runs().stream()).toList();
     }
