End a soak's run where its entry left it, whatever its endpoint does later

Change: only an answer may be lost in transit; a run that was left ends there. So a death soon after it excuses no LOST either, which is stricter.

--- a/src/test/java/org/yuccagw/process/SoakRun.java
+++ b/src/test/java/org/yuccagw/process/SoakRun.java
@@ -81,7 +81,7 @@
     /** Returns its end, or the present time if it has none. */
     long untilNanos() {
         boolean endedByDeath = diedNanos != 0 && (end != End.ANSWERED || connectionLost);
-        if (endedByDeath) {
+        if (endedByDeath && end != End.LEFT) {
             return diedNanos;
         }
         return end == End.NONE ? System.nanoTime() : endNanos;
@@ -107,7 +107,7 @@
     /** Records the death of its endpoint, unless its answer was sent long enough before to have arrived. */
     void die() {
         long now = System.nanoTime();
-        boolean mayBeInTransit = now - endNanos < TRANSIT.toNanos();
+        boolean mayBeInTransit = end == End.ANSWERED && now - endNanos < TRANSIT.toNanos();
         if (diedNanos == 0 && (end == End.NONE || connectionLost || mayBeInTransit)) {
             diedNanos = now;
         }
