Send a stream to no further endpoint once its limit is reached and all have failed it

Found on reading: a rejection after a return asked for any endpoint if both of the stream's had failed it.

--- a/src/main/java/org/yuccagw/core/forward/AttemptHistory.java
+++ b/src/main/java/org/yuccagw/core/forward/AttemptHistory.java
@@ -84,6 +84,11 @@
         return Sets.difference(runEndpoints(), failed).immutableCopy();
     }
 
+    /** Returns whether the request may only return to endpoints on which it may have run. */
+    boolean isLimitReached() {
+        return mayHaveRun() && !mayRunElsewhere();
+    }
+
     private ImmutableSet<EndpointId> runEndpoints() {
         return ImmutableSet.copyOf(runLegs.values());
     }
--- a/src/main/java/org/yuccagw/core/forward/Continuation.java
+++ b/src/main/java/org/yuccagw/core/forward/Continuation.java
@@ -40,6 +40,13 @@
         return history.mayRunAgain() && deadline.permitsAttempt() && (!answerBegun || answerBody.isResumable());
     }
 
+    /** Returns whether a request that certainly didn't run at its latest endpoint may be sent to one now. */
+    boolean mayRetryNotRun() {
+        boolean endpointsLeft =
+                !history.isLimitReached() || !history.returnable().isEmpty();
+        return history.maySendAgain() && deadline.permitsAttempt() && endpointsLeft;
+    }
+
     /** Returns whether a stream has begun and may return to an endpoint that hasn't failed it. */
     boolean mayReturn() {
         return hasStreamBegun() && !history.returnable().isEmpty() && deadline.permitsAttempt();
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -490,7 +490,7 @@
     }
 
     private void retryAfterNotRun(Kind kind) {
-        if (history.maySendAgain() && deadline.permitsAttempt()) {
+        if (continuation.mayRetryNotRun()) {
             effects.explain("try-elsewhere", history.lastFailure());
             requestPlacement(kind);
         } else if (continuation.mayWaitAfterRejection()) {
--- a/src/main/java/org/yuccagw/core/forward/PlacementInquiry.java
+++ b/src/main/java/org/yuccagw/core/forward/PlacementInquiry.java
@@ -43,7 +43,7 @@
         outdated = pending;
         if (!pending) {
             pending = true;
-            if (history.mayHaveRun() && !history.mayRunElsewhere()) {
+            if (history.isLimitReached()) {
                 effects.requestReturn(history.returnable(), pinnedVersion, remaining);
             } else {
                 effects.requestPlacement(history.excluded(), kind, pinnedVersion, remaining);
--- a/src/test/java/org/yuccagw/core/forward/ReturningStreamTest.java
+++ b/src/test/java/org/yuccagw/core/forward/ReturningStreamTest.java
@@ -75,6 +75,23 @@
         assertFalse(effects.lines.contains("cut"), effects.lines.toString());
     }
 
+    // Guards against a third endpoint for a stream that may run on two, after both have failed it.
+    @Test
+    public void aStreamThatFailedOnAllItsEndpointsIsNotSentToOthers() {
+        ForwardMachine machine = beginStream(2);
+        effects.advance(Duration.ofMillis(600));
+        machine.onTimer(TimerKind.GAP, 1);
+        machine.onPlacementDecision(placed("e2"));
+        machine.onDelivery(2);
+        machine.onBytes(1, bytes(SECOND_EVENT));
+        machine.onFailure(1, End.BROKEN, "reset");
+        machine.onPlacementDecision(placed("e2"));
+        machine.onHead(3, ok());
+        machine.onFailure(3, End.BROKEN, "reset");
+        assertTrue(effects.lines.contains("cut"), effects.lines.toString());
+        assertEquals(sentLegs(), 3);
+    }
+
     @Test
     public void aStreamWithoutAnEndpointIsCutAtItsDeadline() {
         ForwardMachine machine = beginStream(2);
