--- a/src/main/java/org/yuccagw/core/request/RequestMachine.java
+++ b/src/main/java/org/yuccagw/core/request/RequestMachine.java
@@ -60,23 +60,20 @@
     private final RunEvidence evidence = RunEvidence.create();
     private final PlacementRetries placementRetries = PlacementRetries.create();
     private final Set<EndpointId> excluded = new LinkedHashSet<>();
-    private final StringBuilder text = new StringBuilder();
+    private final AnswerProgress progress = AnswerProgress.create();
 
     private RequestState state = RequestState.NEW;
     private Optional<YuccagwException> refusal = Optional.empty();
     private boolean admitted;
     private boolean callerDisconnected;
-    private boolean headSent;
 
     private int attemptsMade;
     private EngineRun run = EngineRun.unplaced();
     private Optional<EngineRun> held = Optional.empty();
     private Optional<WeightVersion> version = Optional.empty();
     private long leg;
-    private long piecesSent;
     private int resumesWithoutProgress;
     private boolean firstTokenReported;
-    private Usage usage;
 
     /** The purpose of a timer of the machine. */
     public enum TimerKind {
@@ -109,8 +106,7 @@
         run = EngineRun.of(EngineRun.NO_ATTEMPT, at, 0);
         run.startStream(point.stream());
         version = Optional.of(point.version());
-        piecesSent = point.from();
-        point.textSoFar().ifPresent(text::append);
+        progress.resumeAfter(point.from(), point.textSoFar());
         evidence.recordRun();
         resumeStream();
     }
@@ -231,7 +227,7 @@
             return;
         }
         RouteRequested.Answer.Chosen chosen = (RouteRequested.Answer.Chosen) answer;
-        run = EngineRun.of(chosen.attempt(), chosen.endpoint(), piecesSent);
+        run = EngineRun.of(chosen.attempt(), chosen.endpoint(), progress.pieces());
         if (chosen.importPlan().isPresent()) {
             state = RequestState.IMPORTING;
             effects.startImport(
@@ -264,8 +260,7 @@
             releaseHeldRun(Duration.ZERO);
         }
         state = RequestState.STREAMING;
-        if (!headSent) {
-            headSent = true;
+        if (progress.recordHead()) {
             effects.answerHead(head, run.endpoint());
         }
     }
@@ -276,18 +271,18 @@
             return;
         }
         long position = run.piecesBefore() + index;
-        if (position <= piecesSent) {
+        long received = progress.pieces();
+        if (position <= received) {
             return;
         }
-        if (position > piecesSent + 1) {
-            onFailure(eventLeg, AttemptFailure.BROKEN, "piece " + position + " came after piece " + piecesSent);
+        if (position > received + 1) {
+            onFailure(eventLeg, AttemptFailure.BROKEN, "piece " + position + " came after piece " + received);
             return;
         }
-        piecesSent = position;
         resumesWithoutProgress = 0;
         reportFirstToken();
-        text.append(pieceText);
-        effects.answerPiece(piecesSent, pieceText);
+        progress.addPiece(pieceText);
+        effects.answerPiece(position, pieceText);
     }
 
     /** Handles the next bytes of a plain answer. */
@@ -295,14 +290,14 @@
         if (isStale(eventLeg) || state != RequestState.STREAMING) {
             return;
         }
-        piecesSent++;
+        progress.addBytes();
         reportFirstToken();
         effects.answerBytes(bytes);
     }
 
     public void onUsage(long eventLeg, Usage reported) {
         if (!isStale(eventLeg)) {
-            usage = reported;
+            progress.recordUsage(reported);
         }
     }
 
@@ -311,15 +306,15 @@
         if (isStale(eventLeg)) {
             return;
         }
-        if (profile.model() && usage == null) {
+        if (profile.model() && progress.usage().isEmpty()) {
             onFailure(eventLeg, AttemptFailure.BROKEN, "the answer ended without its last chunk");
             return;
         }
-        long cached = usage == null ? -1 : usage.cachedTokens();
+        long cached = progress.cachedTokens();
         endAttempt(true, cached);
         run.observe(effects, AttemptObserved.Outcome.ANSWERED);
         effects.creditRetryBudget();
-        effects.answerEnd(Optional.ofNullable(usage).map(last -> last.afterPieces(run.piecesBefore(), piecesSent)));
+        effects.answerEnd(progress.usage().map(last -> last.afterPieces(run.piecesBefore(), progress.pieces())));
         claim.end(ClaimEnded.Outcome.ANSWERED);
         complete();
     }
@@ -443,10 +438,10 @@
         state = RequestState.SENDING;
         attemptsMade++;
         leg++;
-        usage = null;
+        progress.forgetUsage();
         placementRetries.sent();
         run.sent(effects);
-        effects.send(leg, run.attempt(), run.endpoint(), text.toString(), piecesSent);
+        effects.send(leg, run.attempt(), run.endpoint(), progress.text(), progress.pieces());
     }
 
     private boolean canResume(AttemptFailure failure) {
@@ -458,7 +453,7 @@
         resumesWithoutProgress++;
         state = RequestState.RESUMING;
         leg++;
-        effects.resume(leg, run.endpoint(), run.stream(), piecesSent - run.piecesBefore());
+        effects.resume(leg, run.endpoint(), run.stream(), progress.pieces() - run.piecesBefore());
     }
 
     private void retryOnOtherEndpoint() {
@@ -516,7 +511,7 @@
     private void releaseHeldRun(Duration grace) {
         held.ifPresent(silentRun -> {
             silentRun.cancelStream(effects, grace);
-            silentRun.end(effects, false, -1, piecesSent);
+            silentRun.end(effects, false, -1, progress.pieces());
         });
         held = Optional.empty();
     }
@@ -537,7 +532,7 @@
         }
         boolean textKnown = profile.resumePoint().isEmpty()
                 || profile.resumePoint().get().textSoFar().isPresent();
-        return profile.model() ? textKnown : piecesSent == 0 && !headSent;
+        return profile.model() ? textKnown : !progress.isBegun();
     }
 
     private void reportTermination() {
@@ -578,18 +573,14 @@
     }
 
     private YuccagwException routeError(YuccagwException error) {
-        if (isAnswerStarted() && version.isPresent()) {
+        if (progress.isBegun() && version.isPresent()) {
             return ErrorKind.VERSION_GONE.raise(version.get());
         }
         return evidence.mayHaveRun() ? attemptError() : error;
     }
 
-    private boolean isAnswerStarted() {
-        return headSent || piecesSent > 0;
-    }
-
     private YuccagwException attemptError() {
-        return evidence.attemptError(isAnswerStarted(), run.endpoint().id());
+        return evidence.attemptError(progress.isBegun(), run.endpoint().id());
     }
 
     private YuccagwException retryError(RetryDecision.GiveUp decision) {
@@ -605,7 +596,7 @@
     }
 
     private void endAttempt(boolean answered, long cachedTokens) {
-        run.end(effects, answered, cachedTokens, piecesSent);
+        run.end(effects, answered, cachedTokens, progress.pieces());
         permit.release();
     }
 
@@ -613,8 +604,7 @@
         state = RequestState.OVER;
         if (admitted) {
             admitted = false;
-            long usedTokens = usage == null ? piecesSent : usage.promptTokens() + usage.answerTokens();
-            effects.report(new AdmissionRequested.Released(profile.request(), usedTokens));
+            effects.report(new AdmissionRequested.Released(profile.request(), progress.usedTokens()));
         }
         permit.release();
         effects.ended();
