--- a/src/main/java/org/yuccagw/adapters/http/HttpClient.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpClient.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import javax.net.ssl.SSLContext;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -60,25 +61,28 @@
     private final boolean ownsWorker;
     private final ByteBufferPool buffers;
     private final Optional<XnioSsl> tls;
+    private final UnaryOperator<NetworkAddress> dialedAddress;
     private final Map<XnioIoThread, Map<NetworkAddress, ArrayDeque<IdleConnection>>> idleByThread =
             new ConcurrentHashMap<>();
 
-    private HttpClient(XnioWorker worker, boolean ownsWorker, Optional<XnioSsl> tls) {
+    private HttpClient(
+            XnioWorker worker, boolean ownsWorker, Optional<XnioSsl> tls, UnaryOperator<NetworkAddress> dialedAddress) {
         this.worker = worker;
         this.ownsWorker = ownsWorker;
         this.tls = tls;
+        this.dialedAddress = dialedAddress;
         this.buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
     }
 
     /** Returns a client with I/O threads of its own, which {@link #stop} ends. */
     public static HttpClient start(int ioThreads) throws IOException {
-        return new HttpClient(createWorker(ioThreads), true, Optional.empty());
+        return new HttpClient(createWorker(ioThreads), true, Optional.empty(), UnaryOperator.identity());
     }
 
     /** Returns a client as {@link #start(int)} does that uses TLS for every connection. */
     public static HttpClient start(int ioThreads, SSLContext tls) throws IOException {
         XnioSsl xnioSsl = new UndertowXnioSsl(Xnio.getInstance(), OptionMap.EMPTY, tls);
-        return new HttpClient(createWorker(ioThreads), true, Optional.of(xnioSsl));
+        return new HttpClient(createWorker(ioThreads), true, Optional.of(xnioSsl), UnaryOperator.identity());
     }
 
     private static XnioWorker createWorker(int ioThreads) throws IOException {
@@ -94,13 +98,23 @@
 
     /** Returns a client on the I/O threads of a server, so that a request and its answer share one thread. */
     public static HttpClient onWorker(XnioWorker worker) {
-        return new HttpClient(worker, false, Optional.empty());
+        return onWorker(worker, UnaryOperator.identity());
+    }
+
+    /**
+     * Returns a client as {@link #onWorker(XnioWorker)} does.
+     *
+     * @param dialedAddress returns where the client connects for the address of a request; differs from that address
+     *     where a deployment translates addresses, or where a test blocks the path
+     */
+    public static HttpClient onWorker(XnioWorker worker, UnaryOperator<NetworkAddress> dialedAddress) {
+        return new HttpClient(worker, false, Optional.empty(), dialedAddress);
     }
 
     /** Returns a client on the I/O threads of a server that uses TLS for every connection. */
     public static HttpClient onWorker(XnioWorker worker, SSLContext tls) {
         XnioSsl xnioSsl = new UndertowXnioSsl(Xnio.getInstance(), OptionMap.EMPTY, tls);
-        return new HttpClient(worker, false, Optional.of(xnioSsl));
+        return new HttpClient(worker, false, Optional.of(xnioSsl), UnaryOperator.identity());
     }
 
     /** Closes the idle connections, and ends the I/O threads if they are the client's own. */
@@ -176,11 +190,12 @@
             return;
         }
         OptionMap options = OptionMap.create(Options.TCP_NODELAY, true);
+        NetworkAddress dialed = dialedAddress.apply(request.address());
         if (tls.isPresent()) {
-            URI uri = URI.create("https://" + request.address());
+            URI uri = URI.create("https://" + dialed);
             UndertowClient.getInstance().connect(callback, uri, thread, tls.get(), buffers, options);
         } else {
-            URI uri = URI.create("http://" + request.address());
+            URI uri = URI.create("http://" + dialed);
             UndertowClient.getInstance().connect(callback, uri, thread, buffers, options);
         }
     }
--- a/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.UnaryOperator;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -23,6 +24,7 @@
 import org.yuccagw.core.control.EntryIdentity;
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
+import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.core.membership.StopRequested;
 import org.yuccagw.core.notice.NoticesSnapshot;
 import org.yuccagw.core.peers.PeersSnapshot;
@@ -81,7 +83,7 @@
     private final CountDownLatch stoppedLatch = new CountDownLatch(1);
     private boolean stopped;
 
-    private GatewayDaemon(GatewaySettings settings) throws IOException {
+    private GatewayDaemon(GatewaySettings settings, UnaryOperator<NetworkAddress> dialedEndpoint) throws IOException {
         this.settings = settings;
         self = new EntryIdentity(
                 settings.entry(),
@@ -93,7 +95,7 @@
                 settings.capacity());
         Metrics metrics = Metrics.create();
         worker = createWorker();
-        endpointClient = HttpClient.onWorker(worker);
+        endpointClient = HttpClient.onWorker(worker, dialedEndpoint);
         platformClient = HttpClient.onWorker(worker);
         KeyValueClient keyValue = KeyValueClient.of(platformClient, settings.keyValueService());
         GatewayComponents components = GatewayComponents.of(settings, PlatformRecords.create());
@@ -181,8 +183,18 @@
      * @throws YuccagwException of kind SETTINGS_INVALID if an address can't be used
      */
     public static GatewayDaemon start(GatewaySettings settings) throws YuccagwException {
+        return start(settings, UnaryOperator.identity());
+    }
+
+    /**
+     * Starts an entry as {@link #start(GatewaySettings)} does.
+     *
+     * @param dialedEndpoint returns where the entry connects for the registered address of an endpoint
+     */
+    static GatewayDaemon start(GatewaySettings settings, UnaryOperator<NetworkAddress> dialedEndpoint)
+            throws YuccagwException {
         try {
-            GatewayDaemon daemon = new GatewayDaemon(settings);
+            GatewayDaemon daemon = new GatewayDaemon(settings, dialedEndpoint);
             daemon.decisions.write(Decision.of("started")
                     .with("entry", settings.entry())
                     .with("incarnation", daemon.self.incarnation())
--- a/src/main/java/org/yuccagw/standins/platform/SmallDeployment.java
+++ b/src/main/java/org/yuccagw/standins/platform/SmallDeployment.java
@@ -1,5 +1,6 @@
 package org.yuccagw.standins.platform;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.ServerSocket;
@@ -74,12 +75,14 @@
 
     /**
      * Returns the settings of an entry; the ports are those of peers, callers, readiness and directory, in this order.
+     * A fifth port ends the range that starts with the port of peers.
      */
     public static byte[] settings(String entry, NetworkAddress keyValue, List<Integer> ports) {
         ObjectNode root = StandInJson.object();
         ObjectNode platform = root.putObject("platform");
         platform.put("nodeName", entry).put("zone", DOMAIN).put("ip", LOOPBACK);
-        platform.putArray("portRange").add(ports.get(0));
+        ArrayNode portRange = platform.putArray("portRange").add(ports.get(0));
+        ports.stream().skip(4).forEach(portRange::add);
         platform.putObject("listenAddrs")
                 .put("front", LOOPBACK + ":" + ports.get(1))
                 .put("ready", LOOPBACK + ":" + ports.get(2))
