Send requests through another entry where this one can't reach the endpoint

Cause: what is known of reaching an endpoint was held against the endpoint alone. Nothing concluded that the entry is cut off, and a request had no other way, so each tried one endpoint after the other, or was refused as if there were no room.

Change: an entry's connections to endpoints show which paths are cut (DirectPaths). After two failures a request takes another entry of its region, which connects and passes bytes on, one hop, and says what came of it (RelayOutcome). Admission, keys, limits, placement, retries and claims stay with the first entry. A further way is tried only while it is certain that nothing was sent; an answer that was lost on the way may have run. Entries that are cut off as well say so at once, and others are asked first for a second. Direct paths are tested by empty connections. Orders to engines are never relayed. Both request paths use the same client.

--- a/src/main/java/org/yuccagw/adapters/caller/CallerServices.java
+++ b/src/main/java/org/yuccagw/adapters/caller/CallerServices.java
@@ -3,6 +3,7 @@
 import io.opentelemetry.api.trace.Tracer;
 import java.util.function.Supplier;
 import org.yuccagw.adapters.http.HttpClient;
+import org.yuccagw.adapters.relay.EndpointClient;
 import org.yuccagw.adapters.settings.EntrySettings;
 import org.yuccagw.core.control.ControlInput;
 import org.yuccagw.core.control.ControlSnapshot;
@@ -22,7 +23,7 @@
         EntryIdentity self,
         Supplier<ControlSnapshot> snapshot,
         ControlInput control,
-        HttpClient endpointClient,
+        EndpointClient endpointClient,
         HttpClient entryClient,
         BlockImporter importer,
         RetryDecider retries,
--- a/src/main/java/org/yuccagw/adapters/caller/EndpointCalls.java
+++ b/src/main/java/org/yuccagw/adapters/caller/EndpointCalls.java
@@ -9,10 +9,10 @@
 import org.yuccagw.adapters.engine.CompletionBody;
 import org.yuccagw.adapters.engine.EngineResponseListener;
 import org.yuccagw.adapters.engine.PlainResponseListener;
-import org.yuccagw.adapters.http.HttpCall;
-import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.adapters.http.HttpRequest;
 import org.yuccagw.adapters.http.HttpResponseListener;
+import org.yuccagw.adapters.http.OngoingCall;
+import org.yuccagw.adapters.relay.EndpointClient;
 import org.yuccagw.core.endpoint.EndpointStatus;
 import org.yuccagw.core.id.WeightVersion;
 import org.yuccagw.core.request.RequestMachine;
@@ -23,17 +23,17 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration PROBE_TIMEOUT = Duration.ofSeconds(2);
 
-    private final HttpClient client;
+    private final EndpointClient client;
     private final XnioIoThread thread;
     private final RequestProfile profile;
     private final CallerRun.Target target;
     private final RequestSpans spans;
     private final RequestMachine machine;
-    private final Map<Long, HttpCall> callsByLeg = new HashMap<>();
-    private HttpCall activeCall;
+    private final Map<Long, OngoingCall> callsByLeg = new HashMap<>();
+    private OngoingCall activeCall;
 
     private EndpointCalls(
-            HttpClient client,
+            EndpointClient client,
             XnioIoThread thread,
             RequestProfile profile,
             CallerRun.Target target,
@@ -53,7 +53,7 @@
      * @param machine receives the answers
      */
     static EndpointCalls of(
-            HttpClient client,
+            EndpointClient client,
             XnioIoThread thread,
             RequestProfile profile,
             CallerRun.Target target,
@@ -98,13 +98,13 @@
         HttpRequest timedRequest =
                 request.withTimeouts(CONNECT_TIMEOUT, target.requestClass().progressTimeout());
         HttpRequest finalRequest = profile.idempotent() ? timedRequest : timedRequest.withNewConnection();
-        activeCall = client.stream(finalRequest, thread, listener);
+        activeCall = client.stream(finalRequest, profile.request().value(), thread, listener);
         callsByLeg.put(leg, activeCall);
     }
 
     /** Closes the connection of the leg. */
     void abandon(long leg) {
-        HttpCall call = callsByLeg.remove(leg);
+        OngoingCall call = callsByLeg.remove(leg);
         if (call != null) {
             call.cancel();
         }
--- a/src/main/java/org/yuccagw/adapters/http/BodyEnds.java
+++ b/src/main/java/org/yuccagw/adapters/http/BodyEnds.java
@@ -8,11 +8,11 @@
 import org.yuccagw.core.port.BodyEnd;
 
 /** Determines from the head of a response what shows the end of its body, in the way in which the client reads it. */
-final class BodyEnds {
+public final class BodyEnds {
     private BodyEnds() {}
 
     /** Returns what shows the end of the body of a response to a request with the method. */
-    static BodyEnd ofResponse(String method, int status, HeaderMap headers) {
+    public static BodyEnd ofResponse(String method, int status, HeaderMap headers) {
         if (isWithoutBody(method, status)) {
             return BodyEnd.LENGTH;
         }
--- a/src/main/java/org/yuccagw/adapters/serving/DisconnectDetector.java
+++ b/src/main/java/org/yuccagw/adapters/http/DisconnectDetector.java
@@ -1,4 +1,4 @@
-package org.yuccagw.adapters.serving;
+package org.yuccagw.adapters.http;
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
@@ -16,7 +16,7 @@
  * reads until then. This class continues to read: at the end of the stream it closes the connection, and bytes of the
  * next request are returned to the server.
  */
-final class DisconnectDetector {
+public final class DisconnectDetector {
     private final HttpServerExchange exchange;
     private final HttpServerConnection connection;
     private final StreamSourceConduit conduit;
@@ -31,7 +31,7 @@
      * Starts the detection, which lasts until the answer is written. Called on the I/O thread of the exchange, after
      * the whole request was read.
      */
-    static DisconnectDetector begin(HttpServerExchange exchange) {
+    public static DisconnectDetector begin(HttpServerExchange exchange) {
         DisconnectDetector detector = new DisconnectDetector(exchange, (HttpServerConnection) exchange.getConnection());
         detector.connection.getChannel().getSourceChannel().setReadListener(channel -> detector.checkNow());
         detector.conduit.resumeReads();
@@ -45,7 +45,7 @@
      * small share of a processor reads its first requests seconds after they arrived. Its I/O thread then forwards all
      * of them before it is notified of the connections that were closed in the meantime.
      */
-    void checkNow() {
+    public void checkNow() {
         if (exchange.isComplete() || !conduit.isReadResumed()) {
             return;
         }
--- a/src/main/java/org/yuccagw/adapters/http/HttpCall.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpCall.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
@@ -27,7 +28,7 @@
  * closed and the listener is notified of the silence. This guards against connections whose state a device on the path
  * has dropped: they never report an error.
  */
-public final class HttpCall {
+public final class HttpCall implements OngoingCall {
     private static final ImmutableSet<String> METHODS_WITHOUT_BODY = ImmutableSet.of("GET", "HEAD", "DELETE");
 
     private final HttpClient client;
@@ -38,6 +39,7 @@
     private Phase phase = Phase.CONNECT;
     private boolean finished;
     private boolean paused;
+    private boolean reused;
     private ClientConnection connection;
     private StreamSourceChannel responseChannel;
     private XnioExecutor.Key silenceTimer;
@@ -53,7 +55,7 @@
         this.listener = listener;
     }
 
-    /** Cancels the request: closes its connection without calling the listener. May be called on any thread. */
+    @Override
     public void cancel() {
         if (Thread.currentThread() == thread) {
             finishWithoutCallback();
@@ -62,7 +64,7 @@
         }
     }
 
-    /** Stops reading, so that back pressure reaches the sender of the response. Called on the I/O thread only. */
+    @Override
     public void pause() {
         paused = true;
         if (responseChannel != null) {
@@ -70,7 +72,7 @@
         }
     }
 
-    /** Continues reading after {@link #pause}. Called on the I/O thread only. */
+    @Override
     public void resume() {
         if (!paused || finished) {
             return;
@@ -90,7 +92,13 @@
                 () -> fail(false, new IOException("no connection to " + request.address() + " within its timeout")),
                 request.connectTimeout().toMillis(),
                 TimeUnit.MILLISECONDS);
-        client.connect(request, thread, new ClientCallback<>() {
+        Optional<ClientConnection> idle = client.takeIdleConnection(request, thread);
+        if (idle.isPresent()) {
+            reused = true;
+            onConnected(idle.get());
+            return;
+        }
+        client.connect(request.address(), thread, new ClientCallback<>() {
             @Override
             public void completed(ClientConnection established) {
                 onConnected(established);
@@ -116,6 +124,9 @@
         phase = Phase.AWAIT;
         lastByteNanos = System.nanoTime();
         checkSilence();
+        if (!reused) {
+            listener.onNewConnection();
+        }
         listener.onConnected();
         connection.sendRequest(toClientRequest(), new ClientCallback<>() {
             @Override
--- a/src/main/java/org/yuccagw/adapters/http/HttpClient.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpClient.java
@@ -53,6 +53,7 @@
         }
     }
 
+    private static final Duration PROBE_TIMEOUT = Duration.ofSeconds(2);
     private static final int BUFFER_BYTES = 16 * 1024;
     /** Kept low because an endpoint accepts only a few hundred connections from all entries together. */
     private static final int MAX_IDLE_PER_ADDRESS = 6;
@@ -157,8 +158,7 @@
     /** Tests whether a new connection to the address is established within 2 s; sends nothing over it. */
     public CompletableFuture<Boolean> canConnect(NetworkAddress address, XnioIoThread thread) {
         CompletableFuture<Boolean> result = new CompletableFuture<>();
-        HttpRequest request = HttpRequest.get(address, "/").withNewConnection();
-        thread.execute(() -> connect(request, thread, new ClientCallback<>() {
+        thread.execute(() -> connect(address, thread, new ClientCallback<>() {
             @Override
             public void completed(ClientConnection established) {
                 HttpCall.close(established);
@@ -170,7 +170,7 @@
                 result.complete(false);
             }
         }));
-        return result.completeOnTimeout(false, request.connectTimeout().toMillis(), TimeUnit.MILLISECONDS);
+        return result.completeOnTimeout(false, PROBE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -183,14 +183,10 @@
         connections.clear();
     }
 
-    void connect(HttpRequest request, XnioIoThread thread, ClientCallback<ClientConnection> callback) {
-        ClientConnection reused = request.newConnection() ? null : takeIdleConnection(request.address(), thread);
-        if (reused != null) {
-            callback.completed(reused);
-            return;
-        }
+    /** Opens a new connection. */
+    void connect(NetworkAddress address, XnioIoThread thread, ClientCallback<ClientConnection> callback) {
         OptionMap options = OptionMap.create(Options.TCP_NODELAY, true);
-        NetworkAddress dialed = dialedAddress.apply(request.address());
+        NetworkAddress dialed = dialedAddress.apply(address);
         if (tls.isPresent()) {
             URI uri = URI.create("https://" + dialed);
             UndertowClient.getInstance().connect(callback, uri, thread, tls.get(), buffers, options);
@@ -226,16 +222,22 @@
         }
     }
 
-    /** Removes the most recently used idle connection that is still usable from the pool; null if there is none. */
-    private ClientConnection takeIdleConnection(NetworkAddress address, XnioIoThread thread) {
-        ArrayDeque<IdleConnection> connections = idleConnections(address, thread);
+    /**
+     * Removes the most recently used idle connection that is still usable from the pool; empty if there is none or the
+     * request needs a new one.
+     */
+    Optional<ClientConnection> takeIdleConnection(HttpRequest request, XnioIoThread thread) {
+        if (request.newConnection()) {
+            return Optional.empty();
+        }
+        ArrayDeque<IdleConnection> connections = idleConnections(request.address(), thread);
         for (IdleConnection next = connections.pollLast(); next != null; next = connections.pollLast()) {
             if (next.isUsable()) {
-                return next.connection();
+                return Optional.of(next.connection());
             }
             next.close();
         }
-        return null;
+        return Optional.empty();
     }
 
     private ArrayDeque<IdleConnection> idleConnections(NetworkAddress address, XnioIoThread thread) {
--- a/src/main/java/org/yuccagw/adapters/http/HttpResponseListener.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpResponseListener.java
@@ -3,6 +3,7 @@
 import io.undertow.util.HeaderMap;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.port.BodyEnd;
 
 /**
@@ -20,6 +21,12 @@
         ANSWER
     }
 
+    /** Called before {@link #onConnected} if the connection was opened for this request. */
+    default void onNewConnection() {}
+
+    /** Called before {@link #onHead} if another entry passes the response on. */
+    default void onRelayed(EntryId relay) {}
+
     /** Called when the connection is established, so that the server may receive the request from now on. */
     default void onConnected() {}
 
--- a/src/main/java/org/yuccagw/adapters/peer/GossipCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/GossipCodec.java
@@ -74,7 +74,10 @@
                 .ifPresent(contact -> member.setDomain(contact.domain().value())
                         .setCallerAddress(contact.callerAddress().toString())
                         .setPeerAddress(contact.peerAddress().toString())
-                        .setAdminAddress(contact.adminAddress().toString()));
+                        .setAdminAddress(contact.adminAddress().toString())
+                        .setRelayAddress(contact.relayAddress()
+                                .map(NetworkAddress::toString)
+                                .orElse("")));
         return member.build();
     }
 
@@ -94,6 +97,9 @@
                 FailureDomain.of(member.getDomain()),
                 NetworkAddress.parse(member.getCallerAddress()),
                 NetworkAddress.parse(member.getPeerAddress()),
-                NetworkAddress.parse(member.getAdminAddress()));
+                NetworkAddress.parse(member.getAdminAddress()),
+                member.getRelayAddress().isEmpty()
+                        ? Optional.empty()
+                        : Optional.of(NetworkAddress.parse(member.getRelayAddress())));
     }
 }
--- a/src/main/java/org/yuccagw/adapters/peer/StatusCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/StatusCodec.java
@@ -140,6 +140,7 @@
                 .setDomain(contact.domain().value())
                 .setCallers(contact.callers().toString())
                 .setPeers(contact.peers().toString())
+                .setRelays(contact.relays().map(NetworkAddress::toString).orElse(""))
                 .setCapacity(contact.capacity())
                 .build();
     }
@@ -210,6 +211,7 @@
                 FailureDomain.of(wire.getDomain()),
                 NetworkAddress.parse(wire.getCallers()),
                 NetworkAddress.parse(wire.getPeers()),
+                wire.getRelays().isEmpty() ? Optional.empty() : Optional.of(NetworkAddress.parse(wire.getRelays())),
                 wire.getCapacity());
     }
 }
--- a/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
@@ -17,10 +17,11 @@
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.yuccagw.adapters.caller.CallerResponse;
+import org.yuccagw.adapters.http.DisconnectDetector;
 import org.yuccagw.adapters.http.ErrorAnswers;
-import org.yuccagw.adapters.http.HttpCall;
 import org.yuccagw.adapters.http.HttpRequest;
 import org.yuccagw.adapters.http.HttpResponseListener;
+import org.yuccagw.adapters.http.OngoingCall;
 import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.forward.EndpointAnswerHead;
@@ -30,6 +31,7 @@
 import org.yuccagw.core.forward.ForwardRequest;
 import org.yuccagw.core.forward.SilenceOutcome;
 import org.yuccagw.core.id.EndpointId;
+import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.notice.NoticeReceived;
 import org.yuccagw.core.placing.AnswerPace;
 import org.yuccagw.core.placing.AttemptBegun;
@@ -163,7 +165,8 @@
                 false);
         Attempt attempt = new Attempt(leg, placed.endpoint().id());
         attempts.put(leg, attempt);
-        attempt.call = services.endpointClient().stream(httpRequest, thread, attempt);
+        attempt.call =
+                services.endpointClient().stream(httpRequest, request.id().value(), thread, attempt);
         if (readingPaused) {
             attempt.call.pause();
         }
@@ -325,18 +328,18 @@
     public void pause() {
         readingPaused = true;
         machine.onReadingPaused();
-        forwardedCalls().forEach(HttpCall::pause);
+        forwardedCalls().forEach(OngoingCall::pause);
     }
 
     @Override
     public void resume() {
         readingPaused = false;
         machine.onReadingResumed();
-        forwardedCalls().forEach(HttpCall::resume);
+        forwardedCalls().forEach(OngoingCall::resume);
     }
 
     /** Returns the calls whose reading depends on the caller only. */
-    private List<HttpCall> forwardedCalls() {
+    private List<OngoingCall> forwardedCalls() {
         return attempts.values().stream()
                 .filter(attempt -> attempt.call != null && !attempt.pausedByMachine)
                 .map(attempt -> attempt.call)
@@ -352,7 +355,7 @@
     private final class Attempt implements HttpResponseListener {
         private final long leg;
         private final EndpointId endpoint;
-        private HttpCall call;
+        private OngoingCall call;
         private boolean pausedByMachine;
         private int status;
         private HeaderMap headers;
@@ -367,6 +370,11 @@
             machine.onDelivery(leg);
         }
 
+        @Override
+        public void onRelayed(EntryId relay) {
+            explain("relayed", endpoint + " by " + relay);
+        }
+
         @Override
         public void onHead(int receivedStatus, HeaderMap receivedHeaders) {
             status = receivedStatus;
--- a/src/main/java/org/yuccagw/adapters/serving/ServingServices.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingServices.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Supplier;
-import org.yuccagw.adapters.http.HttpClient;
+import org.yuccagw.adapters.relay.EndpointClient;
 import org.yuccagw.adapters.telemetry.DecisionLog;
 import org.yuccagw.adapters.telemetry.Metrics;
 import org.yuccagw.core.control.ControlInput;
@@ -25,7 +25,7 @@
 public record ServingServices(
         Supplier<ControlSnapshot> snapshot,
         ControlInput control,
-        HttpClient endpointClient,
+        EndpointClient endpointClient,
         WireProtocol protocol,
         DecisionLog decisions,
         Metrics metrics,
--- a/src/main/java/org/yuccagw/adapters/settings/EntrySettings.java
+++ b/src/main/java/org/yuccagw/adapters/settings/EntrySettings.java
@@ -22,9 +22,10 @@
  * @param traces the destination of spans: {@code log}, {@code off}, or the URL of an OTLP receiver
  * @param log the format of log lines
  * @param bootstrapOperatorKeyHash SHA-256 hash of the key that may apply the first catalogue, while there is none
+ * @param relay the address on which the entry relays requests of other entries, absent if it relays none
  * @param callerTls the PEM files of the caller address, absent for plain text
  * @param adminTls the PEM files of the admin address, absent for plain text
- * @param peerTls the PEM files of the peer address, absent for plain text; both sides verify certificates
+ * @param peerTls the PEM files of the peer and relay addresses, absent for plain text; both sides verify certificates
  */
 public record EntrySettings(
         EntryId entry,
@@ -32,6 +33,7 @@
         NetworkAddress caller,
         NetworkAddress admin,
         NetworkAddress peer,
+        Optional<NetworkAddress> relay,
         NetworkAddress keyValueService,
         NetworkAddress vmList,
         List<String> tokenKeys,
--- a/src/main/java/org/yuccagw/adapters/settings/GatewaySettings.java
+++ b/src/main/java/org/yuccagw/adapters/settings/GatewaySettings.java
@@ -18,6 +18,7 @@
  * @param readiness the address on which the platform polls whether this entry accepts requests
  * @param directory the address on which callers query the entries to use
  * @param peer the address on which the entry listens for other entries
+ * @param relay the address on which the entry relays requests of other entries, empty if it relays none
  * @param seeds peer addresses of other entries, which may be out of date
  * @param capacity the processor capacity of the VM in hundredths of a core
  * @param logLevel the lowest level of decision lines that are written
@@ -30,6 +31,7 @@
         NetworkAddress readiness,
         NetworkAddress directory,
         NetworkAddress peer,
+        Optional<NetworkAddress> relay,
         NetworkAddress keyValueService,
         List<NetworkAddress> seeds,
         Bounds bounds,
--- a/src/main/java/org/yuccagw/bench/control/ControlMemory.java
+++ b/src/main/java/org/yuccagw/bench/control/ControlMemory.java
@@ -68,7 +68,11 @@
     private static void addPeers(ControlBench bench, BenchNode node) {
         for (int index = 0; index < COUNT; index++) {
             Contact contact = new Contact(
-                    FailureDomain.of("domain-" + index % 27), address(index, 1), address(index, 2), address(index, 3));
+                    FailureDomain.of("domain-" + index % 27),
+                    address(index, 1),
+                    address(index, 2),
+                    address(index, 3),
+                    Optional.empty());
             MemberRecord known =
                     new MemberRecord(EntryId.of("peer-" + index), 1, 1, State.ALIVE, 3, 1, Optional.of(contact));
             Gossip gossip = new Gossip(Gossip.Kind.TABLE, 0, Optional.empty(), ImmutableList.of(known));
--- a/src/main/java/org/yuccagw/bench/local/LocalDeployment.java
+++ b/src/main/java/org/yuccagw/bench/local/LocalDeployment.java
@@ -232,6 +232,7 @@
                 FreePorts.next(),
                 FreePorts.next(),
                 FreePorts.next(),
+                Optional.of(FreePorts.next()),
                 keyValue.address(),
                 vmList.address(),
                 List.of(TOKEN_KEY),
--- a/src/main/java/org/yuccagw/bench/local/Rehearsal.java
+++ b/src/main/java/org/yuccagw/bench/local/Rehearsal.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.yuccagw.adapters.http.HttpClient;
@@ -92,6 +93,7 @@
                     settings.domain(),
                     NetworkAddress.of("127.0.0.1", 1),
                     NetworkAddress.of("127.0.0.1", 1),
+                    Optional.empty(),
                     1);
             KeyValueRecordCodec.Entry entry = PlatformRecords.create().encode(new KeyValueRecord.EntryListed(contact));
             keyValue.put(entry.key(), entry.value());
--- a/src/main/java/org/yuccagw/bench/requests/VirtualEntries.java
+++ b/src/main/java/org/yuccagw/bench/requests/VirtualEntries.java
@@ -261,6 +261,7 @@
                 identity.callerAddress(),
                 identity.peerAddress(),
                 identity.adminAddress(),
+                identity.relayAddress(),
                 0,
                 1);
     }
--- a/src/main/java/org/yuccagw/core/control/EntryIdentity.java
+++ b/src/main/java/org/yuccagw/core/control/EntryIdentity.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.control;
 
+import java.util.Optional;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.NetworkAddress;
@@ -14,6 +15,7 @@
  * @param callerAddress where callers connect
  * @param peerAddress where other entries connect
  * @param adminAddress where operators connect
+ * @param relayAddress where other entries connect to have requests relayed; empty if the entry relays none
  * @param capacity the processing capacity of its VM, in hundredths of a processor core
  */
 public record EntryIdentity(
@@ -23,11 +25,12 @@
         NetworkAddress callerAddress,
         NetworkAddress peerAddress,
         NetworkAddress adminAddress,
+        Optional<NetworkAddress> relayAddress,
         int capacity) {
     /** One processor core: the capacity of a VM whose settings contain none. */
     public static final int DEFAULT_CAPACITY = 100;
 
-    /** Creates the identity of an entry on a VM of the default capacity. */
+    /** Creates the identity of an entry that relays no requests, on a VM of the default capacity. */
     public EntryIdentity(
             EntryId entry,
             long incarnation,
@@ -35,6 +38,6 @@
             NetworkAddress callerAddress,
             NetworkAddress peerAddress,
             NetworkAddress adminAddress) {
-        this(entry, incarnation, domain, callerAddress, peerAddress, adminAddress, DEFAULT_CAPACITY);
+        this(entry, incarnation, domain, callerAddress, peerAddress, adminAddress, Optional.empty(), DEFAULT_CAPACITY);
     }
 }
--- a/src/main/java/org/yuccagw/core/fleet/EntryContact.java
+++ b/src/main/java/org/yuccagw/core/fleet/EntryContact.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.fleet;
 
+import java.util.Optional;
 import org.yuccagw.core.control.EntryIdentity;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
@@ -11,6 +12,7 @@
  * @param incarnation identifies one start of the process; higher for each later start
  * @param callers address on which the entry serves callers
  * @param peers address on which the entry receives messages from other entries
+ * @param relays address on which the entry relays requests of other entries; empty if it relays none
  * @param capacity processor capacity of the entry's VM, in hundredths of a core
  */
 public record EntryContact(
@@ -19,6 +21,7 @@
         FailureDomain domain,
         NetworkAddress callers,
         NetworkAddress peers,
+        Optional<NetworkAddress> relays,
         int capacity) {
     /** Returns the contact of the entry with this identity. */
     public static EntryContact of(EntryIdentity identity) {
@@ -28,6 +31,7 @@
                 identity.domain(),
                 identity.callerAddress(),
                 identity.peerAddress(),
+                identity.relayAddress(),
                 identity.capacity());
     }
 }
--- a/src/main/java/org/yuccagw/core/membership/EntryStatus.java
+++ b/src/main/java/org/yuccagw/core/membership/EntryStatus.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.membership;
 
+import java.util.Optional;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.NetworkAddress;
@@ -9,6 +10,7 @@
  *
  * @param incarnation identifies one start of the entry's process
  * @param state membership state as agreed by gossip
+ * @param relayAddress where the entry relays requests of other entries; empty if it relays none
  * @param load last reported number of running requests
  * @param catalogueRevision last reported revision of the catalogue in force on that entry
  */
@@ -20,6 +22,7 @@
         NetworkAddress callerAddress,
         NetworkAddress peerAddress,
         NetworkAddress adminAddress,
+        Optional<NetworkAddress> relayAddress,
         int load,
         long catalogueRevision) {
     /**
--- a/src/main/java/org/yuccagw/core/membership/MemberRecord.java
+++ b/src/main/java/org/yuccagw/core/membership/MemberRecord.java
@@ -27,12 +27,17 @@
         long catalogueRevision,
         Optional<Contact> contact) {
 
-    /** The failure domain and the listening addresses of an entry. */
+    /**
+     * The failure domain and the listening addresses of an entry.
+     *
+     * @param relayAddress where the entry relays requests of other entries; empty if it relays none
+     */
     public record Contact(
             FailureDomain domain,
             NetworkAddress callerAddress,
             NetworkAddress peerAddress,
-            NetworkAddress adminAddress) {}
+            NetworkAddress adminAddress,
+            Optional<NetworkAddress> relayAddress) {}
 
     /** Returns whether this record is newer than {@code known} by the rules of {@link MemberRecord}. */
     boolean supersedes(MemberRecord known) {
--- a/src/main/java/org/yuccagw/core/membership/MemberTable.java
+++ b/src/main/java/org/yuccagw/core/membership/MemberTable.java
@@ -175,6 +175,7 @@
                         contact.callerAddress(),
                         contact.peerAddress(),
                         contact.adminAddress(),
+                        contact.relayAddress(),
                         known.load(),
                         known.catalogueRevision()));
             }
--- a/src/main/java/org/yuccagw/core/membership/MembershipComponent.java
+++ b/src/main/java/org/yuccagw/core/membership/MembershipComponent.java
@@ -118,7 +118,8 @@
     public void start(ControlContext startContext) {
         context = startContext;
         EntryIdentity self = context.self();
-        Contact contact = new Contact(self.domain(), self.callerAddress(), self.peerAddress(), self.adminAddress());
+        Contact contact = new Contact(
+                self.domain(), self.callerAddress(), self.peerAddress(), self.adminAddress(), self.relayAddress());
         table = new MemberTable(
                 new MemberRecord(self.entry(), self.incarnation(), 1, State.ALIVE, 0, 0, Optional.of(contact)));
         reason = readiness.reasonNotReady(context.nowNanos()).orElse("");
--- a/src/main/java/org/yuccagw/daemon/EntryDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/EntryDaemon.java
@@ -1,13 +1,17 @@
 package org.yuccagw.daemon;
 
+import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.xnio.OptionMap;
@@ -27,6 +31,8 @@
 import org.yuccagw.adapters.endpoint.PlatformPoller;
 import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.adapters.peer.PeerTransport;
+import org.yuccagw.adapters.relay.EndpointClient;
+import org.yuccagw.adapters.relay.RelayServer;
 import org.yuccagw.adapters.settings.EntrySettings;
 import org.yuccagw.adapters.telemetry.Metrics;
 import org.yuccagw.adapters.telemetry.Traces;
@@ -36,10 +42,15 @@
 import org.yuccagw.core.control.EntryIdentity;
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
+import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.core.membership.DirectorySnapshot;
+import org.yuccagw.core.membership.EntryStatus;
 import org.yuccagw.core.membership.OwnLoadReported;
 import org.yuccagw.core.membership.PeerAddresses;
 import org.yuccagw.core.membership.StopRequested;
+import org.yuccagw.core.relay.DirectPaths;
+import org.yuccagw.core.relay.Relay;
+import org.yuccagw.core.relay.RelayChoice;
 import org.yuccagw.core.retry.RetryPolicy;
 import org.yuccagw.platform.KeyValueClient;
 
@@ -68,6 +79,9 @@
     private final PeerTransport peers;
     private final XnioWorker worker;
     private final HttpClient endpointClient;
+    private final DirectPaths paths = DirectPaths.create();
+    private final HttpClient relayClient;
+    private final Optional<RelayServer> relayServer;
     private final HttpClient entryClient;
     private final HttpClient platformClient;
     private final CallerServer callerServer;
@@ -78,14 +92,16 @@
     private final CountDownLatch stoppedLatch = new CountDownLatch(1);
     private boolean stopped;
 
-    private EntryDaemon(EntrySettings settings) throws YuccagwException, IOException {
+    private EntryDaemon(EntrySettings settings, UnaryOperator<NetworkAddress> dialedEndpoint)
+            throws YuccagwException, IOException {
         self = identity(settings);
         tls = EntryTls.start(settings);
         traces = Traces.start(settings);
         Metrics metrics = Metrics.create();
         runs = RunRegistry.create();
         worker = createWorker();
-        endpointClient = HttpClient.onWorker(worker);
+        endpointClient = HttpClient.onWorker(worker, dialedEndpoint);
+        relayClient = createRelayClient(settings);
         entryClient = createEntryClient(settings);
         platformClient = HttpClient.start(CONTROL_IO_THREADS);
         KeyValueClient keyValue = KeyValueClient.of(platformClient, settings.keyValueService());
@@ -104,12 +120,15 @@
         controlInput.connect(control);
         peers.start();
         control.start();
+        EndpointClient endpoints =
+                EndpointClient.of(endpointClient, relayClient, settings.entry(), paths, relayChoice());
+        relayServer = startRelayServer(settings);
         CallerServices services = new CallerServices(
                 settings,
                 self,
                 control::snapshot,
                 control,
-                endpointClient,
+                endpoints,
                 entryClient,
                 (endpoint, plan, version, onImported) -> importClient.importBlocks(
                         endpoint,
@@ -134,8 +153,18 @@
      * @throws YuccagwException of kind SETTINGS_INVALID if an address or a certificate can't be used
      */
     public static EntryDaemon start(EntrySettings settings) throws YuccagwException {
+        return start(settings, UnaryOperator.identity());
+    }
+
+    /**
+     * Starts an entry as {@link #start(EntrySettings)} does.
+     *
+     * @param dialedEndpoint returns where the entry connects for the registered address of an endpoint
+     */
+    static EntryDaemon start(EntrySettings settings, UnaryOperator<NetworkAddress> dialedEndpoint)
+            throws YuccagwException {
         try {
-            EntryDaemon daemon = new EntryDaemon(settings);
+            EntryDaemon daemon = new EntryDaemon(settings, dialedEndpoint);
             log.info(
                     "entry {} incarnation {} listens for callers on {}, for operators on {}, for other entries on {}",
                     settings.entry(),
@@ -172,7 +201,8 @@
         long untilNanos = System.nanoTime() + directoryTimeToLive.toNanos();
         await(() -> System.nanoTime() - untilNanos >= 0);
         callerServer.refuseNewRequests();
-        await(() -> runs.count() == 0);
+        relayServer.ifPresent(RelayServer::refuseNewRequests);
+        await(() -> runs.count() == 0 && relayedCount() == 0);
         close();
         log.info("entry {} has stopped", self.entry());
         stoppedLatch.countDown();
@@ -198,11 +228,13 @@
 
     private void close() {
         callerServer.stop();
+        relayServer.ifPresent(RelayServer::stop);
         adminServer.stop();
         control.stop();
         peers.stop();
         endpointClient.stop();
         entryClient.stop();
+        relayClient.stop();
         platformClient.stop();
         worker.shutdown();
         traces.stop();
@@ -217,6 +249,43 @@
                 : endpointClient;
     }
 
+    private HttpClient createRelayClient(EntrySettings settings) throws YuccagwException {
+        return settings.peerTls().isPresent()
+                ? HttpClient.onWorker(worker, tls.peerContext().orElseThrow())
+                : HttpClient.onWorker(worker);
+    }
+
+    private RelayChoice relayChoice() {
+        return RelayChoice.of(
+                () -> entries()
+                        .filter(status -> !status.entry().equals(self.entry()))
+                        .flatMap(status ->
+                                status.relayAddress().map(address -> new Relay(status.entry(), address)).stream())
+                        .collect(ImmutableList.toImmutableList()),
+                bound -> ThreadLocalRandom.current().nextInt(bound));
+    }
+
+    private Stream<EntryStatus> entries() {
+        return control.snapshot().find(DirectorySnapshot.class).stream()
+                .flatMap(directory -> directory.entries().stream());
+    }
+
+    private Optional<RelayServer> startRelayServer(EntrySettings settings) {
+        return settings.relay()
+                .map(address -> RelayServer.start(
+                        address,
+                        worker,
+                        tls.peerContext(),
+                        endpointClient,
+                        paths,
+                        entry -> entries().anyMatch(status -> status.entry().equals(entry)),
+                        Optional.empty()));
+    }
+
+    private int relayedCount() {
+        return relayServer.map(RelayServer::count).orElse(0);
+    }
+
     private static EntryIdentity identity(EntrySettings settings) {
         return new EntryIdentity(
                 settings.entry(),
@@ -224,7 +293,9 @@
                 settings.domain(),
                 settings.caller(),
                 settings.peer(),
-                settings.admin());
+                settings.admin(),
+                settings.relay(),
+                EntryIdentity.DEFAULT_CAPACITY);
     }
 
     private static XnioWorker createWorker() throws IOException {
@@ -240,7 +311,7 @@
         return Xnio.getInstance().createWorker(options);
     }
 
-    private Optional<org.yuccagw.core.id.NetworkAddress> peerAddress(org.yuccagw.core.id.EntryId entry) {
+    private Optional<NetworkAddress> peerAddress(org.yuccagw.core.id.EntryId entry) {
         return control.snapshot().find(PeerAddresses.class).flatMap(addresses -> addresses.find(entry));
     }
 
@@ -258,6 +329,14 @@
 
     private void addGauges(Metrics metrics, KeyValueClient keyValue) {
         metrics.registerGauge("yuccagw_requests_in_progress", "Requests in progress on this entry", runs::count);
+        metrics.registerGauge(
+                "yuccagw_relayed_requests_in_progress",
+                "Requests of other entries that this entry relays",
+                this::relayedCount);
+        metrics.registerGauge(
+                "yuccagw_cut_off",
+                "1 while this entry reaches no endpoint itself",
+                () -> paths.isCutOff(System.nanoTime()) ? 1 : 0);
         metrics.registerGauge("yuccagw_control_events", "Events handled by the control thread", control::eventCount);
         metrics.registerGauge(
                 "yuccagw_control_failures", "Control events whose handling failed", control::failureCount);
--- a/src/main/java/org/yuccagw/daemon/EntryTls.java
+++ b/src/main/java/org/yuccagw/daemon/EntryTls.java
@@ -20,12 +20,13 @@
     private final List<ReloadingTls> contexts = new ArrayList<>();
     private final Optional<SSLContext> caller;
     private final Optional<SSLContext> admin;
+    private final Optional<SSLContext> peer;
     private final PeerSecurity peers;
 
     private EntryTls(EntrySettings settings) throws YuccagwException {
         caller = startContext(settings.callerTls());
         admin = startContext(settings.adminTls());
-        Optional<SSLContext> peer = startContext(settings.peerTls());
+        peer = startContext(settings.peerTls());
         peers = new PeerSecurity(peer.map(EntryTls::serverEngines), peer.map(EntryTls::clientEngines));
     }
 
@@ -45,6 +46,11 @@
         return admin;
     }
 
+    /** Returns the context for connections between entries that carry requests. */
+    Optional<SSLContext> peerContext() {
+        return peer;
+    }
+
     PeerSecurity peers() {
         return peers;
     }
--- a/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
@@ -1,10 +1,13 @@
 package org.yuccagw.daemon;
 
 import com.google.common.collect.Comparators;
+import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.UnaryOperator;
 import org.xnio.OptionMap;
@@ -14,6 +17,8 @@
 import org.yuccagw.adapters.control.ControlRunner;
 import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.adapters.peer.PeerTransport;
+import org.yuccagw.adapters.relay.EndpointClient;
+import org.yuccagw.adapters.relay.RelayServer;
 import org.yuccagw.adapters.serving.ActiveRequests;
 import org.yuccagw.adapters.serving.ServingServer;
 import org.yuccagw.adapters.serving.ServingServices;
@@ -25,11 +30,15 @@
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.core.id.Region;
 import org.yuccagw.core.membership.StopRequested;
 import org.yuccagw.core.notice.NoticesSnapshot;
 import org.yuccagw.core.peers.PeersSnapshot;
 import org.yuccagw.core.placing.PlacementSnapshot;
 import org.yuccagw.core.ratelimit.RateLimitsSnapshot;
+import org.yuccagw.core.relay.DirectPaths;
+import org.yuccagw.core.relay.Relay;
+import org.yuccagw.core.relay.RelayChoice;
 import org.yuccagw.platform.EngineClient;
 import org.yuccagw.platform.KeyValueClient;
 import org.yuccagw.platform.PlatformRecords;
@@ -76,6 +85,9 @@
     private final ActiveRequests runs = ActiveRequests.create();
     private final XnioWorker worker;
     private final HttpClient endpointClient;
+    private final EndpointClient endpoints;
+    private final DirectPaths paths = DirectPaths.create();
+    private final Optional<RelayServer> relayServer;
     private final HttpClient platformClient;
     private final PeerTransport peers;
     private final ControlRunner control;
@@ -92,6 +104,7 @@
                 settings.callers(),
                 settings.peer(),
                 settings.readiness(),
+                settings.relay(),
                 settings.capacity());
         Metrics metrics = Metrics.create();
         worker = createWorker();
@@ -117,11 +130,13 @@
         controlInput.connect(control);
         peers.start();
         control.start();
+        endpoints = EndpointClient.of(endpointClient, endpointClient, settings.entry(), paths, relayChoice());
+        relayServer = settings.relay().map(this::startRelayServer);
         server = ServingServer.start(
                 new ServingServices(
                         control::snapshot,
                         control,
-                        endpointClient,
+                        endpoints,
                         PlatformWireProtocol.create(),
                         decisions,
                         metrics,
@@ -134,8 +149,41 @@
         addGauges(metrics, keyValue);
     }
 
+    private RelayServer startRelayServer(NetworkAddress address) {
+        return RelayServer.start(
+                address,
+                worker,
+                Optional.empty(),
+                endpointClient,
+                paths,
+                entry -> peersSnapshot().find(entry).isPresent(),
+                Optional.of(decisions));
+    }
+
+    /** Relays are entries of this entry's own region, which a request may pass in any case. */
+    private RelayChoice relayChoice() {
+        Optional<Region> region = settings.regions().of(settings.domain());
+        return RelayChoice.of(
+                () -> peersSnapshot().serving().stream()
+                        .filter(contact -> !contact.entry().equals(settings.entry()))
+                        .filter(contact ->
+                                settings.regions().of(contact.domain()).equals(region))
+                        .flatMap(contact ->
+                                contact.relays().map(address -> new Relay(contact.entry(), address)).stream())
+                        .collect(ImmutableList.toImmutableList()),
+                bound -> ThreadLocalRandom.current().nextInt(bound));
+    }
+
     private void addGauges(Metrics metrics, KeyValueClient keyValue) {
         metrics.registerGauge("yuccagw_requests_in_progress", "Requests in progress on this entry", runs::count);
+        metrics.registerGauge(
+                "yuccagw_relayed_requests_in_progress",
+                "Requests of other entries that this entry relays",
+                this::relayedCount);
+        metrics.registerGauge(
+                "yuccagw_cut_off",
+                "1 while this entry reaches no endpoint itself",
+                () -> paths.isCutOff(System.nanoTime()) ? 1 : 0);
         metrics.registerGauge(
                 "yuccagw_control_failures", "Control events whose handling failed", control::failureCount);
         metrics.registerGauge(
@@ -221,6 +269,7 @@
         long startNanos = System.nanoTime();
         decisions.write(Decision.of("stopping").with("running", runs.count()));
         server.closeConnectionsAfterAnswers();
+        relayServer.ifPresent(RelayServer::refuseNewRequests);
         control.offer(new StopRequested());
         Duration grace = settings.bounds().stopGrace();
         Duration acceptTime = Comparators.min(
@@ -253,13 +302,18 @@
     }
 
     private void awaitUntil(long deadlineNanos, boolean orIdle) {
-        while (System.nanoTime() - deadlineNanos < 0 && !(orIdle && runs.count() == 0)) {
+        while (System.nanoTime() - deadlineNanos < 0 && !(orIdle && runs.count() == 0 && relayedCount() == 0)) {
             LockSupport.parkNanos(POLL_INTERVAL_NANOS);
         }
     }
 
+    private int relayedCount() {
+        return relayServer.map(RelayServer::count).orElse(0);
+    }
+
     private void close() {
         server.stop();
+        relayServer.ifPresent(RelayServer::stop);
         control.stop();
         peers.stop();
         endpointClient.stop();
--- a/src/main/java/org/yuccagw/platform/GatewaySettingsReader.java
+++ b/src/main/java/org/yuccagw/platform/GatewaySettingsReader.java
@@ -83,7 +83,8 @@
         StrictObject listenAddresses = platform.objectWithAnyFields("listenAddrs");
         StrictObject bounds = platform.objectWithAnyFields("bounds");
         String ip = platform.text("ip");
-        int peerPort = platform.wholeNumbers("portRange").get(0).intValue();
+        List<Long> portRange = platform.wholeNumbers("portRange");
+        int peerPort = portRange.get(0).intValue();
         return new GatewaySettings(
                 EntryId.of(platform.text("nodeName")),
                 FailureDomain.of(platform.text("zone")),
@@ -92,6 +93,7 @@
                 readAddress(listenAddresses, "ready"),
                 readAddress(listenAddresses, "directory"),
                 NetworkAddress.of(ip, peerPort),
+                readRelay(ip, portRange),
                 readAddress(platform.objectWithAnyFields(PLATFORM_FIELD), "address"),
                 readSeeds(platform, peerPort),
                 readBounds(bounds),
@@ -99,6 +101,14 @@
                 root.optionalText("log_level").orElse("info"));
     }
 
+    /** Returns the last address of the port range, which must not be the address for peers. */
+    private static Optional<NetworkAddress> readRelay(String ip, List<Long> portRange) {
+        int lastPort = portRange.get(portRange.size() - 1).intValue();
+        return portRange.size() > 1 && lastPort != portRange.get(0)
+                ? Optional.of(NetworkAddress.of(ip, lastPort))
+                : Optional.empty();
+    }
+
     private static DomainRegions readRegions(StrictObject platform) throws YuccagwException {
         if (!platform.has("zones")) {
             return DomainRegions.UNKNOWN;
--- a/src/main/java/org/yuccagw/platform/PlatformRecords.java
+++ b/src/main/java/org/yuccagw/platform/PlatformRecords.java
@@ -113,6 +113,7 @@
                 .put("callers", contact.callers().toString())
                 .put("peers", contact.peers().toString())
                 .put("capacity", contact.capacity());
+        contact.relays().ifPresent(relays -> value.put("relays", relays.toString()));
         return entry(PlatformNames.ENTRY_KEYS + contact.entry(), value);
     }
 
@@ -134,6 +135,7 @@
                 FailureDomain.of(value.required("domain").asText()),
                 NetworkAddress.parse(value.required("callers").asText()),
                 NetworkAddress.parse(value.required("peers").asText()),
+                Optional.ofNullable(value.get("relays")).map(relays -> NetworkAddress.parse(relays.asText())),
                 value.path("capacity").asInt(EntryIdentity.DEFAULT_CAPACITY));
     }
 }
--- a/src/test/java/org/yuccagw/adapters/admin/AdminFixture.java
+++ b/src/test/java/org/yuccagw/adapters/admin/AdminFixture.java
@@ -175,6 +175,7 @@
                     identity.callerAddress(),
                     identity.peerAddress(),
                     identity.adminAddress(),
+                    identity.relayAddress(),
                     0,
                     catalogue.revision());
             String reason = ready ? "" : "has no catalogue";
--- a/src/test/java/org/yuccagw/adapters/peer/ControlCodecsTest.java
+++ b/src/test/java/org/yuccagw/adapters/peer/ControlCodecsTest.java
@@ -85,7 +85,7 @@
     }
 
     private static Gossip probe() {
-        Contact contact = new Contact(FailureDomain.of("ariana"), ADDRESS, ADDRESS, ADDRESS);
+        Contact contact = new Contact(FailureDomain.of("ariana"), ADDRESS, ADDRESS, ADDRESS, Optional.of(ADDRESS));
         return new Gossip(
                 Gossip.Kind.INDIRECT_PROBE,
                 12,
--- a/src/test/java/org/yuccagw/adapters/peer/StatusCodecTest.java
+++ b/src/test/java/org/yuccagw/adapters/peer/StatusCodecTest.java
@@ -36,7 +36,8 @@
         NetworkAddress address = NetworkAddress.of("10.1.0.2", 7_000);
         PeerStatus.Load load = new PeerStatus.Load(ENGINE, 3, 36_000, 12_000, new RecentPrefill(900, 300));
         PeerStatus status = new PeerStatus(
-                new EntryContact(EntryId.of("entry-1"), 5, FailureDomain.of("a"), address, address, 75),
+                new EntryContact(
+                        EntryId.of("entry-1"), 5, FailureDomain.of("a"), address, address, Optional.of(address), 75),
                 true,
                 false,
                 17,
--- a/src/test/java/org/yuccagw/bench/jmh/ControlBenchmark.java
+++ b/src/test/java/org/yuccagw/bench/jmh/ControlBenchmark.java
@@ -72,7 +72,7 @@
         records = new ArrayList<>();
         for (int index = 0; index < peers; index++) {
             NetworkAddress address = NetworkAddress.of("10.1." + index / 250 + "." + (1 + index % 250), 8080);
-            Contact contact = new Contact(DOMAIN, address, address, address);
+            Contact contact = new Contact(DOMAIN, address, address, address, Optional.empty());
             records.add(new MemberRecord(EntryId.of("peer-" + index), 1, 1, State.ALIVE, 0, 0, Optional.of(contact)));
         }
         records.forEach(known -> handle(new PeerReceived(known.entry(), gossip(known))));
--- a/src/test/java/org/yuccagw/core/peers/DirectoryChoiceTest.java
+++ b/src/test/java/org/yuccagw/core/peers/DirectoryChoiceTest.java
@@ -91,6 +91,6 @@
 
     private static EntryContact entry(String name, String domain) {
         NetworkAddress address = NetworkAddress.of("127.0.0.1", 9);
-        return new EntryContact(EntryId.of(name), 1, FailureDomain.of(domain), address, address, 100);
+        return new EntryContact(EntryId.of(name), 1, FailureDomain.of(domain), address, address, Optional.empty(), 100);
     }
 }
--- a/src/test/java/org/yuccagw/daemon/CallerDisconnectTest.java
+++ b/src/test/java/org/yuccagw/daemon/CallerDisconnectTest.java
@@ -3,6 +3,7 @@
 import static org.awaitility.Awaitility.await;
 import static org.testng.Assert.assertEquals;
 
+import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
@@ -22,6 +23,7 @@
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 import org.yuccagw.adapters.http.HttpClient;
+import org.yuccagw.adapters.relay.EndpointClient;
 import org.yuccagw.adapters.serving.ActiveRequests;
 import org.yuccagw.adapters.serving.ServingServer;
 import org.yuccagw.adapters.serving.ServingServices;
@@ -33,8 +35,11 @@
 import org.yuccagw.core.deployment.Deployment;
 import org.yuccagw.core.fleet.ListedEndpoint;
 import org.yuccagw.core.follow.KeyValueRecord;
+import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.placing.PlacementDecision;
 import org.yuccagw.core.placing.PlacementRequest;
+import org.yuccagw.core.relay.DirectPaths;
+import org.yuccagw.core.relay.RelayChoice;
 import org.yuccagw.platform.GatewaySettingsReader;
 import org.yuccagw.platform.PlatformRecords;
 import org.yuccagw.platform.PlatformWireProtocol;
@@ -81,7 +86,7 @@
                 new ServingServices(
                         () -> snapshot,
                         this::place,
-                        HttpClient.onWorker(worker),
+                        directClient(HttpClient.onWorker(worker)),
                         PlatformWireProtocol.create(),
                         DecisionLog.start(),
                         Metrics.create(),
@@ -93,6 +98,11 @@
                 ActiveRequests.create());
     }
 
+    private static EndpointClient directClient(HttpClient client) {
+        RelayChoice noRelay = RelayChoice.of(ImmutableList::of, bound -> 0);
+        return EndpointClient.of(client, client, EntryId.of("entry-1"), DirectPaths.create(), noRelay);
+    }
+
     @AfterMethod(alwaysRun = true)
     public void stopServing() throws IOException {
         server.stop();
--- a/src/test/java/org/yuccagw/daemon/VirtualFleet.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualFleet.java
@@ -415,6 +415,7 @@
                 UNUSED_ADDRESS,
                 UNUSED_ADDRESS,
                 UNUSED_ADDRESS,
+                Optional.empty(),
                 UNUSED_ADDRESS,
                 List.of(),
                 new GatewaySettings.Bounds(
