Find an entry that relays while most entries are cut off

Now an entry that is cut off refuses at once and tests its path beside that, the entries that relayed lately are asked first, and three failures confirm that an endpoint is down. A request gives up after two entries that can't be connected to. Memory of relayed requests is bounded within the heap of an entry.

--- a/src/main/java/org/yuccagw/adapters/relay/EndpointClient.java
+++ b/src/main/java/org/yuccagw/adapters/relay/EndpointClient.java
@@ -101,8 +101,11 @@
         return paths;
     }
 
-    /** Tests the direct path to an endpoint that is reached through other entries at present. */
+    /** Tests the direct path to an endpoint that this entry can't reach, unless it was tested just now. */
     void probe(NetworkAddress endpoint, XnioIoThread thread) {
+        if (!paths.claimProbe(endpoint, System.nanoTime())) {
+            return;
+        }
         canConnect(endpoint, thread).thenAccept(connected -> {
             if (connected) {
                 paths.recordReached(endpoint);
--- a/src/main/java/org/yuccagw/adapters/relay/RelayServer.java
+++ b/src/main/java/org/yuccagw/adapters/relay/RelayServer.java
@@ -7,13 +7,14 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
 import javax.net.ssl.SSLContext;
 import org.xnio.Options;
 import org.xnio.SslClientAuthMode;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.yuccagw.adapters.http.BodyReader;
-import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.adapters.telemetry.DecisionLog;
 import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.id.EntryId;
@@ -25,34 +26,33 @@
  * Sends requests of other entries to endpoints that they can't reach. Every decision on a request stays with the entry
  * that received it from its caller; this one only passes bytes on, and never to a further entry.
  *
- * <p>The number of relayed requests is limited, and so is the body of each, so that the memory that they use is.
+ * <p>The number of relayed requests and the bytes of their bodies are limited, and so is what is buffered of each
+ * answer, so that an entry that relays for many others stays within its memory.
  */
 public final class RelayServer {
-    private static final int MAX_REQUESTS = 256;
+    private static final int MAX_REQUESTS = 128;
     private static final int MAX_HEADER_BYTES = 128 * 1024;
-    private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+    private static final long MAX_BODY_BYTES_TOGETHER = 8 * 1024 * 1024;
     private static final Duration BODY_TIMEOUT = Duration.ofSeconds(5);
     private static final int IDLE_TIMEOUT_MILLIS = 75_000;
 
-    private final HttpClient endpointClient;
-    private final DirectPaths paths;
+    private final EndpointClient endpoints;
     private final Predicate<EntryId> isKnown;
     private final Optional<DecisionLog> decisions;
     private final Undertow server;
-    private final BodyReader bodies = BodyReader.of(MAX_BODY_BYTES, BODY_TIMEOUT.toMillis());
+    private final BodyReader bodies = BodyReader.of(MAX_BODY_BYTES_TOGETHER, BODY_TIMEOUT.toMillis());
     private final AtomicInteger running = new AtomicInteger();
+    private final AtomicLong runningBodyBytes = new AtomicLong();
     private volatile boolean refusing;
 
     private RelayServer(
             NetworkAddress address,
             XnioWorker worker,
             Optional<SSLContext> tls,
-            HttpClient endpointClient,
-            DirectPaths paths,
+            EndpointClient endpoints,
             Predicate<EntryId> isKnown,
             Optional<DecisionLog> decisions) {
-        this.endpointClient = endpointClient;
-        this.paths = paths;
+        this.endpoints = endpoints;
         this.isKnown = isKnown;
         this.decisions = decisions;
         Undertow.Builder builder = Undertow.builder()
@@ -78,18 +78,17 @@
      * Starts to relay requests that arrive on the address.
      *
      * @param tls encryption between entries, for which both sides need a certificate; empty for plain text
-     * @param paths this entry's own knowledge of the endpoints that it reaches
+     * @param endpoints the client of this entry, whose direct paths are used
      * @param isKnown returns whether an entry of this name belongs to the deployment
      */
     public static RelayServer start(
             NetworkAddress address,
             XnioWorker worker,
             Optional<SSLContext> tls,
-            HttpClient endpointClient,
-            DirectPaths paths,
+            EndpointClient endpoints,
             Predicate<EntryId> isKnown,
             Optional<DecisionLog> decisions) {
-        RelayServer relayServer = new RelayServer(address, worker, tls, endpointClient, paths, isKnown, decisions);
+        RelayServer relayServer = new RelayServer(address, worker, tls, endpoints, isKnown, decisions);
         relayServer.server.start();
         return relayServer;
     }
@@ -116,30 +115,35 @@
             exchange.endExchange();
             return;
         }
-        Optional<RelayOutcome> refusal = refusalOf(order.get());
+        long bodyBytes = Math.max(0, exchange.getRequestContentLength());
+        Optional<RelayOutcome> refusal = refusalOf(order.get(), bodyBytes, exchange.getIoThread());
         if (refusal.isPresent()) {
             RelayRun.sendFailure(exchange, refusal.get());
             return;
         }
         running.incrementAndGet();
+        runningBodyBytes.addAndGet(bodyBytes);
         exchange.addExchangeCompleteListener((completed, next) -> {
             running.decrementAndGet();
+            runningBodyBytes.addAndGet(-bodyBytes);
             next.proceed();
         });
         bodies.read(exchange, body -> relay(exchange, order.get(), body));
     }
 
-    private Optional<RelayOutcome> refusalOf(RelayProtocol.Order order) {
-        long now = System.nanoTime();
-        if (refusing || running.get() >= MAX_REQUESTS) {
+    private Optional<RelayOutcome> refusalOf(RelayProtocol.Order order, long bodyBytes, XnioIoThread exchangeThread) {
+        boolean bodyFits = runningBodyBytes.get() + bodyBytes <= MAX_BODY_BYTES_TOGETHER;
+        if (refusing || running.get() >= MAX_REQUESTS || !bodyFits) {
             return Optional.of(RelayOutcome.REFUSED);
         }
-        boolean cut = paths.pathTo(order.endpoint(), now) == DirectPaths.Path.RELAYED
-                || paths.pathTo(order.endpoint(), now) == DirectPaths.Path.NONE;
-        if (cut && !paths.claimProbe(order.endpoint(), now)) {
-            return Optional.of(paths.isCutOff(now) ? RelayOutcome.CUT_OFF : RelayOutcome.UNREACHED);
+        long now = System.nanoTime();
+        DirectPaths paths = endpoints.paths();
+        DirectPaths.Path path = paths.pathTo(order.endpoint(), now);
+        if (path == DirectPaths.Path.DIRECT || path == DirectPaths.Path.DIRECT_UNCERTAIN) {
+            return Optional.empty();
         }
-        return Optional.empty();
+        endpoints.probe(order.endpoint(), exchangeThread);
+        return Optional.of(paths.isCutOff(now) ? RelayOutcome.CUT_OFF : RelayOutcome.UNREACHED);
     }
 
     private void relay(HttpServerExchange exchange, RelayProtocol.Order order, byte[] body) {
@@ -147,6 +151,6 @@
                 .with("request", order.label())
                 .with("endpoint", order.endpoint())
                 .with("sender", order.sender())));
-        RelayRun.begin(endpointClient, paths, exchange, order, body);
+        RelayRun.begin(endpoints.directClient(), endpoints.paths(), exchange, order, body);
     }
 }
--- a/src/main/java/org/yuccagw/adapters/relay/RoutedCall.java
+++ b/src/main/java/org/yuccagw/adapters/relay/RoutedCall.java
@@ -106,9 +106,7 @@
     }
 
     private void sendVia(PathPlan.Step.Via via) {
-        if (via.probe()) {
-            client.probe(request.address(), thread);
-        }
+        client.probe(request.address(), thread);
         HttpRequest message = RelayProtocol.encode(request, via.relay(), label, client.self());
         begin(client.relayClient().stream(message, thread, new RelayedListener(via.relay())));
     }
@@ -228,6 +226,7 @@
 
         private void acceptAnswer(int status, HeaderMap headers) {
             bodyEndAtEndpoint = Optional.of(RelayProtocol.readBodyEnd(headers));
+            plan.recordRelayed(relay, System.nanoTime());
             reportConnected();
             listener.onRelayed(relay.entry());
             listener.onHead(status, RelayProtocol.originalHeaders(headers));
@@ -254,7 +253,7 @@
             }
             over = true;
             if (phase == Phase.CONNECT) {
-                perform(plan.afterRelayFailure(relay, RelayOutcome.REFUSED, System.nanoTime()));
+                perform(plan.afterSilentRelay(relay, System.nanoTime()));
             } else {
                 fail(phase, silent, cause);
             }
--- a/src/main/java/org/yuccagw/bench/local/LocalDeployment.java
+++ b/src/main/java/org/yuccagw/bench/local/LocalDeployment.java
@@ -80,7 +80,8 @@
         }
         vmList.set(rows());
         for (EntrySettings each : settings) {
-            entries.add(EntryDaemon.start(each));
+            entries.add(
+                    entries.isEmpty() ? EntryDaemon.start(each, plan.pathsOfFirstEntry()) : EntryDaemon.start(each));
         }
     }
 
--- a/src/main/java/org/yuccagw/bench/local/LocalPlan.java
+++ b/src/main/java/org/yuccagw/bench/local/LocalPlan.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.UnaryOperator;
 import org.yuccagw.adapters.settings.EntrySettings.TlsFiles;
 import org.yuccagw.core.catalogue.Catalogue;
+import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.standins.engine.EngineCosts;
 
 /**
@@ -17,6 +19,7 @@
  * @param loadLag how late engines report their load
  * @param catalogue applied before the deployment counts as started
  * @param traces where spans go: {@code log} or {@code off}
+ * @param pathsOfFirstEntry where the first entry connects for the address of an endpoint
  * @param tls certificates of all three addresses of each entry, empty for plain text
  */
 public record LocalPlan(
@@ -27,6 +30,7 @@
         Duration loadLag,
         Catalogue catalogue,
         String traces,
+        UnaryOperator<NetworkAddress> pathsOfFirstEntry,
         Optional<TlsFiles> tls) {
     private static final int USUAL_ENTRIES = 3;
     private static final int USUAL_ENGINES = 4;
@@ -45,22 +49,28 @@
                 Duration.ofMillis(200),
                 LocalCatalogue.usual(),
                 "off",
+                UnaryOperator.identity(),
                 Optional.empty());
     }
 
     public LocalPlan withEntries(int count) {
-        return new LocalPlan(count, engines, domains, costs, loadLag, catalogue, traces, tls);
+        return new LocalPlan(count, engines, domains, costs, loadLag, catalogue, traces, pathsOfFirstEntry, tls);
     }
 
     public LocalPlan withEngines(int count, EngineCosts newCosts) {
-        return new LocalPlan(entries, count, domains, newCosts, loadLag, catalogue, traces, tls);
+        return new LocalPlan(entries, count, domains, newCosts, loadLag, catalogue, traces, pathsOfFirstEntry, tls);
     }
 
     public LocalPlan withCatalogue(Catalogue newCatalogue) {
-        return new LocalPlan(entries, engines, domains, costs, loadLag, newCatalogue, traces, tls);
+        return new LocalPlan(entries, engines, domains, costs, loadLag, newCatalogue, traces, pathsOfFirstEntry, tls);
     }
 
     public LocalPlan withTls(TlsFiles files) {
-        return new LocalPlan(entries, engines, domains, costs, loadLag, catalogue, traces, Optional.of(files));
+        return new LocalPlan(
+                entries, engines, domains, costs, loadLag, catalogue, traces, pathsOfFirstEntry, Optional.of(files));
+    }
+
+    public LocalPlan withPathsOfFirstEntry(UnaryOperator<NetworkAddress> paths) {
+        return new LocalPlan(entries, engines, domains, costs, loadLag, catalogue, traces, paths, tls);
     }
 }
--- a/src/main/java/org/yuccagw/core/relay/DirectPaths.java
+++ b/src/main/java/org/yuccagw/core/relay/DirectPaths.java
@@ -15,7 +15,7 @@
  * #MIN_FAILURES} failures, at one endpoint or several. Whether the endpoint is down or only this entry is cut off from
  * it is then decided by the entries that are asked to relay.
  *
- * <p>Thread-safe. Holds one small object for each endpoint that couldn't be reached lately.
+ * <p>Thread-safe. Holds small objects for the endpoints used while some can't be reached, and none otherwise.
  */
 public final class DirectPaths {
     /** Two failures within this time count as related. */
@@ -31,6 +31,7 @@
 
     private final Map<NetworkAddress, Failure> failures = new HashMap<>();
     private final Set<NetworkAddress> reached = new HashSet<>();
+    private final Map<NetworkAddress, Long> lastProbeNanos = new HashMap<>();
 
     /** How to send a request to an endpoint. */
     public enum Path {
@@ -45,7 +46,6 @@
     private static final class Failure {
         private int count;
         private long lastNanos;
-        private long lastProbeNanos = Long.MIN_VALUE;
         private long downUntilNanos = Long.MIN_VALUE;
     }
 
@@ -63,7 +63,7 @@
         }
         failures.remove(endpoint);
         reached.add(endpoint);
-        forgetReachedIfNothingFails();
+        forgetAllIfNothingFails();
     }
 
     /** Records that a new connection to the endpoint was refused or not established in time. */
@@ -85,10 +85,10 @@
     /** Returns how to send a request to the endpoint now. */
     public synchronized Path pathTo(NetworkAddress endpoint, long nowNanos) {
         failures.values().removeIf(failure -> nowNanos - failure.lastNanos > FAILURE_MEMORY.toNanos());
-        forgetReachedIfNothingFails();
+        forgetAllIfNothingFails();
         Failure failure = failures.get(endpoint);
         if (failure == null) {
-            return failures.size() >= MIN_FAILURES && !reached.contains(endpoint) ? Path.DIRECT_UNCERTAIN : Path.DIRECT;
+            return pathToOther(endpoint);
         }
         if (failure.count < MIN_FAILURES && failures.size() < MIN_FAILURES) {
             return Path.DIRECT;
@@ -97,6 +97,14 @@
         return down ? Path.NONE : Path.RELAYED;
     }
 
+    /** Returns how to send a request to an endpoint that hasn't failed. */
+    private Path pathToOther(NetworkAddress endpoint) {
+        if (failures.size() < MIN_FAILURES || reached.contains(endpoint)) {
+            return Path.DIRECT;
+        }
+        return reached.isEmpty() ? Path.RELAYED : Path.DIRECT_UNCERTAIN;
+    }
+
     /** Returns whether this entry can't reach several endpoints and has reached none since. */
     public synchronized boolean isCutOff(long nowNanos) {
         long current = failures.values().stream()
@@ -105,23 +113,23 @@
         return current >= MIN_FAILURES && reached.isEmpty();
     }
 
-    /** Returns whether it is time to test a cut path, and counts the test as made. */
+    /** Returns whether it is time to test the direct path to the endpoint, and counts the test as made. */
     public synchronized boolean claimProbe(NetworkAddress endpoint, long nowNanos) {
         Failure failure = failures.get(endpoint);
-        if (failure == null) {
-            return false;
-        }
-        long last = Math.max(failure.lastNanos, failure.lastProbeNanos);
-        if (nowNanos - last < PROBE_INTERVAL.toNanos()) {
+        boolean failedJustNow = failure != null && nowNanos - failure.lastNanos < PROBE_INTERVAL.toNanos();
+        Long probed = lastProbeNanos.get(endpoint);
+        boolean probedJustNow = probed != null && nowNanos - probed < PROBE_INTERVAL.toNanos();
+        if (failedJustNow || probedJustNow) {
             return false;
         }
-        failure.lastProbeNanos = nowNanos;
+        lastProbeNanos.put(endpoint, nowNanos);
         return true;
     }
 
-    private void forgetReachedIfNothingFails() {
+    private void forgetAllIfNothingFails() {
         if (failures.isEmpty()) {
             reached.clear();
+            lastProbeNanos.clear();
         }
     }
 }
--- a/src/main/java/org/yuccagw/core/relay/PathPlan.java
+++ b/src/main/java/org/yuccagw/core/relay/PathPlan.java
@@ -18,16 +18,20 @@
     private static final Duration UNCERTAIN_CONNECT_TIMEOUT = Duration.ofMillis(150);
 
     /** With most entries cut off, few of those asked can relay. Those that know of their cut say so at once. */
-    private static final int MAX_ASKED = 8;
+    private static final int MAX_ASKED = 12;
 
-    /** One entry that couldn't connect may have been cut off just now; two mean that the endpoint is down. */
-    private static final int CONFIRMATIONS = 2;
+    /** Two entries that couldn't connect may have been cut off just now; three mean that the endpoint is down. */
+    private static final int CONFIRMATIONS = 3;
+
+    /** An entry that reaches no other entry either fails its requests soon, so that callers can go elsewhere. */
+    private static final int MAX_SILENT = 2;
 
     private final DirectPaths paths;
     private final RelayChoice choice;
     private final NetworkAddress endpoint;
     private final Set<EntryId> asked = new HashSet<>();
     private int unreached;
+    private int silent;
 
     /** The next thing to do with the request. */
     public sealed interface Step {
@@ -38,12 +42,8 @@
          */
         record Direct(Optional<Duration> maxConnectTimeout) implements Step {}
 
-        /**
-         * Ask another entry to send it.
-         *
-         * @param probe whether the direct path is to be tested meanwhile
-         */
-        record Via(Relay relay, boolean probe) implements Step {}
+        /** Ask another entry to send it. */
+        record Via(Relay relay) implements Step {}
 
         /** Give up: the endpoint can't be reached. */
         record Unreachable() implements Step {}
@@ -87,13 +87,25 @@
         return unreached < CONFIRMATIONS ? nextRelay(nowNanos) : unreachable(nowNanos);
     }
 
+    /** Records that an entry relayed the request. */
+    public void recordRelayed(Relay relay, long nowNanos) {
+        choice.markSuitable(relay.entry(), nowNanos);
+    }
+
+    /** Returns the step after no connection to an entry was established. */
+    public Step afterSilentRelay(Relay relay, long nowNanos) {
+        silent++;
+        choice.markUnsuitable(relay.entry(), nowNanos);
+        return silent < MAX_SILENT ? nextRelay(nowNanos) : unreachable(nowNanos);
+    }
+
     private Step nextRelay(long nowNanos) {
         Optional<Relay> next = asked.size() < MAX_ASKED ? choice.next(asked, nowNanos) : Optional.empty();
         if (next.isEmpty()) {
             return unreachable(nowNanos);
         }
         asked.add(next.get().entry());
-        return new Step.Via(next.get(), paths.claimProbe(endpoint, nowNanos));
+        return new Step.Via(next.get());
     }
 
     private Step unreachable(long nowNanos) {
--- a/src/main/java/org/yuccagw/daemon/EntryDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/EntryDaemon.java
@@ -81,6 +81,7 @@
     private final HttpClient endpointClient;
     private final DirectPaths paths = DirectPaths.create();
     private final HttpClient relayClient;
+    private final EndpointClient endpoints;
     private final Optional<RelayServer> relayServer;
     private final HttpClient entryClient;
     private final HttpClient platformClient;
@@ -120,8 +121,7 @@
         controlInput.connect(control);
         peers.start();
         control.start();
-        EndpointClient endpoints =
-                EndpointClient.of(endpointClient, relayClient, settings.entry(), paths, relayChoice());
+        endpoints = EndpointClient.of(endpointClient, relayClient, settings.entry(), paths, relayChoice());
         relayServer = startRelayServer(settings);
         CallerServices services = new CallerServices(
                 settings,
@@ -161,7 +161,7 @@
      *
      * @param dialedEndpoint returns where the entry connects for the registered address of an endpoint
      */
-    static EntryDaemon start(EntrySettings settings, UnaryOperator<NetworkAddress> dialedEndpoint)
+    public static EntryDaemon start(EntrySettings settings, UnaryOperator<NetworkAddress> dialedEndpoint)
             throws YuccagwException {
         try {
             EntryDaemon daemon = new EntryDaemon(settings, dialedEndpoint);
@@ -276,8 +276,7 @@
                         address,
                         worker,
                         tls.peerContext(),
-                        endpointClient,
-                        paths,
+                        endpoints,
                         entry -> entries().anyMatch(status -> status.entry().equals(entry)),
                         Optional.empty()));
     }
--- a/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
@@ -154,8 +154,7 @@
                 address,
                 worker,
                 Optional.empty(),
-                endpointClient,
-                paths,
+                endpoints,
                 entry -> peersSnapshot().find(entry).isPresent(),
                 Optional.of(decisions));
     }
