--- a/src/test/java/org/yuccagw/core/relay/CutOffFleetTest.java
+++ b/src/test/java/org/yuccagw/core/relay/CutOffFleetTest.java
@@ -46,7 +46,8 @@
     @Test(dataProvider = "fleets")
     public void firstTriesAtEntriesThatAreCutOffReachTheirEndpointsInTime(
             int entries, int endpoints, double cutShare, boolean refused) {
-        Fleet fleet = new Fleet(entries, endpoints, Math.min(entries - 1, (int) Math.ceil(entries * cutShare)), refused);
+        Fleet fleet =
+                new Fleet(entries, endpoints, Math.min(entries - 1, (int) Math.ceil(entries * cutShare)), refused);
         fleet.run();
         int percent = 100 * fleet.inTime / fleet.sent;
         assertTrue(percent >= MIN_SERVED_PERCENT, fleet.inTime + " of " + fleet.sent + " in time");
