Keep endpoints that can reject few requests from failing

Endpoints may state in their answers how many requests they can reject in a second for lack of room (Server-Brittle); one that has to reject more fails for seconds. Nothing heeded it: plain calls have no bound on what is sent to an endpoint, and each rejection is followed by a retry.

Rejections and the notice itself are told to all entries that place requests, since a lead doesn't see the answers. Requests that don't fit wait at the entry or are refused, as for other limits.

--- a/src/main/java/org/yuccagw/adapters/peer/FollowCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/FollowCodec.java
@@ -5,10 +5,12 @@
 import java.util.Optional;
 import org.yuccagw.core.follow.FollowMessage;
 import org.yuccagw.core.placing.BreakReported;
+import org.yuccagw.core.placing.BrittlenessReported;
 import org.yuccagw.core.port.KeyValueAnswer.Item;
 import org.yuccagw.core.port.PeerMessage;
 import org.yuccagw.wire.PeerProtocol;
 import org.yuccagw.wire.PeerProtocol.BreakMessage;
+import org.yuccagw.wire.PeerProtocol.BrittlenessMessage;
 import org.yuccagw.wire.PeerProtocol.Envelope;
 import org.yuccagw.wire.PeerProtocol.KeyItem;
 
@@ -37,6 +39,13 @@
             envelope.setFollow(encode(reply));
             return true;
         }
+        if (message instanceof BrittlenessReported reported) {
+            envelope.setBrittleness(BrittlenessMessage.newBuilder()
+                    .setEndpoint(EndpointStarts.encode(reported.endpoint()))
+                    .setMaxRejections(reported.maxRejections())
+                    .setRejected(reported.rejected()));
+            return true;
+        }
         if (message instanceof BreakReported reported) {
             envelope.setBreakSeen(BreakMessage.newBuilder()
                     .setFingerprint(reported.fingerprint())
@@ -66,6 +75,11 @@
 
     @Override
     public Optional<PeerMessage> decode(Envelope envelope) {
+        if (envelope.hasBrittleness()) {
+            BrittlenessMessage wire = envelope.getBrittleness();
+            return Optional.of(new BrittlenessReported(
+                    EndpointStarts.decode(wire.getEndpoint()), wire.getMaxRejections(), wire.getRejected()));
+        }
         if (envelope.hasBreakSeen()) {
             BreakMessage wire = envelope.getBreakSeen();
             return Optional.of(new BreakReported(wire.getFingerprint(), EndpointStarts.decode(wire.getEndpoint())));
--- a/src/main/java/org/yuccagw/core/placing/AttemptOutcomes.java
+++ b/src/main/java/org/yuccagw/core/placing/AttemptOutcomes.java
@@ -18,6 +18,7 @@
     private final SuspectRequests suspects;
     private final NamedWeightsComponent weights;
     private final NoticesComponent notices;
+    private final BrittleEndpoints brittle;
     private final PlacementComponent.Fleet fleet;
     private ControlContext context;
 
@@ -26,11 +27,13 @@
             SuspectRequests suspects,
             NamedWeightsComponent weights,
             NoticesComponent notices,
+            BrittleEndpoints brittle,
             PlacementComponent.Fleet fleet) {
         this.endpoints = endpoints;
         this.suspects = suspects;
         this.weights = weights;
         this.notices = notices;
+        this.brittle = brittle;
         this.fleet = fleet;
     }
 
@@ -39,6 +42,7 @@
      *
      * @param suspects receives the requests during which endpoints failed
      * @param notices counts the attempts that were answered and those that weren't
+     * @param brittle counts the rejections
      * @param fleet receives reports of failures
      */
     static AttemptOutcomes of(
@@ -46,8 +50,9 @@
             SuspectRequests suspects,
             NamedWeightsComponent weights,
             NoticesComponent notices,
+            BrittleEndpoints brittle,
             PlacementComponent.Fleet fleet) {
-        return new AttemptOutcomes(endpoints, suspects, weights, notices, fleet);
+        return new AttemptOutcomes(endpoints, suspects, weights, notices, brittle, fleet);
     }
 
     void start(ControlContext controlContext) {
@@ -91,7 +96,10 @@
                 endpoint.recordReached();
                 endpoint.recordOutcome(true);
             }
-            case SHED -> endpoint.recordShed(now);
+            case SHED -> {
+                endpoint.recordShed(now);
+                brittle.recordRejection(endpoint);
+            }
             case WRONG_ENDPOINT -> {
                 endpoint.markLeaving();
                 context.perform(Decision.of("endpoint-gone")
--- a/src/main/java/org/yuccagw/core/placing/Candidates.java
+++ b/src/main/java/org/yuccagw/core/placing/Candidates.java
@@ -40,6 +40,7 @@
     private final NamedWeightsComponent weights;
     private final RateLimitsComponent rateLimits;
     private final NoticesComponent notices;
+    private final BrittleEndpoints brittle;
     private final PlacementComponent.Fleet fleet;
     private final Predicate<PlacementRequest> isLocal;
     private Optional<Deployment> deployment = Optional.empty();
@@ -51,6 +52,7 @@
      *
      * @param coldLimit limits the requests to cold endpoints
      * @param constraints the limits and back-offs that endpoints requested
+     * @param brittle limits what endpoints have to reject
      * @param fleet the other entries that place requests
      * @param isLocal whether this entry forwards a request itself
      */
@@ -60,6 +62,7 @@
             DomainRegions regions,
             NamedWeightsComponent weights,
             EndpointConstraints constraints,
+            BrittleEndpoints brittle,
             PlacementComponent.Fleet fleet,
             Predicate<PlacementRequest> isLocal) {
         this.endpoints = endpoints;
@@ -68,6 +71,7 @@
         this.weights = weights;
         this.rateLimits = constraints.rateLimits();
         this.notices = constraints.notices();
+        this.brittle = brittle;
         this.fleet = fleet;
         this.isLocal = isLocal;
     }
@@ -95,10 +99,10 @@
     /**
      * Returns the endpoints that may accept the request now.
      *
-     * <p>An endpoint is skipped while others are available if it loads weights, is cold or rate-limited and has
-     * received all that it accepts, requested a back-off, has just rejected a request, or could not be reached. If only
-     * such endpoints are left, those that rejected requests of several entries are returned; if there are none of these
-     * either, those that could not be reached.
+     * <p>An endpoint is skipped while others are available if it loads weights, requested a back-off, has just rejected
+     * a request, could not be reached, or is cold, rate-limited or brittle and has received all that it accepts. If
+     * only such endpoints are left, those that rejected requests of several entries are returned; if there are none of
+     * these either, those that could not be reached.
      */
     List<EndpointState> forRequest(PlacementRequest request) {
         long now = context.nowNanos();
@@ -232,7 +236,10 @@
     private boolean acceptsAnother(EndpointState endpoint, PlacementRequest request) {
         ListedEndpoint listed = endpoint.listed();
         boolean allowedByNotices = notices.allowsPlacement(listed.incarnation(), isLocal.test(request));
-        return allowedByNotices && acceptsAnotherWhileCold(endpoint) && rateLimits.allowsRequest(listed);
+        return allowedByNotices
+                && acceptsAnotherWhileCold(endpoint)
+                && rateLimits.allowsRequest(listed)
+                && brittle.allows(endpoint);
     }
 
     private boolean acceptsAnotherWhileCold(EndpointState endpoint) {
--- a/src/main/java/org/yuccagw/core/placing/PlacementComponent.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementComponent.java
@@ -18,6 +18,7 @@
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.ServiceName;
+import org.yuccagw.core.notice.NoticeReceived;
 import org.yuccagw.core.notice.NoticesComponent;
 import org.yuccagw.core.peers.PeerStatus;
 import org.yuccagw.core.peers.PeersComponent;
@@ -40,6 +41,7 @@
  */
 public final class PlacementComponent implements ControlComponent {
     private final Candidates candidates;
+    private final BrittleEndpoints brittle;
     private final NoticesComponent notices;
     private final EndpointTable endpoints;
     private final StreamPacing pacing = StreamPacing.create();
@@ -68,18 +70,20 @@
         CachePlanner cachePlanner = new CachePlanner(stores, planner, weights, regions);
         notices = constraints.notices();
         endpoints = new EndpointTable(this::coldTraits, notices::isLeaving);
+        brittle = new BrittleEndpoints(fleet);
         candidates = new Candidates(
                 endpoints,
                 new ColdEndpointLimit(bounds.cold()),
                 regions,
                 weights,
                 constraints,
+                brittle,
                 fleet,
                 decisionHandler::isLocal);
         retryBudget = RetryBudget.of(bounds.retries(), fleet::retryShareCount);
         forecast = OverloadForecast.create(queue, candidates, pacing, fleet);
         choice = EndpointChoice.of(endpoints, weights, planner, pacing);
-        outcomes = AttemptOutcomes.of(endpoints, suspects, weights, notices, fleet);
+        outcomes = AttemptOutcomes.of(endpoints, suspects, weights, notices, brittle, fleet);
         attempts = RunningAttempts.of(pacing, outcomes, notices, fleet);
         refusals = Refusals.of(candidates, queue, forecast, decisionHandler);
         step = PlacementStep.of(
@@ -153,6 +157,7 @@
     public void start(ControlContext controlContext) {
         context = controlContext;
         endpoints.start(controlContext);
+        brittle.start(controlContext);
         candidates.start(controlContext);
         choice.start(controlContext);
         outcomes.start(controlContext);
@@ -176,6 +181,10 @@
             candidates.configure(applied.deployment());
         } else if (event instanceof PeerReceived received && received.message() instanceof BreakReported reported) {
             suspects.add(reported.fingerprint(), reported.endpoint(), context.nowNanos());
+        } else if (event instanceof PeerReceived received && received.message() instanceof BrittlenessReported report) {
+            endpoints.current(report.endpoint()).ifPresent(endpoint -> brittle.recordReport(endpoint, report));
+        } else if (event instanceof NoticeReceived received) {
+            onNotice(received);
         } else if (event instanceof PeersComponent.PeerStatusReceived heartbeat) {
             forecast.update(heartbeat.entry(), heartbeat.status().queued(), context.nowNanos());
         } else if (event instanceof PeersComponent.PeerLost lost) {
@@ -183,6 +192,14 @@
         }
     }
 
+    private void onNotice(NoticeReceived received) {
+        received.notice()
+                .maxRejections()
+                .ifPresent(maxRejections -> endpoints
+                        .current(received.endpoint())
+                        .ifPresent(endpoint -> brittle.recordNotice(endpoint, maxRejections)));
+    }
+
     @Override
     public void contribute(ControlSnapshot.Builder snapshot) {
         snapshot.put(
--- a/src/main/java/org/yuccagw/platform/EndpointNoticeReader.java
+++ b/src/main/java/org/yuccagw/platform/EndpointNoticeReader.java
@@ -6,13 +6,14 @@
 import io.undertow.util.HeaderValues;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import org.yuccagw.adapters.http.HttpResponse;
 import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.notice.EndpointNotice;
 import org.yuccagw.core.notice.NoticeReceived;
 import org.yuccagw.core.notice.RateLimit;
 
-/** Reads the notices about an endpoint from the headers of its answers: rate limit, leaving and back-off. */
+/** Reads the notices about an endpoint from its answers: rate limit, leaving, back-off and brittleness. */
 final class EndpointNoticeReader {
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int SERVICE_UNAVAILABLE = 503;
@@ -25,7 +26,8 @@
             PlatformNames.ENDPOINT_ID,
             PlatformNames.VERSION_RUN,
             PlatformNames.RATE_LIMIT,
-            PlatformNames.LEAVING);
+            PlatformNames.LEAVING,
+            PlatformNames.BRITTLE);
 
     private EndpointNoticeReader() {}
 
@@ -38,9 +40,17 @@
                 limit.isPresent() ? RateLimit.of(limit.getAsDouble()) : Optional.empty(),
                 TRUE.equals(trimmedValue(headers, PlatformNames.LEAVING)),
                 retryAfter.isPresent() ? EndpointNotice.backOffOfSeconds(retryAfter.getAsDouble()) : Optional.empty(),
+                parseMaxRejections(headers),
                 unknownHeaders(headers));
     }
 
+    private static OptionalInt parseMaxRejections(HeaderMap headers) {
+        OptionalDouble number = parseNumber(headers, PlatformNames.BRITTLE);
+        return number.isPresent() && number.getAsDouble() >= 0
+                ? OptionalInt.of((int) Math.min(number.getAsDouble(), Integer.MAX_VALUE))
+                : OptionalInt.empty();
+    }
+
     /**
      * Returns the notice in the answer to an internal call. Empty if the answer contains none, or if an endpoint other
      * than the called one answered.
--- a/src/main/java/org/yuccagw/platform/PlatformNames.java
+++ b/src/main/java/org/yuccagw/platform/PlatformNames.java
@@ -39,6 +39,8 @@
     static final String RATE_LIMIT = "Server-Limit";
     /** 1 if the endpoint is leaving and accepts no new requests. */
     static final String LEAVING = "Server-Leaving";
+    /** The most requests that the endpoint can reject in a second for lack of room without failing. */
+    static final String BRITTLE = "Server-Brittle";
 
     /** Seconds, possibly with a fraction. */
     static final String RETRY_AFTER = "Retry-After";
--- a/src/test/java/org/yuccagw/adapters/peer/StatusCodecTest.java
+++ b/src/test/java/org/yuccagw/adapters/peer/StatusCodecTest.java
@@ -23,6 +23,7 @@
 import org.yuccagw.core.peers.Roster;
 import org.yuccagw.core.peers.RosterRequest;
 import org.yuccagw.core.placing.BreakReported;
+import org.yuccagw.core.placing.BrittlenessReported;
 import org.yuccagw.core.placing.LoadUpdate;
 import org.yuccagw.core.port.PeerMessage;
 import org.yuccagw.wire.PeerProtocol.Envelope;
@@ -50,6 +51,7 @@
             {status},
             {new LoadUpdate(load)},
             {new BreakReported("fingerprint", ENGINE)},
+            {new BrittlenessReported(ENGINE, 5, true)},
             {new DomainDigest(status, OptionalLong.of(250), rosters(status.contact()))},
             {new DomainDigest(status, OptionalLong.empty(), ImmutableList.of())},
             {new RosterRequest(FailureDomain.of("a"))},
@@ -67,7 +69,9 @@
 
     @Test(dataProvider = "messages")
     public void decodesWhatItEncoded(PeerMessage message) throws YuccagwException {
-        boolean encodedByFollowCodec = message instanceof BreakReported || message instanceof FollowMessage;
+        boolean encodedByFollowCodec = message instanceof BreakReported
+                || message instanceof BrittlenessReported
+                || message instanceof FollowMessage;
         BodyCodec codec = encodedByFollowCodec ? FollowCodec.create() : StatusCodec.create();
         Envelope.Builder envelope = Envelope.newBuilder();
         codec.encode(message, envelope);
--- /dev/null
+++ b/src/test/java/org/yuccagw/daemon/BrittleEndpointsTest.java
@@ -0,0 +1,191 @@
+package org.yuccagw.daemon;
+
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import org.yuccagw.bench.control.BenchNode;
+import org.yuccagw.core.deployment.Deployment;
+import org.yuccagw.core.id.FailureDomain;
+import org.yuccagw.core.notice.EndpointNotice;
+import org.yuccagw.core.notice.NoticeReceived;
+import org.yuccagw.core.placing.AttemptEnded;
+import org.yuccagw.core.placing.AttemptEnded.End;
+import org.yuccagw.core.placing.PlacementDecision;
+import org.yuccagw.core.placing.PlacementRequest;
+
+/** Guards against a fleet whose requests fell endpoints that can reject only a few requests in a second. */
+public class BrittleEndpointsTest {
+    private static final FailureDomain HOME = FailureDomain.of("ulemiste");
+    private static final FailureDomain OTHER = FailureDomain.of("kadaka");
+    private static final int ENDPOINTS = 3;
+    private static final int MAX_REJECTIONS = 5;
+    private static final int WAITING_PLACES = 4;
+    private static final Duration RUN_TIME = Duration.ofMillis(40);
+    private static final Duration TRAVEL_TIME = Duration.ofMillis(2);
+    private static final Duration DOWN_TIME = Duration.ofSeconds(3);
+    private static final Duration SECOND = Duration.ofSeconds(1);
+
+    /** The users' rule. */
+    private static final double MAX_FALLS = 2 + 0.1 * ENDPOINTS;
+
+    private final Map<String, Endpoint> endpoints = new HashMap<>();
+    private VirtualFleet fleet;
+    private List<BenchNode> nodes;
+    private int nextNode;
+    private int answered;
+
+    @DataProvider
+    public Object[][] loads() {
+        return new Object[][] {{8, 0.7}, {8, 1.5}, {8, 4.0}, {66, 0.7}, {66, 1.5}, {66, 4.0}};
+    }
+
+    @Test(dataProvider = "loads")
+    public void endpointsThatCanRejectFewRequestsDoNotFall(int entries, double load) {
+        start(entries);
+        runTraffic(load, Duration.ofSeconds(4));
+        endpoints.values().forEach(Endpoint::shrink);
+        runTraffic(load, Duration.ofSeconds(4));
+        assertFewFalls();
+        assertTrue(answered > 100, "only " + answered + " calls were answered");
+    }
+
+    @Test(dataProvider = "loads")
+    public void endpointsThatCanRejectFewRequestsDoNotFallWhileEntriesStart(int entries, double load) {
+        start(entries);
+        runTraffic(load, Duration.ofSeconds(4));
+        endpoints.values().forEach(Endpoint::shrink);
+        restart(nodes.get(0));
+        restart(nodes.get(1));
+        runTraffic(load, Duration.ofSeconds(4));
+        assertFewFalls();
+    }
+
+    private void start(int entries) {
+        fleet = new VirtualFleet();
+        nodes = new ArrayList<>();
+        endpoints.clear();
+        answered = 0;
+        for (int index = 0; index < entries; index++) {
+            nodes.add(fleet.start("entry-" + index, index % 2 == 0 ? HOME : OTHER));
+        }
+        fleet.configure(1);
+        for (int index = 0; index < ENDPOINTS; index++) {
+            fleet.addPlain("plain-" + index);
+            endpoints.put("plain-" + index, new Endpoint());
+        }
+        fleet.bench.runFor(Duration.ofSeconds(8));
+    }
+
+    private void restart(BenchNode node) {
+        node.kill();
+        nodes.remove(node);
+        nodes.add(fleet.start(node.entry().value(), HOME));
+    }
+
+    private void assertFewFalls() {
+        int falls =
+                endpoints.values().stream().mapToInt(endpoint -> endpoint.falls).sum();
+        assertTrue(falls <= MAX_FALLS, falls + " falls");
+    }
+
+    /**
+     * Sends calls through all entries in turn.
+     *
+     * @param load calls as a multiple of what the endpoints can run
+     */
+    private void runTraffic(double load, Duration duration) {
+        double callsPerSecond = load * ENDPOINTS * VirtualFleet.PLAIN_SLOTS / (RUN_TIME.toNanos() / 1e9);
+        Duration interval = Duration.ofNanos((long) (1e9 / callsPerSecond));
+        sendNext(now() + duration.toNanos(), interval);
+        fleet.bench.runFor(duration);
+    }
+
+    private void sendNext(long endNanos, Duration interval) {
+        BenchNode node = nodes.get(nextNode++ % nodes.size());
+        request(node, PlacementRequest.Kind.FIRST);
+        if (now() < endNanos) {
+            fleet.bench.time().after(interval, () -> sendNext(endNanos, interval));
+        }
+    }
+
+    private void request(BenchNode node, PlacementRequest.Kind kind) {
+        boolean ready = node.state(Deployment.class).isPresent();
+        if (ready && !node.isDead()) {
+            fleet.requestPlainPlacement(node, kind, decision -> onDecision(node, decision));
+        }
+    }
+
+    private void onDecision(BenchNode node, PlacementDecision decision) {
+        if (decision instanceof PlacementDecision.Placed placed) {
+            Endpoint endpoint = endpoints.get(placed.endpoint().id().value());
+            fleet.bench.time().after(TRAVEL_TIME, () -> endpoint.receive(node, placed));
+        }
+    }
+
+    private void end(BenchNode node, PlacementDecision.Placed placed, End end, boolean said) {
+        fleet.bench.time().after(TRAVEL_TIME, () -> {
+            if (said) {
+                EndpointNotice notice = EndpointNotice.ofMaxRejections(MAX_REJECTIONS);
+                node.offer(new NoticeReceived(placed.endpoint().incarnation(), notice, false));
+            }
+            node.offer(new AttemptEnded(placed.ticket(), end, OptionalLong.empty()));
+            if (end == End.SHED) {
+                request(node, PlacementRequest.Kind.REPEAT);
+            }
+        });
+    }
+
+    private long now() {
+        return fleet.bench.time().nowNanos();
+    }
+
+    /** An endpoint that falls if it has to reject too many requests in a second. */
+    private final class Endpoint {
+        private final ArrayDeque<Long> rejections = new ArrayDeque<>();
+        private int waitingPlaces = WAITING_PLACES;
+        private int present;
+        private int falls;
+        private long downUntilNanos = Long.MIN_VALUE;
+
+        void shrink() {
+            waitingPlaces = 0;
+        }
+
+        void receive(BenchNode node, PlacementDecision.Placed placed) {
+            if (now() < downUntilNanos) {
+                end(node, placed, End.UNREACHED, false);
+            } else if (present >= VirtualFleet.PLAIN_SLOTS + waitingPlaces) {
+                reject(node, placed);
+            } else {
+                present++;
+                long waitNanos = present > VirtualFleet.PLAIN_SLOTS ? RUN_TIME.toNanos() : 0;
+                fleet.bench.time().after(RUN_TIME.plusNanos(waitNanos), () -> {
+                    present--;
+                    answered++;
+                    end(node, placed, End.ANSWERED, true);
+                });
+            }
+        }
+
+        private void reject(BenchNode node, PlacementDecision.Placed placed) {
+            rejections.add(now());
+            while (now() - rejections.peek() >= SECOND.toNanos()) {
+                rejections.remove();
+            }
+            end(node, placed, End.SHED, true);
+            if (rejections.size() > MAX_REJECTIONS) {
+                falls++;
+                rejections.clear();
+                downUntilNanos = now() + DOWN_TIME.toNanos();
+            }
+        }
+    }
+}
--- a/src/test/java/org/yuccagw/daemon/VirtualFleet.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualFleet.java
@@ -59,6 +59,9 @@
     private static final int COLD_SECONDS = 3;
     static final Duration COLD_DURATION = Duration.ofSeconds(COLD_SECONDS);
     static final double COLD_REQUESTS_PER_SECOND = 9.8;
+    /** As registered for every plain endpoint. */
+    static final int PLAIN_SLOTS = 4;
+
     static final ColdBounds COLD_BOUNDS = new ColdBounds(1.5, 5);
 
     private static final Duration LOAD_TIME = Duration.ofMillis(420);
