Pass the duty of ordering weights on while its holder is cut off from the endpoints

An entry that had lost its paths to the engines kept the lease under which it orders them to load weights, so that no engine got the named weights until the cut was over. Orders are never relayed, since they count as the sender's.

The daemon reports to the control core when it is cut off and when it no longer is; a holder that is steps down, and doesn't claim the duty meanwhile.

--- a/src/main/java/org/yuccagw/core/duty/DutyComponent.java
+++ b/src/main/java/org/yuccagw/core/duty/DutyComponent.java
@@ -21,6 +21,7 @@
 import org.yuccagw.core.membership.StopRequested;
 import org.yuccagw.core.port.KeyValueAnswer;
 import org.yuccagw.core.port.KeyValueCall;
+import org.yuccagw.core.relay.CutOffChanged;
 
 /**
  * Elects the entry that holds one duty: the holder owns one key, written by compare-and-swap under a lease.
@@ -60,6 +61,7 @@
     private boolean holding;
     private boolean claiming;
     private boolean stopping;
+    private boolean cutOff;
     private long claimNanos;
     private long fencingNumber;
     private long actionsAllowedFromNanos;
@@ -123,6 +125,11 @@
                 stepDown("key removed");
             }
             scheduleAttempt();
+        } else if (event instanceof CutOffChanged changed) {
+            cutOff = changed.cutOff();
+            if (cutOff && (holding || claiming)) {
+                stepDown("cut off from the endpoints");
+            }
         } else if (event instanceof StopRequested) {
             stopping = true;
             if (holding || claiming) {
@@ -162,13 +169,13 @@
     }
 
     private void scheduleAttempt() {
-        if (stopping || attemptScheduled || !reachable.getAsBoolean()) {
+        if (stopping || cutOff || attemptScheduled || !reachable.getAsBoolean()) {
             return;
         }
         attemptScheduled = true;
         context.after(FIRST_ATTEMPT_DELAY.plus(ATTEMPT_INTERVAL.multipliedBy(ownRank())), () -> {
             attemptScheduled = false;
-            boolean stillVacant = holder.isEmpty() && !holding && !claiming && !stopping;
+            boolean stillVacant = holder.isEmpty() && !holding && !claiming && !stopping && !cutOff;
             if (stillVacant) {
                 claiming = true;
                 claimNanos = context.nowNanos();
--- a/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.UnaryOperator;
 import org.xnio.OptionMap;
@@ -36,6 +37,7 @@
 import org.yuccagw.core.peers.PeersSnapshot;
 import org.yuccagw.core.placing.PlacementSnapshot;
 import org.yuccagw.core.ratelimit.RateLimitsSnapshot;
+import org.yuccagw.core.relay.CutOffChanged;
 import org.yuccagw.core.relay.DirectPaths;
 import org.yuccagw.core.relay.Relay;
 import org.yuccagw.core.relay.RelayChoice;
@@ -62,6 +64,7 @@
  * </ol>
  */
 public final class GatewayDaemon {
+    private static final Duration CUT_OFF_CHECK_INTERVAL = Duration.ofMillis(250);
     private static final long POLL_INTERVAL_NANOS = Duration.ofMillis(10).toNanos();
 
     /** Callers cache the directory for at most three times its time to live. */
@@ -94,6 +97,7 @@
     private final ServingServer server;
     private final CountDownLatch stoppedLatch = new CountDownLatch(1);
     private boolean stopped;
+    private boolean reportedCutOff;
 
     private GatewayDaemon(GatewaySettings settings, UnaryOperator<NetworkAddress> dialedEndpoint) throws IOException {
         this.settings = settings;
@@ -147,6 +151,17 @@
                 worker,
                 runs);
         addGauges(metrics, keyValue);
+        worker.getIoThread(0)
+                .executeAtInterval(this::reportCutOff, CUT_OFF_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void reportCutOff() {
+        boolean cutOff = paths.isCutOff(System.nanoTime());
+        if (cutOff != reportedCutOff) {
+            reportedCutOff = cutOff;
+            decisions.write(Decision.of("cut-off").with("cut_off", cutOff));
+            control.offer(new CutOffChanged(cutOff));
+        }
     }
 
     private RelayServer startRelayServer(NetworkAddress address) {
