Write the log at a stop before the I/O threads end

Cause, by reading: the I/O threads ended first, then the queued lines of the log were written, and connections stayed open until the process was gone. While the log is written, requests are refused now as before.

--- a/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
@@ -330,10 +330,11 @@
         relayServer.ifPresent(RelayServer::stop);
         control.stop();
         peers.stop();
+        // Writing the log may take a while, in which requests on open connections must still be refused.
+        decisions.stop();
         endpointClient.stop();
         platformClient.stop();
         worker.shutdown();
-        decisions.stop();
     }
 
     private PeersSnapshot peersSnapshot() {
