--- a/src/main/java/org/yuccagw/daemon/EntryDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/EntryDaemon.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
@@ -31,8 +30,6 @@
 import org.yuccagw.adapters.endpoint.PlatformPoller;
 import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.adapters.peer.PeerTransport;
-import org.yuccagw.adapters.relay.EndpointClient;
-import org.yuccagw.adapters.relay.RelayServer;
 import org.yuccagw.adapters.settings.EntrySettings;
 import org.yuccagw.adapters.telemetry.Metrics;
 import org.yuccagw.adapters.telemetry.Traces;
@@ -48,9 +45,7 @@
 import org.yuccagw.core.membership.OwnLoadReported;
 import org.yuccagw.core.membership.PeerAddresses;
 import org.yuccagw.core.membership.StopRequested;
-import org.yuccagw.core.relay.DirectPaths;
 import org.yuccagw.core.relay.Relay;
-import org.yuccagw.core.relay.RelayChoice;
 import org.yuccagw.core.retry.RetryPolicy;
 import org.yuccagw.platform.KeyValueClient;
 
@@ -79,10 +74,8 @@
     private final PeerTransport peers;
     private final XnioWorker worker;
     private final HttpClient endpointClient;
-    private final DirectPaths paths = DirectPaths.create();
     private final HttpClient relayClient;
-    private final EndpointClient endpoints;
-    private final Optional<RelayServer> relayServer;
+    private final RelayService relayService;
     private final HttpClient entryClient;
     private final HttpClient platformClient;
     private final CallerServer callerServer;
@@ -121,14 +114,18 @@
         controlInput.connect(control);
         peers.start();
         control.start();
-        endpoints = EndpointClient.of(endpointClient, relayClient, settings.entry(), paths, relayChoice());
-        relayServer = startRelayServer(settings);
+        relayService = RelayService.of(settings.entry(), endpointClient, relayClient, this::relays);
+        relayService.start(
+                settings.relay(),
+                tls.peerContext(),
+                entry -> entries().anyMatch(status -> status.entry().equals(entry)),
+                Optional.empty());
         CallerServices services = new CallerServices(
                 settings,
                 self,
                 control::snapshot,
                 control,
-                endpoints,
+                relayService.endpoints(),
                 entryClient,
                 (endpoint, plan, version, onImported) -> importClient.importBlocks(
                         endpoint,
@@ -201,8 +198,8 @@
         long untilNanos = System.nanoTime() + directoryTimeToLive.toNanos();
         await(() -> System.nanoTime() - untilNanos >= 0);
         callerServer.refuseNewRequests();
-        relayServer.ifPresent(RelayServer::refuseNewRequests);
-        await(() -> runs.count() == 0 && relayedCount() == 0);
+        relayService.refuseNewRequests();
+        await(() -> runs.count() == 0 && relayService.count() == 0);
         close();
         log.info("entry {} has stopped", self.entry());
         stoppedLatch.countDown();
@@ -228,7 +225,7 @@
 
     private void close() {
         callerServer.stop();
-        relayServer.ifPresent(RelayServer::stop);
+        relayService.stop();
         adminServer.stop();
         control.stop();
         peers.stop();
@@ -255,14 +252,11 @@
                 : HttpClient.onWorker(worker);
     }
 
-    private RelayChoice relayChoice() {
-        return RelayChoice.of(
-                () -> entries()
-                        .filter(status -> !status.entry().equals(self.entry()))
-                        .flatMap(status ->
-                                status.relayAddress().map(address -> new Relay(status.entry(), address)).stream())
-                        .collect(ImmutableList.toImmutableList()),
-                bound -> ThreadLocalRandom.current().nextInt(bound));
+    private ImmutableList<Relay> relays() {
+        return entries()
+                .filter(status -> !status.entry().equals(self.entry()))
+                .flatMap(status -> status.relayAddress().map(address -> new Relay(status.entry(), address)).stream())
+                .collect(ImmutableList.toImmutableList());
     }
 
     private Stream<EntryStatus> entries() {
@@ -270,21 +264,6 @@
                 .flatMap(directory -> directory.entries().stream());
     }
 
-    private Optional<RelayServer> startRelayServer(EntrySettings settings) {
-        return settings.relay()
-                .map(address -> RelayServer.start(
-                        address,
-                        worker,
-                        tls.peerContext(),
-                        endpoints,
-                        entry -> entries().anyMatch(status -> status.entry().equals(entry)),
-                        Optional.empty()));
-    }
-
-    private int relayedCount() {
-        return relayServer.map(RelayServer::count).orElse(0);
-    }
-
     private static EntryIdentity identity(EntrySettings settings) {
         return new EntryIdentity(
                 settings.entry(),
@@ -328,14 +307,7 @@
 
     private void addGauges(Metrics metrics, KeyValueClient keyValue) {
         metrics.registerGauge("yuccagw_requests_in_progress", "Requests in progress on this entry", runs::count);
-        metrics.registerGauge(
-                "yuccagw_relayed_requests_in_progress",
-                "Requests of other entries that this entry relays",
-                this::relayedCount);
-        metrics.registerGauge(
-                "yuccagw_cut_off",
-                "1 while this entry reaches no endpoint itself",
-                () -> paths.isCutOff(System.nanoTime()) ? 1 : 0);
+        relayService.registerGauges(metrics);
         metrics.registerGauge("yuccagw_control_events", "Events handled by the control thread", control::eventCount);
         metrics.registerGauge(
                 "yuccagw_control_failures", "Control events whose handling failed", control::failureCount);
--- a/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.UnaryOperator;
@@ -18,8 +17,6 @@
 import org.yuccagw.adapters.control.ControlRunner;
 import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.adapters.peer.PeerTransport;
-import org.yuccagw.adapters.relay.EndpointClient;
-import org.yuccagw.adapters.relay.RelayServer;
 import org.yuccagw.adapters.serving.ActiveRequests;
 import org.yuccagw.adapters.serving.ServingServer;
 import org.yuccagw.adapters.serving.ServingServices;
@@ -38,9 +35,7 @@
 import org.yuccagw.core.placing.PlacementSnapshot;
 import org.yuccagw.core.ratelimit.RateLimitsSnapshot;
 import org.yuccagw.core.relay.CutOffChanged;
-import org.yuccagw.core.relay.DirectPaths;
 import org.yuccagw.core.relay.Relay;
-import org.yuccagw.core.relay.RelayChoice;
 import org.yuccagw.platform.EngineClient;
 import org.yuccagw.platform.KeyValueClient;
 import org.yuccagw.platform.PlatformRecords;
@@ -88,9 +83,7 @@
     private final ActiveRequests runs = ActiveRequests.create();
     private final XnioWorker worker;
     private final HttpClient endpointClient;
-    private final EndpointClient endpoints;
-    private final DirectPaths paths = DirectPaths.create();
-    private final Optional<RelayServer> relayServer;
+    private final RelayService relayService;
     private final HttpClient platformClient;
     private final PeerTransport peers;
     private final ControlRunner control;
@@ -134,13 +127,17 @@
         controlInput.connect(control);
         peers.start();
         control.start();
-        endpoints = EndpointClient.of(endpointClient, endpointClient, settings.entry(), paths, relayChoice());
-        relayServer = settings.relay().map(this::startRelayServer);
+        relayService = RelayService.of(settings.entry(), endpointClient, endpointClient, this::relays);
+        relayService.start(
+                settings.relay(),
+                Optional.empty(),
+                entry -> peersSnapshot().find(entry).isPresent(),
+                Optional.of(decisions));
         server = ServingServer.start(
                 new ServingServices(
                         control::snapshot,
                         control,
-                        endpoints,
+                        relayService.endpoints(),
                         PlatformWireProtocol.create(),
                         decisions,
                         metrics,
@@ -156,7 +153,7 @@
     }
 
     private void reportCutOff() {
-        boolean cutOff = paths.isCutOff(System.nanoTime());
+        boolean cutOff = relayService.isCutOff();
         if (cutOff != reportedCutOff) {
             reportedCutOff = cutOff;
             decisions.write(Decision.of("cut-off").with("cut_off", cutOff));
@@ -164,40 +161,19 @@
         }
     }
 
-    private RelayServer startRelayServer(NetworkAddress address) {
-        return RelayServer.start(
-                address,
-                worker,
-                Optional.empty(),
-                endpoints,
-                entry -> peersSnapshot().find(entry).isPresent(),
-                Optional.of(decisions));
-    }
-
-    /** Relays are entries of this entry's own region, which a request may pass in any case. */
-    private RelayChoice relayChoice() {
+    /** Returns the other entries of this one's region, through which a request may go in any case. */
+    private ImmutableList<Relay> relays() {
         Optional<Region> region = settings.regions().of(settings.domain());
-        return RelayChoice.of(
-                () -> peersSnapshot().serving().stream()
-                        .filter(contact -> !contact.entry().equals(settings.entry()))
-                        .filter(contact ->
-                                settings.regions().of(contact.domain()).equals(region))
-                        .flatMap(contact ->
-                                contact.relays().map(address -> new Relay(contact.entry(), address)).stream())
-                        .collect(ImmutableList.toImmutableList()),
-                bound -> ThreadLocalRandom.current().nextInt(bound));
+        return peersSnapshot().serving().stream()
+                .filter(contact -> !contact.entry().equals(settings.entry()))
+                .filter(contact -> settings.regions().of(contact.domain()).equals(region))
+                .flatMap(contact -> contact.relays().map(address -> new Relay(contact.entry(), address)).stream())
+                .collect(ImmutableList.toImmutableList());
     }
 
     private void addGauges(Metrics metrics, KeyValueClient keyValue) {
         metrics.registerGauge("yuccagw_requests_in_progress", "Requests in progress on this entry", runs::count);
-        metrics.registerGauge(
-                "yuccagw_relayed_requests_in_progress",
-                "Requests of other entries that this entry relays",
-                this::relayedCount);
-        metrics.registerGauge(
-                "yuccagw_cut_off",
-                "1 while this entry reaches no endpoint itself",
-                () -> paths.isCutOff(System.nanoTime()) ? 1 : 0);
+        relayService.registerGauges(metrics);
         metrics.registerGauge(
                 "yuccagw_control_failures", "Control events whose handling failed", control::failureCount);
         metrics.registerGauge(
@@ -283,7 +259,7 @@
         long startNanos = System.nanoTime();
         decisions.write(Decision.of("stopping").with("running", runs.count()));
         server.closeConnectionsAfterAnswers();
-        relayServer.ifPresent(RelayServer::refuseNewRequests);
+        relayService.refuseNewRequests();
         control.offer(new StopRequested());
         Duration grace = settings.bounds().stopGrace();
         Duration acceptTime = Comparators.min(
@@ -316,18 +292,14 @@
     }
 
     private void awaitUntil(long deadlineNanos, boolean orIdle) {
-        while (System.nanoTime() - deadlineNanos < 0 && !(orIdle && runs.count() == 0 && relayedCount() == 0)) {
+        while (System.nanoTime() - deadlineNanos < 0 && !(orIdle && runs.count() == 0 && relayService.count() == 0)) {
             LockSupport.parkNanos(POLL_INTERVAL_NANOS);
         }
     }
 
-    private int relayedCount() {
-        return relayServer.map(RelayServer::count).orElse(0);
-    }
-
     private void close() {
         server.stop();
-        relayServer.ifPresent(RelayServer::stop);
+        relayService.stop();
         control.stop();
         peers.stop();
         // Writing the log may take a while, in which requests on open connections must still be refused.
