Release the capacity of a relayed request whose connection was closed

Also: an entry that the relay doesn't know yet gets its request refused as not sent, not broken; a request counts as delivered 50 ms after the relay's own bound for connecting.

--- a/src/main/java/org/yuccagw/adapters/relay/RelayRun.java
+++ b/src/main/java/org/yuccagw/adapters/relay/RelayRun.java
@@ -22,7 +22,6 @@
  * endpoint.
  */
 final class RelayRun implements HttpResponseListener, CallerResponse.FlowControl {
-    /** Shorter than the time for which the other entry waits before it takes the request for delivered. */
     static final Duration CONNECT_TIMEOUT = Duration.ofMillis(150);
 
     private final DirectPaths paths;
--- a/src/main/java/org/yuccagw/adapters/relay/RelayServer.java
+++ b/src/main/java/org/yuccagw/adapters/relay/RelayServer.java
@@ -6,8 +6,6 @@
 import io.undertow.util.StatusCodes;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
 import javax.net.ssl.SSLContext;
 import org.xnio.Options;
@@ -30,9 +28,7 @@
  * answer, so that an entry that relays for many others stays within its memory.
  */
 public final class RelayServer {
-    private static final int MAX_REQUESTS = 128;
     private static final int MAX_HEADER_BYTES = 128 * 1024;
-    private static final long MAX_BODY_BYTES_TOGETHER = 8 * 1024 * 1024;
     private static final Duration BODY_TIMEOUT = Duration.ofSeconds(5);
     private static final int IDLE_TIMEOUT_MILLIS = 75_000;
 
@@ -40,9 +36,8 @@
     private final Predicate<EntryId> isKnown;
     private final Optional<DecisionLog> decisions;
     private final Undertow server;
-    private final BodyReader bodies = BodyReader.of(MAX_BODY_BYTES_TOGETHER, BODY_TIMEOUT.toMillis());
-    private final AtomicInteger running = new AtomicInteger();
-    private final AtomicLong runningBodyBytes = new AtomicLong();
+    private final BodyReader bodies = BodyReader.of(RelayCapacity.MAX_BODY_BYTES, BODY_TIMEOUT.toMillis());
+    private final RelayCapacity capacity = new RelayCapacity();
     private volatile boolean refusing;
 
     private RelayServer(
@@ -100,7 +95,7 @@
 
     /** Returns the number of relayed requests in progress. */
     public int count() {
-        return running.get();
+        return capacity.requests();
     }
 
     public void stop() {
@@ -109,7 +104,7 @@
 
     private void handle(HttpServerExchange exchange) {
         Optional<RelayProtocol.Order> order = RelayProtocol.readOrder(exchange.getRequestHeaders());
-        if (order.isEmpty() || !isKnown.test(order.get().sender())) {
+        if (order.isEmpty()) {
             exchange.setPersistent(false);
             exchange.setStatusCode(StatusCodes.FORBIDDEN);
             exchange.endExchange();
@@ -121,19 +116,12 @@
             RelayRun.sendFailure(exchange, refusal.get());
             return;
         }
-        running.incrementAndGet();
-        runningBodyBytes.addAndGet(bodyBytes);
-        exchange.addExchangeCompleteListener((completed, next) -> {
-            running.decrementAndGet();
-            runningBodyBytes.addAndGet(-bodyBytes);
-            next.proceed();
-        });
+        capacity.count(exchange, bodyBytes);
         bodies.read(exchange, body -> relay(exchange, order.get(), body));
     }
 
     private Optional<RelayOutcome> refusalOf(RelayProtocol.Order order, long bodyBytes, XnioIoThread exchangeThread) {
-        boolean bodyFits = runningBodyBytes.get() + bodyBytes <= MAX_BODY_BYTES_TOGETHER;
-        if (refusing || running.get() >= MAX_REQUESTS || !bodyFits) {
+        if (refusing || !capacity.fits(bodyBytes) || !isKnown.test(order.sender())) {
             return Optional.of(RelayOutcome.REFUSED);
         }
         long now = System.nanoTime();
--- a/src/main/java/org/yuccagw/adapters/relay/RoutedCall.java
+++ b/src/main/java/org/yuccagw/adapters/relay/RoutedCall.java
@@ -17,6 +17,9 @@
 
 /** One request to an endpoint, which follows its {@link PathPlan}. Confined to one I/O thread. */
 final class RoutedCall implements OngoingCall {
+    /** An entry that hasn't said otherwise by the end of this time has connected to the endpoint. */
+    private static final Duration DELIVERY_TIME = RelayRun.CONNECT_TIMEOUT.plusMillis(50);
+
     private final EndpointClient client;
     private final HttpRequest request;
     private final String label;
@@ -195,7 +198,6 @@
             this.relay = relay;
         }
 
-        /** The relaying entry has connected to the endpoint by the end of this time if it hasn't said otherwise. */
         @Override
         public void onConnected() {
             thread.executeAfter(
@@ -204,7 +206,7 @@
                             reportConnected();
                         }
                     },
-                    RelayRun.CONNECT_TIMEOUT.toMillis(),
+                    DELIVERY_TIME.toMillis(),
                     TimeUnit.MILLISECONDS);
         }
 
