Cancel the call in progress though an earlier one failed while it was started

By reading: a connection that is refused at once ends its call before the call is known, so that the relayed one that follows was overwritten and not cancelled when the caller left.

--- a/src/main/java/org/yuccagw/adapters/relay/RoutedCall.java
+++ b/src/main/java/org/yuccagw/adapters/relay/RoutedCall.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.xnio.XnioIoThread;
 import org.yuccagw.adapters.http.HttpRequest;
 import org.yuccagw.adapters.http.HttpResponseListener;
@@ -28,6 +29,7 @@
     private final PathPlan plan;
 
     private OngoingCall current;
+    private int startedCalls;
     private boolean paused;
     private volatile boolean finished;
     private boolean connectedReported;
@@ -91,10 +93,9 @@
         } else if (step instanceof PathPlan.Step.Via via) {
             sendVia(via);
         } else {
-            fail(
-                    HttpResponseListener.Phase.CONNECT,
-                    false,
-                    new IOException("no connection to " + request.address() + ", neither directly nor relayed"));
+            IOException cause =
+                    new IOException("no connection to " + request.address() + ", neither directly nor relayed");
+            fail(HttpResponseListener.Phase.CONNECT, false, cause);
         }
     }
 
@@ -105,23 +106,27 @@
                 .map(limit -> request.withTimeouts(limit, request.silenceTimeout()))
                 .orElse(request);
         HttpRequest sent = maxConnectTimeout.isPresent() ? direct.withNewConnection() : direct;
-        begin(client.directClient().stream(sent, thread, new DirectListener()));
+        begin(() -> client.directClient().stream(sent, thread, new DirectListener()));
     }
 
     private void sendVia(PathPlan.Step.Via via) {
         client.probe(request.address(), thread);
         HttpRequest message = RelayProtocol.encode(request, via.relay(), label, client.self());
-        begin(client.relayClient().stream(message, thread, new RelayedListener(via.relay())));
+        begin(() -> client.relayClient().stream(message, thread, new RelayedListener(via.relay())));
     }
 
-    private void begin(OngoingCall call) {
+    /** A call that fails while it is being started has been followed by the next one already. */
+    private void begin(Supplier<OngoingCall> starter) {
+        startedCalls++;
+        int number = startedCalls;
+        OngoingCall call = starter.get();
         if (finished) {
             call.cancel();
-            return;
-        }
-        current = call;
-        if (paused) {
-            call.pause();
+        } else if (number == startedCalls) {
+            current = call;
+            if (paused) {
+                call.pause();
+            }
         }
     }
 
--- a/src/main/java/org/yuccagw/core/relay/PathPlan.java
+++ b/src/main/java/org/yuccagw/core/relay/PathPlan.java
@@ -60,6 +60,7 @@
         return new PathPlan(paths, choice, endpoint);
     }
 
+    /** Returns the first step. */
     public Step first(long nowNanos) {
         return switch (paths.pathTo(endpoint, nowNanos)) {
             case DIRECT -> new Step.Direct(Optional.empty());
