--- a/src/main/java/org/yuccagw/adapters/peer/FollowCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/FollowCodec.java
@@ -5,14 +5,14 @@
 import java.util.Optional;
 import org.yuccagw.core.follow.FollowMessage;
 import org.yuccagw.core.placing.BreakReported;
-import org.yuccagw.core.placing.BrittlenessReported;
+import org.yuccagw.core.placing.RejectionLimitReported;
 import org.yuccagw.core.port.KeyValueAnswer.Item;
 import org.yuccagw.core.port.PeerMessage;
 import org.yuccagw.wire.PeerProtocol;
 import org.yuccagw.wire.PeerProtocol.BreakMessage;
-import org.yuccagw.wire.PeerProtocol.BrittlenessMessage;
 import org.yuccagw.wire.PeerProtocol.Envelope;
 import org.yuccagw.wire.PeerProtocol.KeyItem;
+import org.yuccagw.wire.PeerProtocol.RejectionLimitMessage;
 
 /**
  * Encodes the messages about followed keys of the key-value service, and the reports of endpoints that broke the
@@ -39,8 +39,8 @@
             envelope.setFollow(encode(reply));
             return true;
         }
-        if (message instanceof BrittlenessReported reported) {
-            envelope.setBrittleness(BrittlenessMessage.newBuilder()
+        if (message instanceof RejectionLimitReported reported) {
+            envelope.setRejectionLimit(RejectionLimitMessage.newBuilder()
                     .setEndpoint(EndpointStarts.encode(reported.endpoint()))
                     .setMaxRejections(reported.maxRejections())
                     .setRejected(reported.rejected()));
@@ -75,9 +75,9 @@
 
     @Override
     public Optional<PeerMessage> decode(Envelope envelope) {
-        if (envelope.hasBrittleness()) {
-            BrittlenessMessage wire = envelope.getBrittleness();
-            return Optional.of(new BrittlenessReported(
+        if (envelope.hasRejectionLimit()) {
+            RejectionLimitMessage wire = envelope.getRejectionLimit();
+            return Optional.of(new RejectionLimitReported(
                     EndpointStarts.decode(wire.getEndpoint()), wire.getMaxRejections(), wire.getRejected()));
         }
         if (envelope.hasBreakSeen()) {
--- a/src/main/java/org/yuccagw/core/notice/EndpointNotice.java
+++ b/src/main/java/org/yuccagw/core/notice/EndpointNotice.java
@@ -47,7 +47,7 @@
                 Optional.empty(), false, Optional.of(duration), OptionalInt.empty(), ImmutableList.of());
     }
 
-    /** Returns a notice of only that the endpoint is brittle. */
+    /** Returns a notice of only a limit of rejections. */
     public static EndpointNotice ofMaxRejections(int maxRejections) {
         return new EndpointNotice(
                 Optional.empty(), false, Optional.empty(), OptionalInt.of(maxRejections), ImmutableList.of());
--- a/src/main/java/org/yuccagw/core/placing/AttemptOutcomes.java
+++ b/src/main/java/org/yuccagw/core/placing/AttemptOutcomes.java
@@ -18,7 +18,7 @@
     private final SuspectRequests suspects;
     private final NamedWeightsComponent weights;
     private final NoticesComponent notices;
-    private final BrittleEndpoints brittle;
+    private final RejectionLimits rejectionLimits;
     private final PlacementComponent.Fleet fleet;
     private ControlContext context;
 
@@ -27,13 +27,13 @@
             SuspectRequests suspects,
             NamedWeightsComponent weights,
             NoticesComponent notices,
-            BrittleEndpoints brittle,
+            RejectionLimits rejectionLimits,
             PlacementComponent.Fleet fleet) {
         this.endpoints = endpoints;
         this.suspects = suspects;
         this.weights = weights;
         this.notices = notices;
-        this.brittle = brittle;
+        this.rejectionLimits = rejectionLimits;
         this.fleet = fleet;
     }
 
@@ -42,7 +42,7 @@
      *
      * @param suspects receives the requests during which endpoints failed
      * @param notices counts the attempts that were answered and those that weren't
-     * @param brittle counts the rejections
+     * @param rejectionLimits counts the rejections
      * @param fleet receives reports of failures
      */
     static AttemptOutcomes of(
@@ -50,9 +50,9 @@
             SuspectRequests suspects,
             NamedWeightsComponent weights,
             NoticesComponent notices,
-            BrittleEndpoints brittle,
+            RejectionLimits rejectionLimits,
             PlacementComponent.Fleet fleet) {
-        return new AttemptOutcomes(endpoints, suspects, weights, notices, brittle, fleet);
+        return new AttemptOutcomes(endpoints, suspects, weights, notices, rejectionLimits, fleet);
     }
 
     void start(ControlContext controlContext) {
@@ -98,7 +98,7 @@
             }
             case SHED -> {
                 endpoint.recordShed(now);
-                brittle.recordRejection(endpoint);
+                rejectionLimits.recordRejection(endpoint);
             }
             case WRONG_ENDPOINT -> {
                 endpoint.markLeaving();
--- a/src/main/java/org/yuccagw/core/placing/Candidates.java
+++ b/src/main/java/org/yuccagw/core/placing/Candidates.java
@@ -40,7 +40,7 @@
     private final NamedWeightsComponent weights;
     private final RateLimitsComponent rateLimits;
     private final NoticesComponent notices;
-    private final BrittleEndpoints brittle;
+    private final RejectionLimits rejectionLimits;
     private final PlacementComponent.Fleet fleet;
     private final Predicate<PlacementRequest> isLocal;
     private Optional<Deployment> deployment = Optional.empty();
@@ -52,7 +52,7 @@
      *
      * @param coldLimit limits the requests to cold endpoints
      * @param constraints the limits and back-offs that endpoints requested
-     * @param brittle limits what endpoints have to reject
+     * @param rejectionLimits limits what endpoints have to reject
      * @param fleet the other entries that place requests
      * @param isLocal whether this entry forwards a request itself
      */
@@ -62,7 +62,7 @@
             DomainRegions regions,
             NamedWeightsComponent weights,
             EndpointConstraints constraints,
-            BrittleEndpoints brittle,
+            RejectionLimits rejectionLimits,
             PlacementComponent.Fleet fleet,
             Predicate<PlacementRequest> isLocal) {
         this.endpoints = endpoints;
@@ -71,7 +71,7 @@
         this.weights = weights;
         this.rateLimits = constraints.rateLimits();
         this.notices = constraints.notices();
-        this.brittle = brittle;
+        this.rejectionLimits = rejectionLimits;
         this.fleet = fleet;
         this.isLocal = isLocal;
     }
@@ -100,9 +100,9 @@
      * Returns the endpoints that may accept the request now.
      *
      * <p>An endpoint is skipped while others are available if it loads weights, requested a back-off, has just rejected
-     * a request, could not be reached, or is cold, rate-limited or brittle and has received all that it accepts. If
-     * only such endpoints are left, those that rejected requests of several entries are returned; if there are none of
-     * these either, those that could not be reached.
+     * a request, could not be reached, or is cold or limited and has received all that it accepts. If only such
+     * endpoints are left, those that rejected requests of several entries are returned; if there are none of these
+     * either, those that could not be reached.
      */
     List<EndpointState> forRequest(PlacementRequest request) {
         long now = context.nowNanos();
@@ -239,7 +239,7 @@
         return allowedByNotices
                 && acceptsAnotherWhileCold(endpoint)
                 && rateLimits.allowsRequest(listed)
-                && brittle.allows(endpoint);
+                && rejectionLimits.allows(endpoint);
     }
 
     private boolean acceptsAnotherWhileCold(EndpointState endpoint) {
--- a/src/main/java/org/yuccagw/core/placing/PlacementComponent.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementComponent.java
@@ -41,7 +41,7 @@
  */
 public final class PlacementComponent implements ControlComponent {
     private final Candidates candidates;
-    private final BrittleEndpoints brittle;
+    private final RejectionLimits rejectionLimits;
     private final NoticesComponent notices;
     private final EndpointTable endpoints;
     private final StreamPacing pacing = StreamPacing.create();
@@ -70,20 +70,20 @@
         CachePlanner cachePlanner = new CachePlanner(stores, planner, weights, regions);
         notices = constraints.notices();
         endpoints = new EndpointTable(this::coldTraits, notices::isLeaving);
-        brittle = new BrittleEndpoints(fleet);
+        rejectionLimits = new RejectionLimits(fleet);
         candidates = new Candidates(
                 endpoints,
                 new ColdEndpointLimit(bounds.cold()),
                 regions,
                 weights,
                 constraints,
-                brittle,
+                rejectionLimits,
                 fleet,
                 decisionHandler::isLocal);
         retryBudget = RetryBudget.of(bounds.retries(), fleet::retryShareCount);
         forecast = OverloadForecast.create(queue, candidates, pacing, fleet);
         choice = EndpointChoice.of(endpoints, weights, planner, pacing);
-        outcomes = AttemptOutcomes.of(endpoints, suspects, weights, notices, brittle, fleet);
+        outcomes = AttemptOutcomes.of(endpoints, suspects, weights, notices, rejectionLimits, fleet);
         attempts = RunningAttempts.of(pacing, outcomes, notices, fleet);
         refusals = Refusals.of(candidates, queue, forecast, decisionHandler);
         step = PlacementStep.of(
@@ -157,7 +157,7 @@
     public void start(ControlContext controlContext) {
         context = controlContext;
         endpoints.start(controlContext);
-        brittle.start(controlContext);
+        rejectionLimits.start(controlContext);
         candidates.start(controlContext);
         choice.start(controlContext);
         outcomes.start(controlContext);
@@ -181,8 +181,9 @@
             candidates.configure(applied.deployment());
         } else if (event instanceof PeerReceived received && received.message() instanceof BreakReported reported) {
             suspects.add(reported.fingerprint(), reported.endpoint(), context.nowNanos());
-        } else if (event instanceof PeerReceived received && received.message() instanceof BrittlenessReported report) {
-            endpoints.current(report.endpoint()).ifPresent(endpoint -> brittle.recordReport(endpoint, report));
+        } else if (event instanceof PeerReceived received
+                && received.message() instanceof RejectionLimitReported report) {
+            endpoints.current(report.endpoint()).ifPresent(endpoint -> rejectionLimits.recordReport(endpoint, report));
         } else if (event instanceof NoticeReceived received) {
             onNotice(received);
         } else if (event instanceof PeersComponent.PeerStatusReceived heartbeat) {
@@ -197,7 +198,7 @@
                 .maxRejections()
                 .ifPresent(maxRejections -> endpoints
                         .current(received.endpoint())
-                        .ifPresent(endpoint -> brittle.recordNotice(endpoint, maxRejections)));
+                        .ifPresent(endpoint -> rejectionLimits.recordNotice(endpoint, maxRejections)));
     }
 
     @Override
--- a/src/main/java/org/yuccagw/core/placing/BrittleEndpoints.java
+++ b/src/main/java/org/yuccagw/core/placing/RejectionLimits.java
@@ -10,19 +10,18 @@
 import org.yuccagw.core.id.ServiceName;
 
 /**
- * Keeps down what brittle endpoints reject: those that fail if they have to reject too many requests in a second for
- * lack of room.
+ * Limits how many requests endpoints have to reject that fail if they reject too many in a second for lack of room.
  *
  * <p>Each entry that places requests uses its part of the room, and leaves some of it free, since it knows late what
  * the others place. It stops sending to an endpoint for a while once the endpoint has rejected part of what it can
- * bear, by any entry: a rejection is told to all of them at once. So is that a service is brittle, because an entry
- * that places requests for others doesn't see the answers.
+ * bear, by any entry: a rejection is told to all of them at once. So is the limit that endpoints of a service state,
+ * because an entry that places requests for others doesn't see the answers.
  */
-final class BrittleEndpoints {
+final class RejectionLimits {
     /** One second, plus the delay by which an earlier rejection may be counted closer to a later one. */
     private static final Duration WINDOW = Duration.ofMillis(1_250);
 
-    /** Endpoints state their brittleness in every answer, so that without one for this time it is over. */
+    /** Endpoints with a limit state it in every answer, so that without one for this time it is over. */
     private static final Duration NOTICE_MEMORY = Duration.ofSeconds(5);
 
     private static final Duration REPORT_INTERVAL = Duration.ofSeconds(1);
@@ -44,7 +43,7 @@
         private long reportedNanos;
     }
 
-    BrittleEndpoints(PlacementComponent.Fleet fleet) {
+    RejectionLimits(PlacementComponent.Fleet fleet) {
         this.fleet = fleet;
     }
 
@@ -53,7 +52,7 @@
     }
 
     /**
-     * Records that an endpoint said that it is brittle.
+     * Records that an endpoint stated its limit.
      *
      * @param maxRejections the most requests that it can reject in a second
      */
@@ -65,7 +64,7 @@
     }
 
     /** Records what another entry reported. */
-    void recordReport(EndpointState endpoint, BrittlenessReported reported) {
+    void recordReport(EndpointState endpoint, RejectionLimitReported reported) {
         remember(endpoint, reported.maxRejections()).reportedNanos = context.nowNanos();
         if (reported.rejected()) {
             countRejection(endpoint);
@@ -121,7 +120,7 @@
     private void report(EndpointState endpoint, Notice notice, boolean rejected) {
         notice.reportedNanos = context.nowNanos();
         fleet.sendToAllPlacers(
-                new BrittlenessReported(endpoint.listed().incarnation(), notice.maxRejections, rejected));
+                new RejectionLimitReported(endpoint.listed().incarnation(), notice.maxRejections, rejected));
     }
 
     private void countRejection(EndpointState endpoint) {
--- a/src/main/java/org/yuccagw/platform/EndpointNoticeReader.java
+++ b/src/main/java/org/yuccagw/platform/EndpointNoticeReader.java
@@ -13,7 +13,7 @@
 import org.yuccagw.core.notice.NoticeReceived;
 import org.yuccagw.core.notice.RateLimit;
 
-/** Reads the notices about an endpoint from its answers: rate limit, leaving, back-off and brittleness. */
+/** Reads the notices about an endpoint from its answers: rate limit, leaving, back-off and limit of rejections. */
 final class EndpointNoticeReader {
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int SERVICE_UNAVAILABLE = 503;
--- a/src/test/java/org/yuccagw/adapters/peer/StatusCodecTest.java
+++ b/src/test/java/org/yuccagw/adapters/peer/StatusCodecTest.java
@@ -23,8 +23,8 @@
 import org.yuccagw.core.peers.Roster;
 import org.yuccagw.core.peers.RosterRequest;
 import org.yuccagw.core.placing.BreakReported;
-import org.yuccagw.core.placing.BrittlenessReported;
 import org.yuccagw.core.placing.LoadUpdate;
+import org.yuccagw.core.placing.RejectionLimitReported;
 import org.yuccagw.core.port.PeerMessage;
 import org.yuccagw.wire.PeerProtocol.Envelope;
 
@@ -51,7 +51,7 @@
             {status},
             {new LoadUpdate(load)},
             {new BreakReported("fingerprint", ENGINE)},
-            {new BrittlenessReported(ENGINE, 5, true)},
+            {new RejectionLimitReported(ENGINE, 5, true)},
             {new DomainDigest(status, OptionalLong.of(250), rosters(status.contact()))},
             {new DomainDigest(status, OptionalLong.empty(), ImmutableList.of())},
             {new RosterRequest(FailureDomain.of("a"))},
@@ -70,7 +70,7 @@
     @Test(dataProvider = "messages")
     public void decodesWhatItEncoded(PeerMessage message) throws YuccagwException {
         boolean encodedByFollowCodec = message instanceof BreakReported
-                || message instanceof BrittlenessReported
+                || message instanceof RejectionLimitReported
                 || message instanceof FollowMessage;
         BodyCodec codec = encodedByFollowCodec ? FollowCodec.create() : StatusCodec.create();
         Envelope.Builder envelope = Envelope.newBuilder();
--- a/src/test/java/org/yuccagw/daemon/BrittleEndpointsTest.java
+++ b/src/test/java/org/yuccagw/daemon/RejectionLimitTest.java
@@ -21,8 +21,8 @@
 import org.yuccagw.core.placing.PlacementDecision;
 import org.yuccagw.core.placing.PlacementRequest;
 
-/** Guards against a fleet whose requests fell endpoints that can reject only a few requests in a second. */
-public class BrittleEndpointsTest {
+/** Guards against endpoints failing because a fleet makes them reject more requests than they can bear. */
+public class RejectionLimitTest {
     private static final FailureDomain HOME = FailureDomain.of("ulemiste");
     private static final FailureDomain OTHER = FailureDomain.of("kadaka");
     private static final int ENDPOINTS = 3;
@@ -34,7 +34,7 @@
     private static final Duration SECOND = Duration.ofSeconds(1);
 
     /** The users' rule. */
-    private static final double MAX_FALLS = 2 + 0.1 * ENDPOINTS;
+    private static final double MAX_FAILURES = 2 + 0.1 * ENDPOINTS;
 
     private final Map<String, Endpoint> endpoints = new HashMap<>();
     private VirtualFleet fleet;
@@ -48,24 +48,24 @@
     }
 
     @Test(dataProvider = "loads")
-    public void endpointsThatCanRejectFewRequestsDoNotFall(int entries, double load) {
+    public void endpointsThatCanRejectFewRequestsDoNotFail(int entries, double load) {
         start(entries);
         runTraffic(load, Duration.ofSeconds(4));
         endpoints.values().forEach(Endpoint::shrink);
         runTraffic(load, Duration.ofSeconds(4));
-        assertFewFalls();
+        assertFewFailures();
         assertTrue(answered > 100, "only " + answered + " calls were answered");
     }
 
     @Test(dataProvider = "loads")
-    public void endpointsThatCanRejectFewRequestsDoNotFallWhileEntriesStart(int entries, double load) {
+    public void endpointsThatCanRejectFewRequestsDoNotFailWhileEntriesStart(int entries, double load) {
         start(entries);
         runTraffic(load, Duration.ofSeconds(4));
         endpoints.values().forEach(Endpoint::shrink);
         restart(nodes.get(0));
         restart(nodes.get(1));
         runTraffic(load, Duration.ofSeconds(4));
-        assertFewFalls();
+        assertFewFailures();
     }
 
     private void start(int entries) {
@@ -90,10 +90,11 @@
         nodes.add(fleet.start(node.entry().value(), HOME));
     }
 
-    private void assertFewFalls() {
-        int falls =
-                endpoints.values().stream().mapToInt(endpoint -> endpoint.falls).sum();
-        assertTrue(falls <= MAX_FALLS, falls + " falls");
+    private void assertFewFailures() {
+        int failures = endpoints.values().stream()
+                .mapToInt(endpoint -> endpoint.failures)
+                .sum();
+        assertTrue(failures <= MAX_FAILURES, failures + " failures");
     }
 
     /**
@@ -147,12 +148,12 @@
         return fleet.bench.time().nowNanos();
     }
 
-    /** An endpoint that falls if it has to reject too many requests in a second. */
+    /** An endpoint that fails if it has to reject too many requests in a second. */
     private final class Endpoint {
         private final ArrayDeque<Long> rejections = new ArrayDeque<>();
         private int waitingPlaces = WAITING_PLACES;
         private int present;
-        private int falls;
+        private int failures;
         private long downUntilNanos = Long.MIN_VALUE;
 
         void shrink() {
@@ -182,7 +183,7 @@
             }
             end(node, placed, End.SHED, true);
             if (rejections.size() > MAX_REJECTIONS) {
-                falls++;
+                failures++;
                 rejections.clear();
                 downUntilNanos = now() + DOWN_TIME.toNanos();
             }
