--- a/src/test/java/org/yuccagw/daemon/PausingEndpoint.java
+++ b/src/test/java/org/yuccagw/daemon/PausingEndpoint.java
@@ -36,6 +36,7 @@
     private long suspendedUntilNanos;
     private boolean dead;
     private Reaction reaction = Reaction.ANSWER;
+    private Runnable killListener = () -> {};
 
     PausingEndpoint(VirtualTime time, String id) {
         this.time = time;
@@ -62,7 +63,11 @@
         /** No connection is established. */
         UNREACHABLE,
         /** It runs the request, and the connection never carries a byte of the answer. */
-        SILENT
+        SILENT,
+        /** Its process fails when it begins the answer. */
+        CRASH,
+        /** It runs the request and resets the connection in place of the answer, while its process continues. */
+        RESET
     }
 
     /** The receiver of the answer to one request. */
@@ -112,6 +117,11 @@
         return reaction;
     }
 
+    /** Sets what happens when the process is killed or fails. */
+    void onKill(Runnable listener) {
+        killListener = listener;
+    }
+
     /** Kills the process: all its connections break, and no new one is established. */
     void kill() {
         dead = true;
@@ -119,6 +129,7 @@
             run.finish();
             time.after(Duration.ZERO, run::reportBroken);
         }
+        killListener.run();
     }
 
     /**
@@ -253,6 +264,11 @@
             }
             if (ofRequest == Reaction.REJECT || isFault()) {
                 sendError();
+            } else if (ofRequest == Reaction.CRASH) {
+                kill();
+            } else if (ofRequest == Reaction.RESET) {
+                finish();
+                reportBroken();
             } else if (!headSent) {
                 sendHead();
             } else if (nextEvent >= events) {
--- a/src/test/java/org/yuccagw/daemon/VirtualCaller.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualCaller.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import org.yuccagw.bench.control.BenchNode;
 import org.yuccagw.bench.control.VirtualTime;
@@ -61,8 +62,10 @@
     private final List<String> trace = new ArrayList<>();
     private final List<String> violations = new ArrayList<>();
     private final Map<Long, PausingEndpoint.Reaction> reactions = new LinkedHashMap<>();
+    private Optional<PausingEndpoint.Reaction> reactionToAll = Optional.empty();
     private OptionalInt silentBeforeEvent = OptionalInt.empty();
     private boolean faultForwarded;
+    private boolean refusedAsSuspect;
     private int patienceGeneration;
     private Outcome outcome = Outcome.OPEN;
 
@@ -120,6 +123,11 @@
         }
     }
 
+    /** Sets how endpoints react to each send of the request, in place of their own reactions. */
+    void setReactionToAll(PausingEndpoint.Reaction ofAllSends) {
+        reactionToAll = Optional.of(ofAllSends);
+    }
+
     /** Returns the endpoint to which the request was sent first. */
     PausingEndpoint firstEndpoint() {
         return legs.get(1L).run.endpoint();
@@ -142,6 +150,20 @@
         return legs.values().stream().filter(leg -> leg.run.hasArrived()).count();
     }
 
+    /** Returns the times at which endpoints received the request. */
+    List<Long> arrivalNanos() {
+        return arrivedRuns().stream().map(PausingEndpoint.Run::arrivedNanos).toList();
+    }
+
+    long begunNanos() {
+        return begunNanos;
+    }
+
+    /** Returns whether the entry refused the request since such requests ended endpoints. */
+    boolean isRefusedAsSuspect() {
+        return refusedAsSuspect;
+    }
+
     /** Returns what was promised and not kept, checked once all requests have ended. */
     List<String> violations() {
         checkRuns();
@@ -295,6 +317,7 @@
             openTickets.merge(placed.ticket(), 1, Integer::sum);
         } else if (decision instanceof PlacementDecision.Refused refused) {
             note("refused: " + refused.error().kind());
+            refusedAsSuspect |= refused.error().kind() == ErrorKind.SUSPECT_REQUEST;
         }
         machine.onPlacementDecision(decision);
     }
@@ -307,7 +330,9 @@
         Leg sent = new Leg(leg, placed);
         legs.put(leg, sent);
         PausingEndpoint endpoint = endpoints.get(id);
-        sent.run = endpoint.send(afterEvent, events, reactions.getOrDefault(leg, endpoint.reaction()), sent);
+        PausingEndpoint.Reaction reaction =
+                reactionToAll.orElseGet(() -> reactions.getOrDefault(leg, endpoint.reaction()));
+        sent.run = endpoint.send(afterEvent, events, reaction, sent);
         if (leg == 1) {
             silentBeforeEvent.ifPresent(sent.run::fallSilentBefore);
         }
--- a/src/test/java/org/yuccagw/daemon/VirtualCallers.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualCallers.java
@@ -14,6 +14,7 @@
 import org.yuccagw.core.deployment.Route;
 import org.yuccagw.core.forward.ForwardRequest;
 import org.yuccagw.core.id.EndpointId;
+import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.RequestId;
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.PlacementDecision;
@@ -109,6 +110,14 @@
                                 .bytes());
     }
 
+    /** Registers a further engine. */
+    PausingEndpoint addEngine(String id, FailureDomain domain) {
+        load.fleet.addEngine(id, domain, Duration.ZERO);
+        PausingEndpoint engine = register(id);
+        engines.add(engine);
+        return engine;
+    }
+
     private PausingEndpoint register(String id) {
         PausingEndpoint endpoint = new PausingEndpoint(load.fleet.bench.time(), id);
         endpoints.put(EndpointId.of(id), endpoint);
@@ -154,7 +163,14 @@
 
     /** Adds a caller whose request isn't sent yet. */
     VirtualCaller caller(String path) {
-        BenchNode node = load.nodes.get(random.nextInt(load.nodes.size()));
+        return caller(path, ImmutableList.of());
+    }
+
+    /** Adds a caller whose prompt begins with the given parts, through a random entry that runs. */
+    VirtualCaller caller(String path, ImmutableList<PromptPart> sharedParts) {
+        List<BenchNode> running =
+                load.nodes.stream().filter(node -> !node.isDead()).toList();
+        BenchNode node = running.get(random.nextInt(running.size()));
         Route route = routeOf(node, path);
         long number = nextRequest++;
         ForwardRequest request = new ForwardRequest(
@@ -162,7 +178,7 @@
                 route,
                 route.selectService(0),
                 Optional.empty(),
-                promptOf(route, number),
+                promptOf(route, number, sharedParts),
                 route.timeout(),
                 "c" + number,
                 ForwardRequest.FROM_START,
@@ -180,12 +196,15 @@
                 .orElseThrow();
     }
 
-    private Optional<PromptShape> promptOf(Route route, long number) {
+    private Optional<PromptShape> promptOf(Route route, long number, ImmutableList<PromptPart> sharedParts) {
         if (!route.streamed()) {
             return Optional.empty();
         }
-        PromptPart own = new PromptPart("own-" + number, PROMPT_TOKENS);
-        return Optional.of(new PromptShape(VirtualFleet.MODEL, PROMPT_TOKENS, answerTokens, ImmutableList.of(own)));
+        int sharedTokens = sharedParts.stream().mapToInt(PromptPart::tokens).sum();
+        PromptPart own = new PromptPart("own-" + number, PROMPT_TOKENS - sharedTokens);
+        ImmutableList<PromptPart> parts =
+                ImmutableList.<PromptPart>builder().addAll(sharedParts).add(own).build();
+        return Optional.of(new PromptShape(VirtualFleet.MODEL, PROMPT_TOKENS, answerTokens, parts));
     }
 
     /** Spends the retry budgets of all entries, and again whenever requests have added to them. */
@@ -208,7 +227,7 @@
                 route,
                 route.selectService(0),
                 Optional.empty(),
-                promptOf(route, number),
+                promptOf(route, number, ImmutableList.of()),
                 "s" + number,
                 ImmutableSet.of(),
                 PlacementRequest.Kind.REPEAT,
