Let entries that were cut off alone hear the rest of their domain again

What callers saw: nothing by itself. An entry of a fleet with leads that was cut off from the others for four seconds never heard them again: it served on alone, without the load that the others know, without what they tell each other (refused parts of prompts, rate limits, leaving endpoints), and its directory named itself only. It was in no other directory.

Cause: an entry that hears nobody becomes the lead of its domain. A lead expects heartbeats and sends none, and it looks for entries of other domains that it doesn't hear, but not for those of its own. The real leads don't know it any more.

Evidence: virtual time, 23 entries, one cut off for 4 s: eight seconds after the cut it still listed one entry. Found by CrashingPartTest, whose crashing part went on reaching engines through such an entry 22 s after the cut.

--- a/src/main/java/org/yuccagw/core/peers/LeadSearch.java
+++ b/src/main/java/org/yuccagw/core/peers/LeadSearch.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.stream.Stream;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.fleet.EntryContact;
 import org.yuccagw.core.id.EntryId;
@@ -58,6 +59,27 @@
         });
     }
 
+    /**
+     * Returns entries of the domain that are known but not heard, for a lead to send its heartbeats to: the first one in
+     * the order, which leads if it is alive, and a random one.
+     *
+     * <p>Guards against entries that stay apart after a cut. On each side of it the first entries in the order become
+     * leads, which expect heartbeats and don't search.
+     */
+    List<EntryId> unheardEntries() {
+        List<EntryContact> unheard = peers.all().stream()
+                .filter(peer -> !peer.isAlive())
+                .map(Peer::contact)
+                .filter(contact -> contact.domain().equals(context.self().domain()))
+                .toList();
+        if (unheard.isEmpty()) {
+            return List.of();
+        }
+        List<EntryId> sorted = FleetView.entryIds(LeadOrder.sorted(unheard));
+        EntryId random = sorted.get(context.random().nextInt(sorted.size()));
+        return Stream.of(sorted.get(0), random).distinct().toList();
+    }
+
     /**
      * Returns further entries of the domain to which heartbeats are sent while no lead answers.
      *
--- a/src/main/java/org/yuccagw/core/peers/PeersComponent.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersComponent.java
@@ -418,6 +418,8 @@
                     .limit(isTurnOfSecondLead() ? LeadOrder.LEADS_PER_DOMAIN : 1)
                     .forEach(receivers::add);
             receivers.addAll(leadSearch.fallbackEntries());
+        } else if (round % UNREACHED_PERIOD_ROUNDS == 0) {
+            receivers.addAll(leadSearch.unheardEntries());
         }
         if (!localState.loading().isEmpty() || !localState.weights().isEmpty()) {
             receivers.addAll(topology.allLeads());
--- a/src/test/java/org/yuccagw/daemon/LargeFleetTest.java
+++ b/src/test/java/org/yuccagw/daemon/LargeFleetTest.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.yuccagw.bench.control.BenchNode;
 import org.yuccagw.core.fleet.EntryContact;
@@ -193,6 +194,28 @@
         assertTrue(directoriesAreCompleteWithin(Duration.ofSeconds(4)));
     }
 
+    // Guards against entries that lead themselves after a cut and never hear the rest of their domain again.
+    @Test(dataProvider = "cutGroups")
+    public void entriesOfOneDomainThatWereCutOffRejoin(int size, Duration cut) {
+        List<BenchNode> group = liveEntries(domain("0")).stream().limit(size).toList();
+        for (BenchNode inside : group) {
+            nodes.stream().filter(node -> !group.contains(node)).forEach(outside -> fleet.bench.cut(inside, outside));
+        }
+        fleet.bench.runFor(cut);
+        fleet.bench.healNetwork();
+        assertTrue(directoriesAreCompleteWithin(Duration.ofSeconds(3)));
+    }
+
+    @DataProvider
+    public Object[][] cutGroups() {
+        return new Object[][] {
+            {1, Duration.ofSeconds(2)},
+            {1, Duration.ofSeconds(4)},
+            {1, Duration.ofSeconds(12)},
+            {3, Duration.ofSeconds(10)}
+        };
+    }
+
     @Test
     public void aDomainOfOneEntryIsListedByAll() {
         nodes.add(fleet.start("entry-alone", domain("alone")));
