Refuse prompts with a part that crashes engine after engine

Each crash broke the streams of the other callers of that engine: up to a third of the short prompts of a second.

Cause: crashes were counted by the fingerprint of the whole request. What fails an engine was a part that many requests share, so no count ever passed one or two. The class: blame is put on one whole request.

Change: core.suspect. A crash leaves a record of each shared part of each prompt that the engine had not answered, at all entries that place requests. A complete answer removes the record of its parts everywhere. A part with three crashes in a row, each request sent after the crash before, or four at once, that nothing else explains, is refused by all entries, before placement and while waiting; they repeat it each second to those that started or were cut off. CrashDetector tells crashes from broken connections: a loss counts once the endpoint can't be reached, or its registration ends. An answer that only the end of its connection showed clears nothing until its endpoint is known to run.

Why it works: whatever runs beside a crash is answered soon, by a retry or another prompt with the part, so its record goes; the part that crashes is never answered. Keys, first parts and endpoints aren't accused.

--- a/src/main/java/org/yuccagw/adapters/peer/PlacementCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/PlacementCodec.java
@@ -78,7 +78,8 @@
     private static PlacementEndedMessage encode(PlacementMessage.Ended ended) {
         PlacementEndedMessage.Builder wire = PlacementEndedMessage.newBuilder()
                 .setEnd(ended.end().name())
-                .setVersion(ended.version().orElse(0));
+                .setVersion(ended.version().orElse(0))
+                .setSuccess(ended.success().name());
         ended.pace()
                 .ifPresent(pace -> wire.setPace(AnswerPaceMessage.newBuilder()
                         .setEvents(pace.events())
@@ -169,7 +170,17 @@
                 number,
                 AttemptEnded.End.valueOf(wire.getEnd()),
                 positive(wire.getVersion()),
-                wire.hasPace() ? Optional.of(decode(wire.getPace())) : Optional.empty());
+                wire.hasPace() ? Optional.of(decode(wire.getPace())) : Optional.empty(),
+                successOf(wire));
+    }
+
+    /** Entries of an earlier release don't state whether an answer was whole. */
+    private static AttemptEnded.Success successOf(PlacementEndedMessage wire) {
+        if (!wire.getSuccess().isEmpty()) {
+            return AttemptEnded.Success.valueOf(wire.getSuccess());
+        }
+        boolean answered = AttemptEnded.End.valueOf(wire.getEnd()) == AttemptEnded.End.ANSWERED;
+        return answered ? AttemptEnded.Success.UNPROVEN : AttemptEnded.Success.NONE;
     }
 
     private static AnswerPace decode(AnswerPaceMessage wire) {
--- a/src/main/java/org/yuccagw/core/error/ErrorKind.java
+++ b/src/main/java/org/yuccagw/core/error/ErrorKind.java
@@ -63,7 +63,7 @@
     STOPPING(503, Ran.NOT_RUN, Retry.OTHER_ENTRY, "this entry is stopping"),
     // Failures of endpoints and attempts
     ENDPOINT_REFUSED(502, Ran.NOT_RUN, Retry.CALLER, "endpoint '%s' refused before running: %s"),
-    SUSPECT_REQUEST(503, Ran.NOT_RUN, Retry.CALLER, "this request ended %s endpoints that ran it"),
+    SUSPECT_REQUEST(503, Ran.NOT_RUN, Retry.CALLER, "requests like this one ended %s endpoints that ran them"),
     ANSWER_CUT(502, Ran.MAY_HAVE_RUN, Retry.CALLER_IF_IDEMPOTENT, "the endpoint's answer broke off: %s"),
     ENDPOINT_FAILED(502, Ran.MAY_HAVE_RUN, Retry.CALLER_IF_IDEMPOTENT, "endpoint '%s' failed: %s"),
     ENDPOINT_REJECTED(400, Ran.NOT_RUN, Retry.NEVER, "the endpoint rejected the request: %s"),
--- a/src/main/java/org/yuccagw/core/forward/Leg.java
+++ b/src/main/java/org/yuccagw/core/forward/Leg.java
@@ -123,6 +123,13 @@
     }
 
     AttemptEnded ended(End end, OptionalLong version) {
-        return new AttemptEnded(placed.ticket(), end, version, pace.pace());
+        return new AttemptEnded(placed.ticket(), end, version, pace.pace(), success(end));
+    }
+
+    private AttemptEnded.Success success(End end) {
+        if (end != End.ANSWERED || !isSuccess() || bodyEnd.isEmpty()) {
+            return AttemptEnded.Success.NONE;
+        }
+        return bodyEnd.get() == BodyEnd.CONNECTION ? AttemptEnded.Success.UNPROVEN : AttemptEnded.Success.PROVEN;
     }
 }
--- a/src/main/java/org/yuccagw/core/peers/LeadSearch.java
+++ b/src/main/java/org/yuccagw/core/peers/LeadSearch.java
@@ -60,8 +60,8 @@
     }
 
     /**
-     * Returns entries of the domain that are known but not heard, for a lead to send its heartbeats to: the first one in
-     * the order, which leads if it is alive, and a random one.
+     * Returns entries of the domain that are known but not heard, for a lead to send its heartbeats to: the first one
+     * in the order, which leads if it is alive, and a random one.
      *
      * <p>Guards against entries that stay apart after a cut. On each side of it the first entries in the order become
      * leads, which expect heartbeats and don't search.
--- a/src/main/java/org/yuccagw/core/placing/AttemptEnded.java
+++ b/src/main/java/org/yuccagw/core/placing/AttemptEnded.java
@@ -11,12 +11,13 @@
  * @param end how the attempt ended
  * @param version the weight version that the endpoint reported in its answer; empty if it reported none
  * @param pace the times between the events of a streamed answer; empty if there were none
+ * @param success whether the endpoint sent a whole successful answer
  */
-public record AttemptEnded(long ticket, End end, OptionalLong version, Optional<AnswerPace> pace)
+public record AttemptEnded(long ticket, End end, OptionalLong version, Optional<AnswerPace> pace, Success success)
         implements ControlEvent {
-    /** Creates the event for an attempt without a streamed answer. */
+    /** Creates the event for an attempt without a streamed or successful answer. */
     public AttemptEnded(long ticket, End end, OptionalLong version) {
-        this(ticket, end, version, Optional.empty());
+        this(ticket, end, version, Optional.empty(), Success.NONE);
     }
 
     /** Creates the event for an attempt whose endpoint reported no weight version. */
@@ -24,6 +25,16 @@
         this(ticket, end, OptionalLong.empty());
     }
 
+    /** Whether an endpoint sent a whole successful answer. */
+    public enum Success {
+        /** It sent none, or a part of one. */
+        NONE,
+        /** It may have, but only the end of its connection showed the end of the answer. */
+        UNPROVEN,
+        /** It did. */
+        PROVEN
+    }
+
     /** How an attempt ended. */
     public enum End {
         /** The endpoint sent a complete answer of any status that isn't a fault of the endpoint. */
--- a/src/main/java/org/yuccagw/core/placing/AttemptOutcomes.java
+++ b/src/main/java/org/yuccagw/core/placing/AttemptOutcomes.java
@@ -16,6 +16,7 @@
 final class AttemptOutcomes {
     private final EndpointTable endpoints;
     private final SuspectRequests suspects;
+    private final CrashDetector crashes;
     private final NamedWeightsComponent weights;
     private final NoticesComponent notices;
     private final RejectionLimits rejectionLimits;
@@ -25,12 +26,14 @@
     private AttemptOutcomes(
             EndpointTable endpoints,
             SuspectRequests suspects,
+            CrashDetector crashes,
             NamedWeightsComponent weights,
             NoticesComponent notices,
             RejectionLimits rejectionLimits,
             PlacementComponent.Fleet fleet) {
         this.endpoints = endpoints;
         this.suspects = suspects;
+        this.crashes = crashes;
         this.weights = weights;
         this.notices = notices;
         this.rejectionLimits = rejectionLimits;
@@ -41,6 +44,7 @@
      * Creates the learning of one entry.
      *
      * @param suspects receives the requests during which endpoints failed
+     * @param crashes finds out which failures were crashes
      * @param notices counts the attempts that were answered and those that weren't
      * @param rejectionLimits counts the rejections
      * @param fleet receives reports of failures
@@ -48,11 +52,12 @@
     static AttemptOutcomes of(
             EndpointTable endpoints,
             SuspectRequests suspects,
+            CrashDetector crashes,
             NamedWeightsComponent weights,
             NoticesComponent notices,
             RejectionLimits rejectionLimits,
             PlacementComponent.Fleet fleet) {
-        return new AttemptOutcomes(endpoints, suspects, weights, notices, rejectionLimits, fleet);
+        return new AttemptOutcomes(endpoints, suspects, crashes, weights, notices, rejectionLimits, fleet);
     }
 
     void start(ControlContext controlContext) {
@@ -74,6 +79,7 @@
             notices.recordUnanswered(incarnation);
         }
         updateSuspects(ended.end(), attempt.request.fingerprint(), incarnation);
+        crashes.record(ended, attempt);
     }
 
     private void updateSuspects(End end, String fingerprint, EndpointIncarnation incarnation) {
--- a/src/main/java/org/yuccagw/core/placing/PlacementClient.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementClient.java
@@ -100,6 +100,7 @@
     private final Function<EndpointIncarnation, Optional<ListedEndpoint>> usable;
     private final Supplier<List<EndpointId>> excluded;
     private final NoticesComponent notices;
+    private final SuspectPartCheck suspectParts;
     private final Map<Long, DelegatedRequest> pending = new HashMap<>();
     private final Map<Long, RemoteAttempt> remoteAttempts = new HashMap<>();
     private final Map<EntryId, Long> suspendedUntilNanos = new HashMap<>();
@@ -125,11 +126,13 @@
             Function<PlacementRequest, List<EntryId>> placers,
             Function<EndpointIncarnation, Optional<ListedEndpoint>> usable,
             Supplier<List<EndpointId>> excluded,
-            NoticesComponent notices) {
+            NoticesComponent notices,
+            SuspectPartCheck suspectParts) {
         this.placers = placers;
         this.usable = usable;
         this.excluded = excluded;
         this.notices = notices;
+        this.suspectParts = suspectParts;
     }
 
     /**
@@ -140,13 +143,15 @@
      * @param usable returns the endpoint if this entry knows no reason against using it
      * @param excluded returns the endpoints to which this entry sends nothing, whatever other entries know of them
      * @param notices records the requests that this entry sends
+     * @param suspectParts refuses prompts that this entry knows to crash endpoints, whatever the lead knows
      */
     public static PlacementClient of(
             Function<PlacementRequest, List<EntryId>> placers,
             Function<EndpointIncarnation, Optional<ListedEndpoint>> usable,
             Supplier<List<EndpointId>> excluded,
-            NoticesComponent notices) {
-        return new PlacementClient(placers, usable, excluded, notices);
+            NoticesComponent notices,
+            SuspectPartCheck suspectParts) {
+        return new PlacementClient(placers, usable, excluded, notices, suspectParts);
     }
 
     @Override
@@ -175,6 +180,11 @@
     // Requests to leads
 
     private void onRequested(PlacementRequest request) {
+        Optional<YuccagwException> suspect = suspectParts.refusalOf(request);
+        if (suspect.isPresent()) {
+            refuseSuspect(request, suspect.get());
+            return;
+        }
         Optional<EntryId> lead = request.permitted().isEmpty() ? availableLead(request) : Optional.empty();
         if (lead.isEmpty()) {
             context.raise(new LocalPlacementRequested(request));
@@ -187,6 +197,11 @@
         delegated.setTimer(context.after(LEAD_TIMEOUT, () -> passOver(delegated, number, "silent")));
     }
 
+    private void refuseSuspect(PlacementRequest request, YuccagwException error) {
+        context.perform(PlacementLog.refused(request, "suspect part", error));
+        context.reply(() -> request.reply().accept(new PlacementDecision.Refused(error)));
+    }
+
     /** Returns the first lead that may be queried; empty if this entry precedes it or there is none. */
     private Optional<EntryId> availableLead(PlacementRequest request) {
         for (EntryId lead : placers.apply(request)) {
@@ -391,6 +406,13 @@
             return;
         }
         removePending(placed.number());
+        Optional<YuccagwException> suspect =
+                suspectParts.refusalOf(delegated.get().request());
+        if (suspect.isPresent()) {
+            returnPlacement(from, placed.number());
+            refuseSuspect(delegated.get().request(), suspect.get());
+            return;
+        }
         long ticket = ticketOf(placed.number());
         Work work = Work.ofOne(placed.tokens(), placed.unreadTokens());
         remoteAttempts.put(ticket, new RemoteAttempt(from, placed.endpoint(), work));
@@ -412,7 +434,12 @@
     private void returnPlacement(EntryId lead, long number) {
         context.send(
                 lead,
-                new PlacementMessage.Ended(number, AttemptEnded.End.LEFT, OptionalLong.empty(), Optional.empty()));
+                new PlacementMessage.Ended(
+                        number,
+                        AttemptEnded.End.LEFT,
+                        OptionalLong.empty(),
+                        Optional.empty(),
+                        AttemptEnded.Success.NONE));
     }
 
     /** Returns the ticket of a remote placement. Tickets of local placements are positive, so this one is negative. */
@@ -449,7 +476,8 @@
         } else {
             context.send(
                     attempt.lead,
-                    new PlacementMessage.Ended(-ended.ticket(), ended.end(), ended.version(), ended.pace()));
+                    new PlacementMessage.Ended(
+                            -ended.ticket(), ended.end(), ended.version(), ended.pace(), ended.success()));
         }
     }
 
--- a/src/main/java/org/yuccagw/core/placing/PlacementComponent.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementComponent.java
@@ -27,6 +27,7 @@
 import org.yuccagw.core.ratelimit.EndpointConstraints;
 import org.yuccagw.core.stores.EngineCachesComponent;
 import org.yuccagw.core.stores.StoresComponent;
+import org.yuccagw.core.suspect.SuspectPartsComponent;
 
 /**
  * Places requests on endpoints, queues them while no endpoint has free capacity, and refuses those that can't be
@@ -46,6 +47,7 @@
     private final EndpointTable endpoints;
     private final StreamPacing pacing = StreamPacing.create();
     private final SuspectRequests suspects = new SuspectRequests();
+    private final CrashDetector crashes;
     private final RequestQueue queue = new RequestQueue();
     private final RetryBudget retryBudget;
     private final OverloadForecast forecast;
@@ -61,13 +63,13 @@
             PlacementBounds bounds,
             DomainRegions regions,
             NamedWeightsComponent weights,
-            StoresComponent stores,
-            EngineCachesComponent caches,
+            CacheContents caches,
             EndpointConstraints constraints,
+            SuspectPartsComponent suspectParts,
             Fleet fleet,
             DecisionHandler decisionHandler) {
-        PrefillPlanner planner = new PrefillPlanner(stores, caches);
-        CachePlanner cachePlanner = new CachePlanner(stores, planner, weights, regions);
+        PrefillPlanner planner = new PrefillPlanner(caches.stores(), caches.engines());
+        CachePlanner cachePlanner = new CachePlanner(caches.stores(), planner, weights, regions);
         notices = constraints.notices();
         endpoints = new EndpointTable(this::coldTraits, notices::isLeaving);
         rejectionLimits = new RejectionLimits(fleet);
@@ -83,9 +85,10 @@
         retryBudget = RetryBudget.of(bounds.retries(), fleet::retryShareCount);
         forecast = OverloadForecast.create(queue, candidates, pacing, fleet);
         choice = EndpointChoice.of(endpoints, weights, planner, pacing);
-        outcomes = AttemptOutcomes.of(endpoints, suspects, weights, notices, rejectionLimits, fleet);
+        crashes = CrashDetector.of(suspectParts);
+        outcomes = AttemptOutcomes.of(endpoints, suspects, crashes, weights, notices, rejectionLimits, fleet);
         attempts = RunningAttempts.of(pacing, outcomes, notices, fleet);
-        refusals = Refusals.of(candidates, queue, forecast, decisionHandler);
+        refusals = Refusals.of(candidates, queue, forecast, SuspectPartCheck.of(suspectParts), decisionHandler);
         step = PlacementStep.of(
                 candidates, choice, attempts, cachePlanner, queue, retryBudget, refusals, decisionHandler);
         waiting = WaitingRequests.of(queue, candidates, forecast, choice, step, refusals, decisionHandler);
@@ -97,9 +100,9 @@
      * @param bounds limits on what all entries together send
      * @param regions used to look up the allowed regions of routes and workspaces
      * @param weights the named weight versions
-     * @param stores plans the transfers from and to cache stores
-     * @param caches the parts that engines hold in their own caches
+     * @param caches the parts that stores and engines hold
      * @param constraints the limits and back-offs that endpoints requested
+     * @param suspectParts knows the parts of prompts that make endpoints crash
      * @param fleet the other entries that place requests
      * @param decisionHandler receives the decisions
      */
@@ -107,14 +110,18 @@
             PlacementBounds bounds,
             DomainRegions regions,
             NamedWeightsComponent weights,
-            StoresComponent stores,
-            EngineCachesComponent caches,
+            CacheContents caches,
             EndpointConstraints constraints,
+            SuspectPartsComponent suspectParts,
             Fleet fleet,
             DecisionHandler decisionHandler) {
-        return new PlacementComponent(bounds, regions, weights, stores, caches, constraints, fleet, decisionHandler);
+        return new PlacementComponent(
+                bounds, regions, weights, caches, constraints, suspectParts, fleet, decisionHandler);
     }
 
+    /** The parts of prompts that cache stores and the engines' own caches hold. */
+    public record CacheContents(StoresComponent stores, EngineCachesComponent engines) {}
+
     /** The entries that place requests. */
     public interface Fleet {
         /** Returns the number of entries that place requests at present, including this one. */
@@ -160,6 +167,7 @@
         rejectionLimits.start(controlContext);
         candidates.start(controlContext);
         choice.start(controlContext);
+        crashes.start(controlContext);
         outcomes.start(controlContext);
         attempts.start(controlContext);
         refusals.start(controlContext);
@@ -169,6 +177,7 @@
 
     @Override
     public void handle(ControlEvent event, ControlContext ignored) {
+        crashes.handle(event);
         endpoints.handle(event);
         if (event instanceof LocalPlacementRequested requested) {
             onRequested(requested.request());
@@ -275,6 +284,9 @@
         long now = context.nowNanos();
         retryBudget.countArrival(request, now);
         int failures = suspects.count(request.fingerprint(), now);
+        if (refusals.refuseIfPartIsSuspect(request)) {
+            return;
+        }
         if (failures >= SuspectRequests.MAX_FAILURES) {
             refusals.refuseSuspect(request, failures);
         } else if (!retryBudget.permits(request, now)) {
--- a/src/main/java/org/yuccagw/core/placing/PlacementMessage.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementMessage.java
@@ -83,6 +83,11 @@
     record Begun(long number) implements PlacementMessage {}
 
     /** The attempt has ended, or the placement wasn't used. The fields are those of {@link AttemptEnded}. */
-    record Ended(long number, AttemptEnded.End end, OptionalLong version, Optional<AnswerPace> pace)
+    record Ended(
+            long number,
+            AttemptEnded.End end,
+            OptionalLong version,
+            Optional<AnswerPace> pace,
+            AttemptEnded.Success success)
             implements PlacementMessage {}
 }
--- a/src/main/java/org/yuccagw/core/placing/PlacementResponder.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementResponder.java
@@ -106,7 +106,8 @@
             RemotePlacement placement = placementsOf(from).remove(ended.number());
             if (placement != null) {
                 End end = ended.end() == End.UNREACHED ? confirmUnreached(from, placement.endpoint()) : ended.end();
-                context.raise(new AttemptEnded(placement.ticket(), end, ended.version(), ended.pace()));
+                context.raise(
+                        new AttemptEnded(placement.ticket(), end, ended.version(), ended.pace(), ended.success()));
             }
         }
     }
--- a/src/main/java/org/yuccagw/core/placing/PlacementStep.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementStep.java
@@ -68,6 +68,9 @@
     /** Places or refuses the request. Returns false if no endpoint can accept it now. */
     boolean tryPlace(QueuedRequest queued) {
         PlacementRequest request = queued.request();
+        if (refusals.refuseIfPartIsSuspect(request)) {
+            return true;
+        }
         List<EndpointState> eligible = candidates.forRequest(request);
         if (eligible.isEmpty()) {
             return refuseIfRejectedForTooLong(queued);
--- a/src/main/java/org/yuccagw/core/placing/Refusals.java
+++ b/src/main/java/org/yuccagw/core/placing/Refusals.java
@@ -11,11 +11,11 @@
 /** Refuses requests that can't be served and tells their callers when to return. */
 final class Refusals {
     private static final long MIN_RETRY_AFTER_MILLIS = OverloadForecast.MIN_RETRY_AFTER_MILLIS;
-    private static final Duration SUSPECT_RETRY_AFTER = Duration.ofSeconds(20);
 
     private final Candidates candidates;
     private final RequestQueue queue;
     private final OverloadForecast forecast;
+    private final SuspectPartCheck suspectParts;
     private final PlacementComponent.DecisionHandler decisionHandler;
     private ControlContext context;
 
@@ -23,10 +23,12 @@
             Candidates candidates,
             RequestQueue queue,
             OverloadForecast forecast,
+            SuspectPartCheck suspectParts,
             PlacementComponent.DecisionHandler decisionHandler) {
         this.candidates = candidates;
         this.queue = queue;
         this.forecast = forecast;
+        this.suspectParts = suspectParts;
         this.decisionHandler = decisionHandler;
     }
 
@@ -34,14 +36,16 @@
      * Creates the refusals of one entry.
      *
      * @param forecast reserves capacity for refused callers that return
+     * @param suspectParts knows the parts of prompts that make endpoints crash
      * @param decisionHandler receives the refusals
      */
     static Refusals of(
             Candidates candidates,
             RequestQueue queue,
             OverloadForecast forecast,
+            SuspectPartCheck suspectParts,
             PlacementComponent.DecisionHandler decisionHandler) {
-        return new Refusals(candidates, queue, forecast, decisionHandler);
+        return new Refusals(candidates, queue, forecast, suspectParts, decisionHandler);
     }
 
     void start(ControlContext controlContext) {
@@ -50,7 +54,17 @@
 
     /** Refuses a request during which so many endpoints failed. */
     void refuseSuspect(PlacementRequest request, int failures) {
-        refuse(request, ErrorKind.SUSPECT_REQUEST.raise(failures).withRetryAfter(SUSPECT_RETRY_AFTER), "suspect");
+        refuse(
+                request,
+                ErrorKind.SUSPECT_REQUEST.raise(failures).withRetryAfter(SuspectPartCheck.RETRY_AFTER),
+                "suspect");
+    }
+
+    /** Refuses a prompt with a part that makes endpoints crash; returns whether it has one. */
+    boolean refuseIfPartIsSuspect(PlacementRequest request) {
+        Optional<YuccagwException> error = suspectParts.refusalOf(request);
+        error.ifPresent(present -> refuse(request, present, "suspect part"));
+        return error.isPresent();
     }
 
     /** Refuses a retry beyond this entry's share of the retry budget. */
--- a/src/main/java/org/yuccagw/daemon/GatewayComponents.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayComponents.java
@@ -11,6 +11,7 @@
 import org.yuccagw.adapters.peer.PlacementCodec;
 import org.yuccagw.adapters.peer.RateLimitCodec;
 import org.yuccagw.adapters.peer.StatusCodec;
+import org.yuccagw.adapters.peer.SuspectCodec;
 import org.yuccagw.adapters.settings.GatewaySettings;
 import org.yuccagw.core.control.ControlComponent;
 import org.yuccagw.core.control.ControlCore;
@@ -38,6 +39,7 @@
 import org.yuccagw.core.placing.PlacementComponent;
 import org.yuccagw.core.placing.PlacementRequest;
 import org.yuccagw.core.placing.PlacementResponder;
+import org.yuccagw.core.placing.SuspectPartCheck;
 import org.yuccagw.core.placing.Work;
 import org.yuccagw.core.port.PeerMessage;
 import org.yuccagw.core.ratelimit.EndpointConstraints;
@@ -47,6 +49,7 @@
 import org.yuccagw.core.stores.EngineCachesComponent;
 import org.yuccagw.core.stores.RetiredPartsComponent;
 import org.yuccagw.core.stores.StoresComponent;
+import org.yuccagw.core.suspect.SuspectPartsComponent;
 
 /**
  * The components of the control core of an entry on the users' platform.
@@ -85,19 +88,19 @@
         EndpointConstraints constraints = new EndpointConstraints(rateLimits, notices);
         InternalCalls internalCalls = InternalCalls.of(constraints);
         EngineCachesComponent caches = EngineCachesComponent.of(peers.topology()::ownLeads, internalCalls);
+        SuspectPartsComponent suspects = SuspectPartsComponent.of(new SuspectFleet());
         PlacementResponder responder = PlacementResponder.of(this::workOf, notices);
         placement = PlacementComponent.of(
                 new PlacementBounds(
                         settings.bounds().retries(), settings.bounds().coldEndpoints()),
                 settings.regions(),
                 weights,
-                stores,
-                caches,
+                new PlacementComponent.CacheContents(stores, caches),
                 constraints,
+                suspects,
                 new PlacementFleet(),
                 responder);
-        PlacementClient client = PlacementClient.of(
-                this::placingEntriesFor, placement::usableEndpoint, placement::excludedEndpoints, notices);
+        PlacementClient client = placementClient(notices, suspects);
         duty = DutyComponent.of(
                 WEIGHT_ORDERS_DUTY,
                 codec,
@@ -118,6 +121,7 @@
                 rateLimits,
                 stores,
                 caches,
+                suspects,
                 client,
                 responder,
                 placement,
@@ -128,6 +132,15 @@
                 ContinuationComponent.of(origins));
     }
 
+    private PlacementClient placementClient(NoticesComponent notices, SuspectPartsComponent suspects) {
+        return PlacementClient.of(
+                this::placingEntriesFor,
+                placement::usableEndpoint,
+                placement::excludedEndpoints,
+                notices,
+                SuspectPartCheck.of(suspects));
+    }
+
     private KeyValueFollowComponent.WatchRole watchRole(GatewaySettings settings) {
         return settings.bounds().unconfirmedKeyTimeout().isPresent()
                 ? KeyValueFollowComponent.WatchRole.alwaysWatching()
@@ -172,7 +185,8 @@
                 PlacementCodec.create(),
                 RateLimitCodec.create(),
                 NoticeCodec.create(),
-                OriginCodec.create()));
+                OriginCodec.create(),
+                SuspectCodec.create()));
     }
 
     private Work workOf(long ticket) {
@@ -272,6 +286,27 @@
         }
     }
 
+    /** The entries that exchange which parts of prompts make endpoints crash: those that place requests. */
+    private final class SuspectFleet implements SuspectPartsComponent.Fleet {
+        @Override
+        public boolean isDeciding() {
+            return peers.topology().isMeshed() || peers.topology().allLeads().contains(self);
+        }
+
+        @Override
+        public void sendToDeciding(PeerMessage message) {
+            peers.messenger().sendToAllLeads(message);
+        }
+
+        @Override
+        public void sendToAll(PeerMessage message) {
+            peers.messenger().sendToAllLeads(message);
+            if (isDeciding()) {
+                peers.messenger().sendToFollowers(message);
+            }
+        }
+    }
+
     /** Returns whether this entry is a lead of the failure domain and is not partitioned from most of its entries. */
     private boolean isConnectedLeadOf(FailureDomain domain) {
         return domain.equals(ownDomain)
--- a/src/test/java/org/yuccagw/adapters/peer/PlacementCodecTest.java
+++ b/src/test/java/org/yuccagw/adapters/peer/PlacementCodecTest.java
@@ -55,9 +55,20 @@
             {new PlacementMessage.Dropped(10)},
             {
                 new PlacementMessage.Ended(
-                        8, AttemptEnded.End.ANSWERED, OptionalLong.of(2), Optional.of(new AnswerPace(7, 80, 173, 410)))
+                        8,
+                        AttemptEnded.End.ANSWERED,
+                        OptionalLong.of(2),
+                        Optional.of(new AnswerPace(7, 80, 173, 410)),
+                        AttemptEnded.Success.PROVEN)
             },
-            {new PlacementMessage.Ended(9, AttemptEnded.End.UNREACHED, OptionalLong.empty(), Optional.empty())}
+            {
+                new PlacementMessage.Ended(
+                        9,
+                        AttemptEnded.End.UNREACHED,
+                        OptionalLong.empty(),
+                        Optional.empty(),
+                        AttemptEnded.Success.NONE)
+            }
         };
     }
 
--- a/src/test/java/org/yuccagw/daemon/CrashingPartFleet.java
+++ b/src/test/java/org/yuccagw/daemon/CrashingPartFleet.java
@@ -34,6 +34,8 @@
     private final List<Long> crashNanos = new ArrayList<>();
     private final SplittableRandom random;
     private String crashingPath = VirtualCallers.RESUMABLE;
+    private PausingEndpoint.Reaction crash = PausingEndpoint.Reaction.CRASH;
+    private boolean unframed;
     private int nextEngine = ENGINES;
 
     private CrashingPartFleet(int entries, long seed) {
@@ -46,7 +48,17 @@
         return new CrashingPartFleet(entries, seed);
     }
 
+    /** Lets answers have neither a length nor chunks, and engines fail after the first event of one. */
+    void sendUnframedAnswers() {
+        unframed = true;
+        crash = PausingEndpoint.Reaction.CRASH_AFTER_EVENT;
+        callers.engines.forEach(PausingEndpoint::sendUnframedAnswers);
+    }
+
     private void returnAfterCrash(PausingEndpoint engine) {
+        if (unframed) {
+            engine.sendUnframedAnswers();
+        }
         engine.onKill(() -> {
             crashNanos.add(now());
             callers.load
@@ -79,7 +91,7 @@
     void sendCrashing(Duration time, Duration interval) {
         repeat(time, interval, () -> {
             VirtualCaller caller = callers.caller(crashingPath, ImmutableList.of(FIRST, notebook(), CRASHING));
-            caller.setReactionToAll(PausingEndpoint.Reaction.CRASH);
+            caller.setReactionToAll(crash);
             crashing.add(caller);
             caller.begin();
         });
--- a/src/test/java/org/yuccagw/daemon/CrashingPartTest.java
+++ b/src/test/java/org/yuccagw/daemon/CrashingPartTest.java
@@ -68,6 +68,15 @@
         assertKept(fleet);
     }
 
+    @Test(dataProvider = "meshAndLeads")
+    public void suchRequestsWhoseAnswersLookCompleteAreRefusedToo(int entries, long seed) {
+        CrashingPartFleet fleet = CrashingPartFleet.start(entries, seed + 320);
+        fleet.sendUnframedAnswers();
+        sendBoth(fleet, CRASHING_INTERVAL);
+        fleet.runFor(TRAFFIC_TIME.plus(END_TIME));
+        assertKept(fleet);
+    }
+
     @Test(dataProvider = "meshAndLeads")
     public void burstsOfSuchRequestsAreRefusedToo(int entries, long seed) {
         CrashingPartFleet fleet = CrashingPartFleet.start(entries, seed + 350);
--- a/src/test/java/org/yuccagw/daemon/PausingEndpoint.java
+++ b/src/test/java/org/yuccagw/daemon/PausingEndpoint.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import org.yuccagw.bench.control.VirtualTime;
+import org.yuccagw.core.port.BodyEnd;
 
 /**
  * An endpoint in virtual time that answers each request with numbered events at a fixed pace. Its process can be
@@ -37,6 +38,7 @@
     private boolean dead;
     private Reaction reaction = Reaction.ANSWER;
     private Runnable killListener = () -> {};
+    private boolean unframed;
 
     PausingEndpoint(VirtualTime time, String id) {
         this.time = time;
@@ -66,6 +68,8 @@
         SILENT,
         /** Its process fails when it begins the answer. */
         CRASH,
+        /** Its process fails after the first event of the answer. */
+        CRASH_AFTER_EVENT,
         /** It runs the request and resets the connection in place of the answer, while its process continues. */
         RESET
     }
@@ -80,7 +84,7 @@
 
         void onBytes(ByteBuffer bytes);
 
-        void onEnd();
+        void onEnd(BodyEnd end);
 
         void onBroken();
     }
@@ -117,6 +121,11 @@
         return reaction;
     }
 
+    /** Lets further answers have neither a length nor chunks, so that they end with their connections. */
+    void sendUnframedAnswers() {
+        unframed = true;
+    }
+
     /** Sets what happens when the process is killed or fails. */
     void onKill(Runnable listener) {
         killListener = listener;
@@ -127,7 +136,7 @@
         dead = true;
         for (Run run : List.copyOf(active)) {
             run.finish();
-            time.after(Duration.ZERO, run::reportBroken);
+            time.after(Duration.ZERO, unframed ? run::reportClosed : run::reportBroken);
         }
         killListener.run();
     }
@@ -271,6 +280,8 @@
                 reportBroken();
             } else if (!headSent) {
                 sendHead();
+            } else if (ofRequest == Reaction.CRASH_AFTER_EVENT && nextEvent > 0 && !insideEvent) {
+                kill();
             } else if (nextEvent >= events) {
                 sendEnd();
             } else {
@@ -302,7 +313,7 @@
             finish();
             listener.onHead(ofRequest == Reaction.FAULT ? FAILED : UNAVAILABLE, ofRequest == Reaction.REJECT);
             listener.onBytes(ByteBuffer.wrap(FAULT_BODY.getBytes(StandardCharsets.UTF_8)));
-            listener.onEnd();
+            listener.onEnd(bodyEnd());
         }
 
         private void sendHalfEvent() {
@@ -326,7 +337,17 @@
             complete = true;
             finish();
             if (!silent) {
-                listener.onEnd();
+                listener.onEnd(bodyEnd());
+            }
+        }
+
+        private BodyEnd bodyEnd() {
+            return unframed ? BodyEnd.CONNECTION : BodyEnd.LAST_CHUNK;
+        }
+
+        private void reportClosed() {
+            if (!abandoned && !silent) {
+                listener.onEnd(BodyEnd.CONNECTION);
             }
         }
 
--- a/src/test/java/org/yuccagw/daemon/VirtualCaller.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualCaller.java
@@ -539,8 +539,8 @@
         }
 
         @Override
-        public void onEnd() {
-            read(() -> machine.onEnd(number, BodyEnd.LAST_CHUNK));
+        public void onEnd(BodyEnd end) {
+            read(() -> machine.onEnd(number, end));
         }
 
         @Override
