Refuse prompts with a section that ends engine after engine on the product's own path

A caller whose prompts differ, but share a section that ends the engine that runs it, lost one engine with each prompt: the quarantine counts by workspace and whole body.

Change: the sections of a prompt, which blank lines and the ends of messages separate, but for the last one, are its parts. A termination that a probe has confirmed, and a whole answer, are reported with them to the same SuspectPartsComponent; the quarantine asks it before it decides. A process that has started is sent the refused parts with the other records, before its first decision. Operators see suspected and refused parts in the status.

--- a/src/main/java/org/yuccagw/adapters/admin/SnapshotViews.java
+++ b/src/main/java/org/yuccagw/adapters/admin/SnapshotViews.java
@@ -17,6 +17,7 @@
 import org.yuccagw.core.membership.EntryStatus;
 import org.yuccagw.core.quarantine.QuarantineSnapshot;
 import org.yuccagw.core.shard.ShardsSnapshot;
+import org.yuccagw.core.suspect.SuspectPartsSnapshot;
 
 /** Converts the contents of a snapshot to JSON documents for operators, without side effects. */
 final class SnapshotViews {
@@ -83,6 +84,18 @@
         snapshot.find(QuarantineSnapshot.class)
                 .ifPresent(quarantine -> node.put("suspected_prompts", quarantine.suspectedPrompts())
                         .put("permits", quarantine.permits()));
+        snapshot.find(SuspectPartsSnapshot.class).ifPresent(parts -> writeSuspectParts(parts, node));
+    }
+
+    private static void writeSuspectParts(SuspectPartsSnapshot parts, ObjectNode node) {
+        node.put("suspected_parts", parts.suspected());
+        ArrayNode refused = node.putArray("refused_parts");
+        parts.refused()
+                .forEach(part -> refused.addObject()
+                        .put("model", part.part().model())
+                        .put("part", part.part().part())
+                        .put("crashes", part.crashes())
+                        .put("refused_for_s", part.age().toSeconds()));
     }
 
     ObjectNode endpoints(ControlSnapshot snapshot) {
--- a/src/main/java/org/yuccagw/adapters/caller/CallerRun.java
+++ b/src/main/java/org/yuccagw/adapters/caller/CallerRun.java
@@ -42,6 +42,7 @@
 import org.yuccagw.core.routing.AttemptReport;
 import org.yuccagw.core.routing.ImportPlan;
 import org.yuccagw.core.routing.RouteRequested;
+import org.yuccagw.core.suspect.SuspectPart;
 
 /**
  * Executes the effects of the request machine on the I/O thread of the caller's exchange: queries to the control core,
@@ -89,6 +90,11 @@
             return BlockChain.salt(workspace.cacheSecret(), service.name().value(), version, adapter);
         }
 
+        /** Returns the parts of the prompt that other prompts may share; none for a plain service. */
+        ImmutableSet<SuspectPart> sharedParts() {
+            return completionBody.map(CompletionBody::sharedParts).orElse(ImmutableSet.of());
+        }
+
         String catalogueVersion() {
             return service.model().map(settings -> settings.version().value()).orElse("");
         }
@@ -212,7 +218,9 @@
     public void requestQuarantineDecision() {
         services.control()
                 .offer(new QuarantineRequested(
-                        profile.fingerprint(), decision -> runOnThread(() -> machine.onQuarantineDecision(decision))));
+                        profile.fingerprint(),
+                        profile.parts(),
+                        decision -> runOnThread(() -> machine.onQuarantineDecision(decision))));
     }
 
     @Override
--- a/src/main/java/org/yuccagw/adapters/caller/CallerServer.java
+++ b/src/main/java/org/yuccagw/adapters/caller/CallerServer.java
@@ -348,6 +348,7 @@
                 streamed,
                 claim,
                 PromptFingerprint.of(workspace.id(), body),
+                target.sharedParts(),
                 target.requestClass().answerDeadline(),
                 catalogue.system().resumeGrace(),
                 Optional.empty());
@@ -439,6 +440,7 @@
                 true,
                 Optional.empty(),
                 resumeRequest.fingerprint(workspace.id()),
+                target.sharedParts(),
                 target.requestClass().answerDeadline(),
                 catalogue.system().resumeGrace(),
                 Optional.of(resumePoint));
--- a/src/main/java/org/yuccagw/adapters/engine/CompletionBody.java
+++ b/src/main/java/org/yuccagw/adapters/engine/CompletionBody.java
@@ -5,15 +5,22 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.hash.Hashing;
 import java.nio.ByteBuffer;
 import java.nio.CharBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.CharsetDecoder;
 import java.nio.charset.CodingErrorAction;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
 import org.yuccagw.core.cache.BlockChain;
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
+import org.yuccagw.core.suspect.SuspectPart;
 
 /**
  * The validated body of a completions or chat-completions request, from which the bodies for engines are built. Fields
@@ -24,6 +31,9 @@
     private static final int DEFAULT_MAX_TOKENS = 256;
     private static final int MAX_TOKENS_LIMIT = 1_000_000;
     private static final String MAX_TOKENS_FIELD = "max_tokens";
+    private static final int MAX_PARTS = 256;
+    private static final int PART_ID_DIGITS = 32;
+    private static final Splitter SECTIONS = Splitter.on(Pattern.compile("\\R[ \\t]*\\R"));
 
     private final ObjectNode body;
     private final boolean chat;
@@ -79,6 +89,37 @@
         return text.toString().getBytes(StandardCharsets.UTF_8);
     }
 
+    /**
+     * Returns the parts of the prompt that other prompts may share: its sections, which blank lines or the ends of
+     * messages separate, but for the last one, which belongs to the request alone. Of a long prompt, only the first
+     * {@link #MAX_PARTS} count.
+     */
+    public ImmutableSet<SuspectPart> sharedParts() {
+        List<String> sections = sections();
+        return sections.subList(0, sections.size() - 1).stream()
+                .limit(MAX_PARTS)
+                .map(section -> new SuspectPart(model(), hash(section)))
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
+    private List<String> sections() {
+        if (!chat) {
+            return SECTIONS.splitToList(body.get("prompt").textValue());
+        }
+        List<String> sections = new ArrayList<>();
+        for (JsonNode message : body.get("messages")) {
+            sections.addAll(SECTIONS.splitToList(message.get("content").textValue()));
+        }
+        return sections;
+    }
+
+    private static String hash(String section) {
+        return Hashing.sha256()
+                .hashString(section, StandardCharsets.UTF_8)
+                .toString()
+                .substring(0, PART_ID_DIGITS);
+    }
+
     /** Returns an estimate of the prompt's length in tokens. */
     public long promptTokens() {
         return promptBytes().length / BlockChain.BYTES_PER_TOKEN + 1L;
--- a/src/main/java/org/yuccagw/adapters/peer/QuarantineCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/QuarantineCodec.java
@@ -16,6 +16,7 @@
 import org.yuccagw.core.quarantine.QuarantinePeerMessage.PermitRequested;
 import org.yuccagw.core.quarantine.QuarantinePeerMessage.RecordsRequested;
 import org.yuccagw.core.quarantine.QuarantinePeerMessage.RecordsSent;
+import org.yuccagw.core.suspect.SuspectMessage;
 import org.yuccagw.wire.PeerProtocol;
 import org.yuccagw.wire.PeerProtocol.Envelope;
 import org.yuccagw.wire.PeerProtocol.QuarantineMessage;
@@ -57,6 +58,7 @@
         } else if (message instanceof RecordsSent sent) {
             wire.setKind(RECORDS_SENT).setComplete(sent.complete());
             sent.deaths().forEach(death -> wire.addDeaths(toWire(death)));
+            sent.refusedParts().forEach(part -> wire.addRefusedParts(SuspectCodec.encode(part)));
         }
         envelope.setQuarantine(wire);
         return true;
@@ -96,7 +98,7 @@
             case PERMIT_DECISION -> new PermitDecided(fingerprint, wire.getPermit(), wire.getGranted());
             case PERMIT_RELEASED -> new PermitReleased(fingerprint, wire.getPermit());
             case RECORDS_REQUEST -> new RecordsRequested();
-            case RECORDS_SENT -> new RecordsSent(deaths(wire), wire.getComplete());
+            case RECORDS_SENT -> new RecordsSent(deaths(wire), refusedParts(wire), wire.getComplete());
             default -> throw new IllegalArgumentException("quarantine message of unknown kind " + wire.getKind());
         };
     }
@@ -105,6 +107,10 @@
         return wire.getDeathsList().stream().map(QuarantineCodec::fromWire).toList();
     }
 
+    private static List<SuspectMessage.Refused> refusedParts(QuarantineMessage wire) {
+        return wire.getRefusedPartsList().stream().map(SuspectCodec::decode).toList();
+    }
+
     private static Death fromWire(PeerProtocol.Death wire) {
         if (wire.getAgeMillis() < 0) {
             throw new IllegalArgumentException("the age of an endpoint termination is negative");
--- a/src/main/java/org/yuccagw/adapters/peer/SuspectCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/SuspectCodec.java
@@ -55,7 +55,7 @@
                 .build();
     }
 
-    private static RefusedPartMessage encode(SuspectMessage.Refused refused) {
+    static RefusedPartMessage encode(SuspectMessage.Refused refused) {
         return RefusedPartMessage.newBuilder()
                 .setPart(encode(refused.part()))
                 .setCrashes(refused.crashes())
@@ -95,7 +95,7 @@
         return new SuspectPart(wire.getModel(), wire.getPart());
     }
 
-    private static SuspectMessage.Refused decode(RefusedPartMessage wire) {
+    static SuspectMessage.Refused decode(RefusedPartMessage wire) {
         return new SuspectMessage.Refused(
                 decode(wire.getPart()),
                 Math.max(1, wire.getCrashes()),
--- a/src/main/java/org/yuccagw/bench/fuzz/FuzzWorld.java
+++ b/src/main/java/org/yuccagw/bench/fuzz/FuzzWorld.java
@@ -26,6 +26,8 @@
 import org.yuccagw.core.membership.MembershipComponent;
 import org.yuccagw.core.quarantine.QuarantineComponent;
 import org.yuccagw.core.shard.ShardsComponent;
+import org.yuccagw.core.suspect.AllMembers;
+import org.yuccagw.core.suspect.SuspectPartsComponent;
 import org.yuccagw.core.swap.SwapsComponent;
 
 /**
@@ -166,6 +168,8 @@
     private void startEntry(String name) {
         CatalogueComponent catalogue = CatalogueComponent.of(CatalogueJson.create());
         ShardsComponent shards = ShardsComponent.of();
+        AllMembers members = AllMembers.create();
+        SuspectPartsComponent suspectParts = SuspectPartsComponent.of(members);
         List<ControlComponent> components = List.of(
                 catalogue,
                 MembershipComponent.of(catalogue),
@@ -173,7 +177,9 @@
                 shards,
                 SwapsComponent.of(shards),
                 ClaimComponent.of(shards, shards::snapshot, ClaimLogProtobuf.of()),
-                QuarantineComponent.of(shards, shards::snapshot),
+                members,
+                suspectParts,
+                QuarantineComponent.of(shards, shards::snapshot, suspectParts),
                 AdmissionComponent.of(shards, shards::snapshot),
                 new TrafficPart());
         authorities.put(bench.start(name, components), shards);
--- a/src/main/java/org/yuccagw/core/quarantine/QuarantineComponent.java
+++ b/src/main/java/org/yuccagw/core/quarantine/QuarantineComponent.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.quarantine;
 
+import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -15,6 +16,7 @@
 import org.yuccagw.core.control.ControlSnapshot;
 import org.yuccagw.core.control.PeerReceived;
 import org.yuccagw.core.error.ErrorKind;
+import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.ShardNumber;
 import org.yuccagw.core.membership.EntryStatus;
@@ -34,13 +36,18 @@
 import org.yuccagw.core.shard.Shards;
 import org.yuccagw.core.shard.ShardsSnapshot;
 import org.yuccagw.core.shard.ShardsSnapshot.Ownership;
+import org.yuccagw.core.suspect.EndpointCrashed;
+import org.yuccagw.core.suspect.LostAttempt;
+import org.yuccagw.core.suspect.SuspectMessage;
+import org.yuccagw.core.suspect.SuspectPartsComponent;
 
 /**
  * Prevents a prompt from terminating one endpoint after another, whichever entries its caller sends it to.
  *
  * <p>A prompt without a recorded termination runs without restriction. After one termination it runs isolated: each
  * attempt requires the single permit that the owner of the prompt's shard issues. After two terminations every entry
- * refuses the prompt for the quarantine time.
+ * refuses the prompt for the quarantine time. Prompts that differ but share a part that terminates endpoints are
+ * refused by {@link SuspectPartsComponent}.
  *
  * <p>A termination is pushed to all entries when it is observed, before the caller can learn of it. Each entry also
  * periodically sends the terminations that it knows to one random entry, so a lost push is repaired and the record
@@ -60,6 +67,7 @@
 
     private final Supplier<ShardsSnapshot> shards;
     private final ShardAuthority authority;
+    private final SuspectPartsComponent suspectParts;
     private final DeathRecords deaths = new DeathRecords();
     private final PermitIssuer issuer = new PermitIssuer();
     private final Map<Long, WaitingAttempt> waitingByPermit = new HashMap<>();
@@ -72,8 +80,10 @@
 
     private record WaitingAttempt(QuarantineRequested request, int requestsSent) {}
 
-    private QuarantineComponent(ShardAuthority authority, Supplier<ShardsSnapshot> shards) {
+    private QuarantineComponent(
+            ShardAuthority authority, Supplier<ShardsSnapshot> shards, SuspectPartsComponent suspectParts) {
         this.authority = authority;
+        this.suspectParts = suspectParts;
         this.shards = shards;
     }
 
@@ -82,9 +92,11 @@
      *
      * @param authority checks the lease immediately before a permit is granted
      * @param shards supplies the owners of the shards in the local view; called on the control thread
+     * @param suspectParts knows the parts of prompts that make endpoints crash
      */
-    public static QuarantineComponent of(ShardAuthority authority, Supplier<ShardsSnapshot> shards) {
-        return new QuarantineComponent(authority, shards);
+    public static QuarantineComponent of(
+            ShardAuthority authority, Supplier<ShardsSnapshot> shards, SuspectPartsComponent suspectParts) {
+        return new QuarantineComponent(authority, shards, suspectParts);
     }
 
     @Override
@@ -127,7 +139,10 @@
     private void handleRequest(QuarantineRequested request) {
         deaths.expire(limits.quarantine(), context.nowNanos());
         int count = deaths.count(request.fingerprint());
-        if (count == 0) {
+        Optional<SuspectMessage.Refused> part = suspectParts.refusedPart(request.parts());
+        if (part.isPresent()) {
+            refuse(request, part.get().crashes(), limits.quarantine());
+        } else if (count == 0) {
             reply(request, new Decision.Unrestricted());
         } else if (count >= DeathRecords.MAX_DEATHS) {
             refuse(request);
@@ -138,8 +153,10 @@
 
     private void refuse(QuarantineRequested request) {
         Duration since = deaths.sinceLast(request.fingerprint(), context.nowNanos());
-        Duration left = limits.quarantine().minus(since);
-        int count = deaths.count(request.fingerprint());
+        refuse(request, deaths.count(request.fingerprint()), limits.quarantine().minus(since));
+    }
+
+    private void refuse(QuarantineRequested request, int count, Duration left) {
         reply(
                 request,
                 new Decision.Refused(ErrorKind.QUARANTINED
@@ -180,8 +197,10 @@
     }
 
     private void recordTermination(EndpointTerminated terminated) {
-        Death death =
-                new Death(terminated.fingerprint(), terminated.endpoint(), terminated.incarnation(), Duration.ZERO);
+        EndpointIncarnation endpoint = terminated.endpoint();
+        LostAttempt lost = new LostAttempt(terminated.parts(), terminated.sentAge(), Duration.ZERO);
+        context.raise(new EndpointCrashed(endpoint, ImmutableList.of(lost)));
+        Death death = new Death(terminated.fingerprint(), endpoint.endpoint(), endpoint.startedMillis(), Duration.ZERO);
         if (deaths.add(death, context.nowNanos())) {
             Deaths message = new Deaths(List.of(death));
             otherEntries.keySet().forEach(peer -> context.send(peer, message));
@@ -211,9 +230,10 @@
         if (message instanceof Deaths received) {
             addAll(received.deaths());
         } else if (message instanceof RecordsRequested) {
-            context.send(from, new RecordsSent(allDeaths(), startup.isComplete()));
+            context.send(from, new RecordsSent(allDeaths(), suspectParts.refusedParts(), startup.isComplete()));
         } else if (message instanceof RecordsSent sent) {
             addAll(sent.deaths());
+            suspectParts.refuseAll(sent.refusedParts());
             startup.onRecordsSent(from, sent);
         } else if (message instanceof PermitRequested request) {
             decideOnPermit(from, request);
--- a/src/main/java/org/yuccagw/core/quarantine/QuarantinePeerMessage.java
+++ b/src/main/java/org/yuccagw/core/quarantine/QuarantinePeerMessage.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.port.PeerMessage;
+import org.yuccagw.core.suspect.SuspectMessage;
 
 /**
  * Messages between entries about prompts that terminate endpoints. Each message may be lost, delayed or duplicated.
@@ -22,11 +23,14 @@
     /**
      * All terminations that the sender knows.
      *
+     * @param refusedParts the parts of prompts that the sender refuses
      * @param complete whether the sender has learned before which terminations others know
      */
-    record RecordsSent(List<Death> deaths, boolean complete) implements QuarantinePeerMessage {
+    record RecordsSent(List<Death> deaths, List<SuspectMessage.Refused> refusedParts, boolean complete)
+            implements QuarantinePeerMessage {
         public RecordsSent {
             deaths = List.copyOf(deaths);
+            refusedParts = List.copyOf(refusedParts);
         }
     }
 
--- a/src/main/java/org/yuccagw/core/request/EngineRun.java
+++ b/src/main/java/org/yuccagw/core/request/EngineRun.java
@@ -3,7 +3,10 @@
 import java.time.Duration;
 import org.yuccagw.core.endpoint.AttemptObserved;
 import org.yuccagw.core.endpoint.EndpointStatus;
+import org.yuccagw.core.id.EndpointIncarnation;
+import org.yuccagw.core.quarantine.EndpointTerminated;
 import org.yuccagw.core.routing.AttemptReport;
+import org.yuccagw.core.suspect.PromptAnswered;
 
 /** The run of a request on one endpoint, from its placement to its end, over one or more connections. */
 final class EngineRun {
@@ -72,6 +75,20 @@
         effects.report(new AttemptReport.Sent(attempt));
     }
 
+    /** Reports that the endpoint sent the whole answer. */
+    void reportAnswer(RequestEffects effects, RequestProfile profile) {
+        observe(effects, AttemptObserved.Outcome.ANSWERED);
+        effects.report(new PromptAnswered(profile.parts()));
+    }
+
+    /** Reports that the endpoint terminated during this run. */
+    void reportTermination(RequestEffects effects, RequestProfile profile) {
+        observe(effects, AttemptObserved.Outcome.DIED);
+        EndpointIncarnation start = EndpointIncarnation.of(endpoint.id(), endpoint.incarnation());
+        Duration sentAge = Duration.ofNanos(effects.nowNanos() - sentNanos);
+        effects.report(new EndpointTerminated(profile.fingerprint(), profile.parts(), start, sentAge));
+    }
+
     /** Reports the time of the first token; returns whether the run has an attempt to report it for. */
     boolean reportFirstToken(RequestEffects effects) {
         if (attempt == NO_ATTEMPT || ended) {
--- a/src/main/java/org/yuccagw/core/request/RequestMachine.java
+++ b/src/main/java/org/yuccagw/core/request/RequestMachine.java
@@ -9,12 +9,10 @@
 import org.yuccagw.core.admission.AdmissionRequested;
 import org.yuccagw.core.claim.ClaimDecision;
 import org.yuccagw.core.claim.ClaimEnded;
-import org.yuccagw.core.endpoint.AttemptObserved;
 import org.yuccagw.core.endpoint.EndpointStatus;
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.id.EndpointId;
-import org.yuccagw.core.quarantine.EndpointTerminated;
 import org.yuccagw.core.quarantine.QuarantineRequested;
 import org.yuccagw.core.retry.RetryDecision;
 import org.yuccagw.core.routing.AttemptReport;
@@ -312,7 +310,7 @@
         }
         long cached = progress.cachedTokens();
         endAttempt(true, cached);
-        run.observe(effects, AttemptObserved.Outcome.ANSWERED);
+        run.reportAnswer(effects, profile);
         effects.creditRetryBudget();
         effects.answerEnd(progress.usage().map(last -> last.afterPieces(run.piecesBefore(), progress.pieces())));
         claim.end(ClaimEnded.Outcome.ANSWERED);
@@ -537,9 +535,7 @@
 
     private void reportTermination() {
         evidence.recordTermination();
-        run.observe(effects, AttemptObserved.Outcome.DIED);
-        effects.report(new EndpointTerminated(
-                profile.fingerprint(), run.endpoint().id(), run.endpoint().incarnation(), permit.isHeld()));
+        run.reportTermination(effects, profile);
     }
 
     private void reportFirstToken() {
--- a/src/main/java/org/yuccagw/core/request/RequestProfile.java
+++ b/src/main/java/org/yuccagw/core/request/RequestProfile.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.request;
 
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.Optional;
 import org.yuccagw.core.claim.Claim;
@@ -10,6 +11,7 @@
 import org.yuccagw.core.id.WeightVersion;
 import org.yuccagw.core.id.WorkspaceId;
 import org.yuccagw.core.quarantine.PromptFingerprint;
+import org.yuccagw.core.suspect.SuspectPart;
 
 /**
  * The properties of a request on which {@link RequestMachine} depends.
@@ -19,6 +21,7 @@
  * @param streamed whether the answer is streamed to the caller
  * @param claim present if the caller sent an idempotency key
  * @param fingerprint identifies the prompt in the quarantine
+ * @param parts shared parts of the prompt
  * @param answerDeadline maximum time for the whole answer
  * @param resumeGrace time for which the engine retains the stream of a caller that disconnected
  * @param resumePoint position at which to resume an answer that an earlier request started
@@ -32,6 +35,7 @@
         boolean streamed,
         Optional<Claim> claim,
         PromptFingerprint fingerprint,
+        ImmutableSet<SuspectPart> parts,
         Duration answerDeadline,
         Duration resumeGrace,
         Optional<ResumePoint> resumePoint) {
--- a/src/main/java/org/yuccagw/core/suspect/SuspectPartsComponent.java
+++ b/src/main/java/org/yuccagw/core/suspect/SuspectPartsComponent.java
@@ -100,6 +100,16 @@
         return Optional.empty();
     }
 
+    /** Returns all refused parts, for an entry that has just started. */
+    public ImmutableList<SuspectMessage.Refused> refusedParts() {
+        return refused.all(context.nowNanos());
+    }
+
+    /** Refuses parts that another entry refuses. */
+    public void refuseAll(Iterable<SuspectMessage.Refused> parts) {
+        parts.forEach(part -> refuse(part, "told"));
+    }
+
     /** Returns whether any part is refused. */
     public boolean isRefusing() {
         return !refused.isEmpty();
@@ -129,7 +139,7 @@
         } else if (message instanceof SuspectMessage.PartsCleared answered) {
             answered.parts().forEach(this::clear);
         } else if (message instanceof SuspectMessage.PartsRefused told) {
-            told.parts().forEach(part -> refuse(part, "told"));
+            refuseAll(told.parts());
         }
     }
 
--- a/src/main/java/org/yuccagw/daemon/ControlComponents.java
+++ b/src/main/java/org/yuccagw/daemon/ControlComponents.java
@@ -12,6 +12,7 @@
 import org.yuccagw.adapters.peer.QuarantineCodec;
 import org.yuccagw.adapters.peer.ShardCodec;
 import org.yuccagw.adapters.peer.ShareCodec;
+import org.yuccagw.adapters.peer.SuspectCodec;
 import org.yuccagw.adapters.settings.CatalogueJson;
 import org.yuccagw.core.admission.AdmissionComponent;
 import org.yuccagw.core.admission.CapacityComponent;
@@ -28,6 +29,8 @@
 import org.yuccagw.core.routing.RouteComponent;
 import org.yuccagw.core.routing.RoutePolicies;
 import org.yuccagw.core.shard.ShardsComponent;
+import org.yuccagw.core.suspect.AllMembers;
+import org.yuccagw.core.suspect.SuspectPartsComponent;
 import org.yuccagw.core.swap.SwapsComponent;
 
 /**
@@ -43,6 +46,8 @@
         CatalogueComponent catalogue = CatalogueComponent.of(CatalogueJson.create());
         ShardsComponent shards = ShardsComponent.of();
         CacheState cache = CacheState.of(CacheSettings.defaults());
+        AllMembers members = AllMembers.create();
+        SuspectPartsComponent suspectParts = SuspectPartsComponent.of(members);
         ControlCore core = ControlCore.of(
                 self,
                 new SplittableRandom(self.incarnation() ^ self.entry().hashCode()),
@@ -53,7 +58,9 @@
                         shards,
                         SwapsComponent.of(shards),
                         ClaimComponent.of(shards, shards::snapshot, ClaimLogProtobuf.of()),
-                        QuarantineComponent.of(shards, shards::snapshot),
+                        members,
+                        suspectParts,
+                        QuarantineComponent.of(shards, shards::snapshot, suspectParts),
                         AdmissionComponent.of(shards, shards::snapshot),
                         CapacityComponent.create(),
                         CacheComponent.of(cache),
@@ -71,6 +78,7 @@
                 ClaimCodec.of(),
                 ShareCodec.of(),
                 QuarantineCodec.of(),
+                SuspectCodec.create(),
                 CacheCodec.create()));
     }
 }
--- a/src/test/java/org/yuccagw/core/quarantine/QuarantineAfterRestartTest.java
+++ b/src/test/java/org/yuccagw/core/quarantine/QuarantineAfterRestartTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.google.common.collect.ImmutableSet;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -11,7 +12,6 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.yuccagw.bench.requests.VirtualEntries;
-import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.ShardNumber;
 import org.yuccagw.core.id.WorkspaceId;
@@ -54,7 +54,7 @@
         terminateTwice(prompt(0));
         restartFirst();
         List<Decision> decisions = new ArrayList<>();
-        entries.tell(entryIds.get(0), new QuarantineRequested(prompt(0), decisions::add));
+        entries.tell(entryIds.get(0), new QuarantineRequested(prompt(0), ImmutableSet.of(), decisions::add));
         entries.run(Duration.ofMillis(500));
         entries.tellMembers();
         entries.run(DECISION_TIME);
@@ -71,8 +71,8 @@
         entries.tellMembers();
         List<Decision> decisions = new ArrayList<>();
         IntStream.range(0, prompts)
-                .forEach(number ->
-                        entries.tell(entryIds.get(0), new QuarantineRequested(prompt(number), decisions::add)));
+                .forEach(number -> entries.tell(
+                        entryIds.get(0), new QuarantineRequested(prompt(number), ImmutableSet.of(), decisions::add)));
         entries.run(DECISION_TIME);
         assertEquals(
                 decisions.stream().filter(Decision.Refused.class::isInstance).count(), prompts);
@@ -88,7 +88,7 @@
     }
 
     private void startEntries(int size) {
-        entries = VirtualEntries.of(5, 1, (authority, shards) -> List.of(QuarantineComponent.of(authority, shards)));
+        entries = VirtualEntries.of(5, 1, QuarantineTest::components);
         entryIds = IntStream.rangeClosed(1, size)
                 .mapToObj(number -> entries.start("entry-" + number))
                 .toList();
@@ -105,14 +105,14 @@
 
     private void terminateTwice(PromptFingerprint prompt) {
         EntryId observer = entryIds.get(entryIds.size() - 1);
-        entries.tell(observer, new EndpointTerminated(prompt, EndpointId.of("engine-1"), 1, true));
-        entries.tell(observer, new EndpointTerminated(prompt, EndpointId.of("engine-2"), 1, true));
+        entries.tell(observer, QuarantineTest.terminated(prompt, ImmutableSet.of(), "engine-1"));
+        entries.tell(observer, QuarantineTest.terminated(prompt, ImmutableSet.of(), "engine-2"));
         entries.run(Duration.ofMillis(10));
     }
 
     private Decision decide(EntryId entry, PromptFingerprint prompt) {
         List<Decision> decisions = new ArrayList<>();
-        entries.tell(entry, new QuarantineRequested(prompt, decisions::add));
+        entries.tell(entry, new QuarantineRequested(prompt, ImmutableSet.of(), decisions::add));
         entries.run(DECISION_TIME);
         assertEquals(decisions.size(), 1);
         return decisions.get(0);
--- a/src/test/java/org/yuccagw/core/quarantine/QuarantineTest.java
+++ b/src/test/java/org/yuccagw/core/quarantine/QuarantineTest.java
@@ -3,21 +3,30 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.google.common.collect.ImmutableSet;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 import org.yuccagw.bench.requests.VirtualEntries;
+import org.yuccagw.core.control.ControlComponent;
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.id.EndpointId;
+import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.ShardNumber;
 import org.yuccagw.core.id.WorkspaceId;
 import org.yuccagw.core.quarantine.QuarantineRequested.Decision;
 import org.yuccagw.core.quarantine.QuarantineRequested.PermitReturned;
+import org.yuccagw.core.shard.ShardAuthority;
+import org.yuccagw.core.shard.ShardsSnapshot;
+import org.yuccagw.core.suspect.AllMembers;
+import org.yuccagw.core.suspect.SuspectPart;
+import org.yuccagw.core.suspect.SuspectPartsComponent;
 
 public class QuarantineTest {
     private static final ShardNumber SHARD = ShardNumber.of(0);
@@ -31,7 +40,7 @@
 
     @BeforeMethod
     public void startFourEntriesWithTheLastAsShardOwner() {
-        entries = VirtualEntries.of(5, 1, (authority, shards) -> List.of(QuarantineComponent.of(authority, shards)));
+        entries = VirtualEntries.of(5, 1, QuarantineTest::components);
         entryIds = IntStream.rangeClosed(1, 4)
                 .mapToObj(number -> entries.start("entry-" + number))
                 .toList();
@@ -40,14 +49,26 @@
         entries.run(EARLIER_PERMITS_EXPIRY);
     }
 
+    /** Returns the components of one entry that decide on suspected prompts. */
+    static List<ControlComponent> components(ShardAuthority authority, Supplier<ShardsSnapshot> shards) {
+        AllMembers members = AllMembers.create();
+        SuspectPartsComponent parts = SuspectPartsComponent.of(members);
+        return List.of(members, parts, QuarantineComponent.of(authority, shards, parts));
+    }
+
+    static EndpointTerminated terminated(PromptFingerprint prompt, ImmutableSet<SuspectPart> parts, String endpoint) {
+        EndpointIncarnation start = EndpointIncarnation.of(EndpointId.of(endpoint), 1);
+        return new EndpointTerminated(prompt, parts, start, Duration.ofMillis(50));
+    }
+
     private List<Decision> requestDecision(EntryId entry) {
         List<Decision> decisions = new ArrayList<>();
-        entries.tell(entry, new QuarantineRequested(PROMPT, decisions::add));
+        entries.tell(entry, new QuarantineRequested(PROMPT, ImmutableSet.of(), decisions::add));
         return decisions;
     }
 
     private void reportTermination(EntryId observer, String endpoint) {
-        entries.tell(observer, new EndpointTerminated(PROMPT, EndpointId.of(endpoint), 1, true));
+        entries.tell(observer, terminated(PROMPT, ImmutableSet.of(), endpoint));
     }
 
     private static void assertQuarantined(List<Decision> decisions) {
--- a/src/test/java/org/yuccagw/core/request/RequestMachineTest.java
+++ b/src/test/java/org/yuccagw/core/request/RequestMachineTest.java
@@ -8,6 +8,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -22,6 +23,7 @@
 import org.yuccagw.core.quarantine.QuarantineRequested;
 import org.yuccagw.core.routing.AttemptReport;
 import org.yuccagw.core.routing.RouteRequested;
+import org.yuccagw.core.suspect.PromptAnswered;
 
 public class RequestMachineTest {
     private RecordedEffects effects;
@@ -56,6 +58,7 @@
                         "ended"));
         assertEquals(effects.reports(AdmissionRequested.Released.class).size(), 1);
         assertTrue(effects.reports(AttemptReport.Ended.class).get(0).answered());
+        assertEquals(effects.reports(PromptAnswered.class), List.of(new PromptAnswered(TestRequests.PARTS)));
     }
 
     // ---- Complete answers.
@@ -125,6 +128,7 @@
         machine.onDone(4);
         assertEquals(effects.callerText.toString(), "a b ");
         assertEquals(effects.reports(EndpointTerminated.class).size(), 1);
+        assertEquals(effects.reports(EndpointTerminated.class).get(0).parts(), TestRequests.PARTS);
     }
 
     // The run continues on an engine that has been swapped to other weights in the meantime. The user would receive an
--- a/src/test/java/org/yuccagw/core/request/TestRequests.java
+++ b/src/test/java/org/yuccagw/core/request/TestRequests.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.Optional;
 import org.yuccagw.core.claim.Claim;
@@ -22,6 +23,7 @@
 import org.yuccagw.core.quarantine.QuarantineRequested;
 import org.yuccagw.core.routing.RouteExplanation;
 import org.yuccagw.core.routing.RouteRequested;
+import org.yuccagw.core.suspect.SuspectPart;
 
 /** Creates requests that are ready to be tested, and the answers of their environment. */
 final class TestRequests {
@@ -52,6 +54,9 @@
         return machine;
     }
 
+    /** The shared parts of each request's prompt. */
+    static final ImmutableSet<SuspectPart> PARTS = ImmutableSet.of(new SuspectPart("assistant", "preamble"));
+
     static RequestMachine machine(RecordedEffects effects, boolean idempotent, boolean keyed) {
         WorkspaceId workspace = WorkspaceId.of("w");
         RequestId request = RequestId.of("r1");
@@ -72,6 +77,7 @@
                 true,
                 claim,
                 PromptFingerprint.of(workspace, new byte[] {1}),
+                PARTS,
                 Duration.ofSeconds(60),
                 Duration.ofSeconds(20),
                 Optional.empty());
