Blame parts that always come together, and none for a failure of all engines

What callers saw: nothing yet; found by tests of the fix. Two parts that only crashing requests share explained each other, so neither was refused and engines went on crashing, likewise where no sound requests come. And once all engines had crashed at once and came back, a preamble that is rarer than others was refused as soon as the others were answered.

Cause: the second rule for blame took the time since the last crash for the time in which a sound part would have been answered. While crashes go on, that never passes; while the service is down, it passes without a chance to be answered.

Change: the model must have answered other prompts at twenty checks, two seconds of a service that works; or five crashes came one after the other. Checks run only while a part has enough crashes. First leads and entries of a mesh repeat what is refused each 1.5 s, in place of all leads each second.

The failures of virtual engines are a type of their own now.

--- a/src/main/java/org/yuccagw/core/suspect/AllMembers.java
+++ b/src/main/java/org/yuccagw/core/suspect/AllMembers.java
@@ -37,7 +37,7 @@
     }
 
     @Override
-    public boolean isDeciding() {
+    public boolean isReminding() {
         return true;
     }
 
--- a/src/main/java/org/yuccagw/core/suspect/CrashRecords.java
+++ b/src/main/java/org/yuccagw/core/suspect/CrashRecords.java
@@ -1,7 +1,7 @@
 package org.yuccagw.core.suspect;
 
 import java.time.Duration;
-import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,8 +18,9 @@
  * <ol>
  *   <li>{@link #MIN_CRASHES_IN_SERIES} endpoints crashed with it one after the other, and no other part was there each
  *       time. Parts that were only beside it are explained by it.
- *   <li>{@link #MIN_CRASHES} endpoints crashed with it, at the same time or not, and the model has answered other
- *       prompts since, but none with this part for {@link #MIN_TIME_UNANSWERED_ALONE}.
+ *   <li>Other parts were there each time too, but none more often. Then it takes {@link #MIN_CRASHES_IN_LONG_SERIES}
+ *       crashes one after the other, or {@link #MIN_CRASHES} at any times while the model answers other prompts at
+ *       {@link #MIN_CHECKS_WITH_OTHER_ANSWERS} checks.
  * </ol>
  *
  * <p>Example: engine 1 crashes while it reads [preamble, notebook 1, bad, own 1] and [preamble, notebook 2, own 2].
@@ -29,13 +30,20 @@
  */
 final class CrashRecords {
     static final int MIN_CRASHES_IN_SERIES = 3;
+    static final int MIN_CRASHES_IN_LONG_SERIES = 5;
     static final int MIN_CRASHES = 4;
 
+    /** Interval at which {@link #blamed} is to be called while {@link #mayBlame} holds. */
+    static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
+
+    /** Two seconds in which a prompt with a sound part would have been answered. */
+    static final int MIN_CHECKS_WITH_OTHER_ANSWERS = 20;
+
     /** Sound parts of prompts that come often are answered within this time. */
     static final Duration MIN_TIME_UNANSWERED = Duration.ofSeconds(1);
 
-    /** For a part with which crashes came at the same time, so that they may have another cause. */
-    static final Duration MIN_TIME_UNANSWERED_ALONE = Duration.ofSeconds(2);
+    /** For a part that another one explains as well. */
+    static final Duration MIN_LONG_TIME_UNANSWERED = Duration.ofSeconds(2);
 
     /** One crash is enough to blame a part again that was refused before. */
     private static final int MIN_CRASHES_AGAIN = 1;
@@ -43,9 +51,6 @@
     /** By then the other entries have reported what they lost with the same endpoint. */
     private static final Duration REPORTS_DELAY = Duration.ofMillis(100);
 
-    /** By then an entry that was slow has reported the answers from before the crash. */
-    private static final Duration ANSWERS_DELAY = Duration.ofSeconds(1);
-
     private static final Duration RETENTION = Duration.ofMinutes(10);
 
     /** Callers choose the ids of parts, so their number needs a bound. */
@@ -55,7 +60,7 @@
 
     private final LinkedHashMap<SuspectPart, PartRecord> records = new LinkedHashMap<>();
     private final LinkedHashMap<EndpointIncarnation, Long> reportedNanos = new LinkedHashMap<>();
-    private final Map<String, Long> lastAnswerNanosByModel = new HashMap<>();
+    private final Set<String> answeredModels = new HashSet<>();
 
     void add(EndpointIncarnation endpoint, LostAttempt attempt, long nowNanos) {
         long sentNanos = nowNanos - attempt.sentAge().toNanos();
@@ -89,8 +94,9 @@
         return records.containsKey(part);
     }
 
-    void recordAnswer(String model, long nowNanos) {
-        lastAnswerNanosByModel.put(model, nowNanos);
+    /** Records that the model has answered a prompt. */
+    void recordAnswer(String model) {
+        answeredModels.add(model);
     }
 
     /** Removes the record of a part. */
@@ -110,39 +116,56 @@
     }
 
     /**
-     * Returns the parts that are blamed.
+     * Returns whether a part that isn't refused has enough crashes to be blamed.
+     *
+     * @param refused the parts that are refused, and those that were before
+     */
+    boolean mayBlame(RefusedParts refused) {
+        return records.entrySet().stream()
+                .filter(each -> !refused.contains(each.getKey()))
+                .anyMatch(each -> each.getValue().crashes() >= minSeries(each.getKey(), refused));
+    }
+
+    private static int minSeries(SuspectPart part, RefusedParts refused) {
+        return refused.wasRefused(part) ? MIN_CRASHES_AGAIN : MIN_CRASHES_IN_SERIES;
+    }
+
+    /**
+     * Returns the parts that are blamed and aren't refused.
      *
-     * @param refusedBefore the parts that were refused before and aren't any more
+     * @param refused the parts that are refused, and those that were before
      */
-    List<SuspectPart> blamed(Set<SuspectPart> refusedBefore, long nowNanos) {
+    List<SuspectPart> blamed(RefusedParts refused, long nowNanos) {
+        records.forEach((part, record) -> {
+            if (answeredModels.contains(part.model())) {
+                record.recordOtherAnswers();
+            }
+        });
+        answeredModels.clear();
         return records.keySet().stream()
-                .filter(part -> isBlamed(part, refusedBefore.contains(part), nowNanos))
+                .filter(part -> !refused.contains(part))
+                .filter(part -> isBlamed(part, minSeries(part, refused), nowNanos))
                 .toList();
     }
 
-    private boolean isBlamed(SuspectPart part, boolean refusedBefore, long nowNanos) {
+    private boolean isBlamed(SuspectPart part, int minSeries, long nowNanos) {
         PartRecord record = records.get(part);
-        int minSeries = refusedBefore ? MIN_CRASHES_AGAIN : MIN_CRASHES_IN_SERIES;
         long unansweredNanos = nowNanos - record.firstCrashNanos();
         if (record.crashes() < minSeries || unansweredNanos < MIN_TIME_UNANSWERED.toNanos()) {
             return false;
         }
-        long reportedUntilNanos = nowNanos - REPORTS_DELAY.toNanos();
-        if (record.crashesInSeries(reportedUntilNanos) >= minSeries && !isExplained(part, record, nowNanos, true)) {
+        int series = record.crashesInSeries(nowNanos - REPORTS_DELAY.toNanos());
+        if (series >= minSeries && !isExplained(part, record, nowNanos, true)) {
             return true;
         }
-        return record.crashes() >= MIN_CRASHES
-                && unansweredNanos >= MIN_TIME_UNANSWERED_ALONE.toNanos()
-                && isModelAnswered(part.model(), record)
+        boolean inLongSeries = series >= MIN_CRASHES_IN_LONG_SERIES;
+        boolean amongOtherAnswers =
+                record.crashes() >= MIN_CRASHES && record.checksWithOtherAnswers() >= MIN_CHECKS_WITH_OTHER_ANSWERS;
+        return unansweredNanos >= MIN_LONG_TIME_UNANSWERED.toNanos()
+                && (inLongSeries || amongOtherAnswers)
                 && !isExplained(part, record, nowNanos, false);
     }
 
-    /** Returns whether other prompts for the model were answered after the crashes, so that the service works. */
-    private boolean isModelAnswered(String model, PartRecord record) {
-        Long lastAnswerNanos = lastAnswerNanosByModel.get(model);
-        return lastAnswerNanos != null && lastAnswerNanos - record.lastCrashNanos() >= ANSWERS_DELAY.toNanos();
-    }
-
     /**
      * Returns whether another part was there each time and may be the cause.
      *
--- a/src/main/java/org/yuccagw/core/suspect/PartRecord.java
+++ b/src/main/java/org/yuccagw/core/suspect/PartRecord.java
@@ -12,6 +12,7 @@
     private static final int MAX_ENDPOINTS = 24;
 
     private final Map<EndpointIncarnation, Crash> crashByEndpoint = new LinkedHashMap<>();
+    private int checksWithOtherAnswers;
 
     /**
      * The crash of one endpoint, in nanoseconds of the monotonic clock.
@@ -47,6 +48,16 @@
                 .orElseThrow();
     }
 
+    /** Records that the model has answered other prompts since the check before. */
+    void recordOtherAnswers() {
+        checksWithOtherAnswers++;
+    }
+
+    /** Returns at how many checks the model had answered other prompts but none with this part. */
+    int checksWithOtherAnswers() {
+        return checksWithOtherAnswers;
+    }
+
     int crashes() {
         return crashByEndpoint.size();
     }
--- a/src/main/java/org/yuccagw/core/suspect/RefusedParts.java
+++ b/src/main/java/org/yuccagw/core/suspect/RefusedParts.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * The parts whose prompts are refused.
@@ -81,9 +80,9 @@
         return refusals.remove(part) != null;
     }
 
-    /** Returns the parts that were refused until their refusal lapsed. */
-    Set<SuspectPart> lapsed() {
-        return lapsedNanos.keySet();
+    /** Returns whether a part was refused until its refusal lapsed. */
+    boolean wasRefused(SuspectPart part) {
+        return lapsedNanos.containsKey(part);
     }
 
     void expire(long nowNanos) {
--- a/src/main/java/org/yuccagw/core/suspect/SuspectPartsComponent.java
+++ b/src/main/java/org/yuccagw/core/suspect/SuspectPartsComponent.java
@@ -28,23 +28,23 @@
  * <p>Invariant: an answer clears a part at every entry, also one that is refused already.
  */
 public final class SuspectPartsComponent implements ControlComponent {
-    private static final Duration CHECK_INTERVAL = Duration.ofMillis(100);
     private static final Duration CLEAR_INTERVAL = Duration.ofMillis(100);
 
     /** An entry that can be reached again after a cut must know the refused parts within three seconds. */
-    private static final Duration REMINDER_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration REMINDER_INTERVAL = Duration.ofMillis(1_500);
 
     private final Fleet fleet;
     private final CrashRecords records = new CrashRecords();
     private final RefusedParts refused = new RefusedParts();
     private final Set<SuspectPart> cleared = new LinkedHashSet<>();
     private boolean clearedRefused;
+    private boolean checkScheduled;
     private ControlContext context;
 
     /** The other entries. */
     public interface Fleet {
-        /** Returns whether this entry decides on prompts for others, or all entries decide on their own. */
-        boolean isDeciding();
+        /** Returns whether this entry repeats to others what is refused. At least one entry does for each other one. */
+        boolean isReminding();
 
         /** Sends to all other entries that decide on prompts. */
         void sendToDeciding(PeerMessage message);
@@ -125,7 +125,7 @@
             return;
         }
         for (SuspectPart part : parts.get()) {
-            records.recordAnswer(part.model(), context.nowNanos());
+            records.recordAnswer(part.model());
             if (refused.contains(part) || records.has(part)) {
                 tellCleared(part);
                 clear(part);
@@ -146,21 +146,21 @@
     // Crashes
 
     private void addCrash(EndpointIncarnation endpoint, List<LostAttempt> attempts) {
-        boolean wasEmpty = records.isEmpty();
         attempts.forEach(attempt -> records.add(endpoint, attempt, context.nowNanos()));
-        if (wasEmpty && !records.isEmpty()) {
-            context.after(CHECK_INTERVAL, this::check);
+        scheduleCheck();
+    }
+
+    private void scheduleCheck() {
+        if (!checkScheduled && records.mayBlame(refused)) {
+            checkScheduled = true;
+            context.after(CrashRecords.CHECK_INTERVAL, this::check);
         }
     }
 
     private void check() {
-        records.expire(context.nowNanos());
-        for (SuspectPart part : records.blamed(refused.lapsed(), context.nowNanos())) {
-            blame(part);
-        }
-        if (!records.isEmpty()) {
-            context.after(CHECK_INTERVAL, this::check);
-        }
+        checkScheduled = false;
+        records.blamed(refused, context.nowNanos()).forEach(this::blame);
+        scheduleCheck();
     }
 
     private void blame(SuspectPart part) {
@@ -184,8 +184,9 @@
 
     private void remind() {
         context.after(REMINDER_INTERVAL, this::remind);
+        records.expire(context.nowNanos());
         refused.expire(context.nowNanos());
-        if (!refused.isEmpty() && fleet.isDeciding()) {
+        if (!refused.isEmpty() && fleet.isReminding()) {
             fleet.sendToAll(new SuspectMessage.PartsRefused(refused.all(context.nowNanos())));
         }
     }
--- a/src/main/java/org/yuccagw/daemon/GatewayComponents.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayComponents.java
@@ -289,8 +289,8 @@
     /** The entries that exchange which parts of prompts make endpoints crash: those that place requests. */
     private final class SuspectFleet implements SuspectPartsComponent.Fleet {
         @Override
-        public boolean isDeciding() {
-            return peers.topology().isMeshed() || peers.topology().allLeads().contains(self);
+        public boolean isReminding() {
+            return peers.topology().isMeshed() || peers.topology().isFirstLead();
         }
 
         @Override
@@ -301,7 +301,7 @@
         @Override
         public void sendToAll(PeerMessage message) {
             peers.messenger().sendToAllLeads(message);
-            if (isDeciding()) {
+            if (peers.topology().allLeads().contains(self)) {
                 peers.messenger().sendToFollowers(message);
             }
         }
--- a/src/test/java/org/yuccagw/daemon/CrashingPartFleet.java
+++ b/src/test/java/org/yuccagw/daemon/CrashingPartFleet.java
@@ -34,7 +34,8 @@
     private final List<Long> crashNanos = new ArrayList<>();
     private final SplittableRandom random;
     private String crashingPath = VirtualCallers.RESUMABLE;
-    private PausingEndpoint.Reaction crash = PausingEndpoint.Reaction.CRASH;
+    private PausingEndpoint.Failure crash = PausingEndpoint.Failure.CRASH;
+    private PromptPart crashingFirst = FIRST;
     private boolean unframed;
     private int nextEngine = ENGINES;
 
@@ -51,7 +52,7 @@
     /** Lets answers have neither a length nor chunks, and engines fail after the first event of one. */
     void sendUnframedAnswers() {
         unframed = true;
-        crash = PausingEndpoint.Reaction.CRASH_AFTER_EVENT;
+        crash = PausingEndpoint.Failure.CRASH_AFTER_EVENT;
         callers.engines.forEach(PausingEndpoint::sendUnframedAnswers);
     }
 
@@ -84,14 +85,23 @@
 
     /** Sends sound requests for the given time, one in each interval; they share parts with those that crash. */
     void sendSound(Duration time, Duration interval) {
-        repeat(time, interval, () -> sound.add(begin(VirtualCallers.RESUMABLE, ImmutableList.of(FIRST, notebook()))));
+        sendSound(time, interval, FIRST);
+    }
+
+    void sendSound(Duration time, Duration interval, PromptPart first) {
+        repeat(time, interval, () -> sound.add(begin(VirtualCallers.RESUMABLE, ImmutableList.of(first, notebook()))));
+    }
+
+    /** Lets the requests that make engines fail begin with this part, which no sound one has. */
+    void setCrashingFirst(PromptPart first) {
+        crashingFirst = first;
     }
 
     /** Sends requests with the crashing part for the given time, one in each interval, no two of them equal. */
     void sendCrashing(Duration time, Duration interval) {
         repeat(time, interval, () -> {
-            VirtualCaller caller = callers.caller(crashingPath, ImmutableList.of(FIRST, notebook(), CRASHING));
-            caller.setReactionToAll(crash);
+            VirtualCaller caller = callers.caller(crashingPath, ImmutableList.of(crashingFirst, notebook(), CRASHING));
+            caller.failAll(crash);
             crashing.add(caller);
             caller.begin();
         });
@@ -118,9 +128,12 @@
         callers.runFor(duration);
     }
 
+    List<PausingEndpoint> runningEngines() {
+        return callers.engines.stream().filter(engine -> !engine.isDead()).toList();
+    }
+
     PausingEndpoint randomEngine() {
-        List<PausingEndpoint> running =
-                callers.engines.stream().filter(engine -> !engine.isDead()).toList();
+        List<PausingEndpoint> running = runningEngines();
         return running.get(random.nextInt(running.size()));
     }
 
--- a/src/test/java/org/yuccagw/daemon/CrashingPartTest.java
+++ b/src/test/java/org/yuccagw/daemon/CrashingPartTest.java
@@ -4,10 +4,12 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.testng.Reporter;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
-import org.yuccagw.daemon.PausingEndpoint.Reaction;
+import org.yuccagw.core.prompt.PromptPart;
+import org.yuccagw.daemon.PausingEndpoint.Failure;
 
 /** Guards against one part of prompts that makes one engine after the other fail, and against blaming sound parts. */
 public class CrashingPartTest {
@@ -89,6 +91,25 @@
         assertKept(fleet);
     }
 
+    @Test(dataProvider = "meshAndLeads")
+    public void suchRequestsThatShareTwoPartsOfTheirOwnAreRefusedToo(int entries, long seed) {
+        CrashingPartFleet fleet = CrashingPartFleet.start(entries, seed + 360);
+        fleet.setCrashingFirst(new PromptPart("companion", 200));
+        sendBoth(fleet, CRASHING_INTERVAL);
+        fleet.runFor(TRAFFIC_TIME.plus(END_TIME));
+        assertKept(fleet);
+    }
+
+    @Test(dataProvider = "meshAndLeads")
+    public void suchRequestsAreRefusedWhereThereAreNoSoundOnes(int entries, long seed) {
+        CrashingPartFleet fleet = CrashingPartFleet.start(entries, seed + 370);
+        fleet.sendCrashing(TRAFFIC_TIME, CRASHING_INTERVAL);
+        fleet.runFor(TRAFFIC_TIME.plus(END_TIME));
+        assertTrue(fleet.crashes() > 0);
+        assertTrue(
+                fleet.arrivalsAfterCountedCrash() <= MAX_LATER_ARRIVALS, fleet.arrivalsAfterCountedCrash() + " more");
+    }
+
     @Test(dataProvider = "sizes")
     public void thePartStaysRefusedWhileEntriesRestart(int entries, long seed) {
         CrashingPartFleet fleet = CrashingPartFleet.start(entries, seed + 400);
@@ -138,13 +159,27 @@
         assertEquals(fleet.soundRefusedAsSuspect(), 0);
     }
 
+    // Guards against a part that is rarer than others being blamed when a service answers again after a failure of all.
+    @Test(dataProvider = "meshAndLeads")
+    public void allEnginesThatCrashAtOnceHaveNoRequestRefused(int entries, long seed) {
+        CrashingPartFleet fleet = CrashingPartFleet.start(entries, seed + 750);
+        fleet.sendSound(TRAFFIC_TIME, SOUND_INTERVAL);
+        fleet.sendSound(TRAFFIC_TIME, SOUND_INTERVAL.multipliedBy(8), new PromptPart("rare", 200));
+        fleet.repeat(
+                TRAFFIC_TIME,
+                Duration.ofSeconds(9),
+                () -> fleet.runningEngines().forEach(PausingEndpoint::kill));
+        fleet.runFor(TRAFFIC_TIME.plus(END_TIME));
+        assertEquals(fleet.soundRefusedAsSuspect(), 0);
+    }
+
     @Test(dataProvider = "meshAndLeads")
     public void connectionsThatBreakHaveNoRequestRefusedWhileTheirEnginesRun(int entries, long seed) {
         CrashingPartFleet fleet = CrashingPartFleet.start(entries, seed + 800);
-        fleet.callers.engines.forEach(engine -> engine.setReaction(Reaction.RESET));
+        fleet.callers.engines.forEach(engine -> engine.setFailure(Optional.of(Failure.RESET)));
         fleet.sendSound(Duration.ofSeconds(2), SOUND_INTERVAL);
         fleet.runFor(Duration.ofSeconds(2));
-        fleet.callers.engines.forEach(engine -> engine.setReaction(Reaction.ANSWER));
+        fleet.callers.engines.forEach(engine -> engine.setFailure(Optional.empty()));
         fleet.sendSound(TRAFFIC_TIME, SOUND_INTERVAL);
         long sinceNanos = fleet.now();
         fleet.runFor(TRAFFIC_TIME.plus(END_TIME));
--- a/src/test/java/org/yuccagw/daemon/PausingEndpoint.java
+++ b/src/test/java/org/yuccagw/daemon/PausingEndpoint.java
@@ -7,6 +7,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.yuccagw.bench.control.VirtualTime;
 import org.yuccagw.core.port.BodyEnd;
 
@@ -38,6 +39,7 @@
     private boolean dead;
     private Reaction reaction = Reaction.ANSWER;
     private Runnable killListener = () -> {};
+    private Optional<Failure> failure = Optional.empty();
     private boolean unframed;
 
     PausingEndpoint(VirtualTime time, String id) {
@@ -65,12 +67,16 @@
         /** No connection is established. */
         UNREACHABLE,
         /** It runs the request, and the connection never carries a byte of the answer. */
-        SILENT,
+        SILENT
+    }
+
+    /** How an endpoint fails in place of answering a request. */
+    enum Failure {
         /** Its process fails when it begins the answer. */
         CRASH,
         /** Its process fails after the first event of the answer. */
         CRASH_AFTER_EVENT,
-        /** It runs the request and resets the connection in place of the answer, while its process continues. */
+        /** It resets the connection, while its process continues. */
         RESET
     }
 
@@ -117,6 +123,11 @@
         reaction = further;
     }
 
+    /** Sets how the endpoint fails at further requests; empty if it answers them. */
+    void setFailure(Optional<Failure> further) {
+        failure = further;
+    }
+
     Reaction reaction() {
         return reaction;
     }
@@ -158,6 +169,7 @@
         private final int events;
         private final Reaction ofRequest;
         private final AnswerListener listener;
+        private Optional<Failure> ownFailure = failure;
         private int nextEvent;
         private boolean headSent;
         private boolean insideEvent;
@@ -187,6 +199,11 @@
             eventsUntilSilence = eventCount;
         }
 
+        /** Lets the endpoint fail at this request. */
+        void failWith(Failure ofThis) {
+            ownFailure = Optional.of(ofThis);
+        }
+
         /** Closes the connection, which the endpoint notices at once. */
         void abandon() {
             abandoned = true;
@@ -273,14 +290,14 @@
             }
             if (ofRequest == Reaction.REJECT || isFault()) {
                 sendError();
-            } else if (ofRequest == Reaction.CRASH) {
+            } else if (ownFailure.equals(Optional.of(Failure.CRASH))) {
                 kill();
-            } else if (ofRequest == Reaction.RESET) {
+            } else if (ownFailure.equals(Optional.of(Failure.RESET))) {
                 finish();
                 reportBroken();
             } else if (!headSent) {
                 sendHead();
-            } else if (ofRequest == Reaction.CRASH_AFTER_EVENT && nextEvent > 0 && !insideEvent) {
+            } else if (ownFailure.equals(Optional.of(Failure.CRASH_AFTER_EVENT)) && nextEvent > 0 && !insideEvent) {
                 kill();
             } else if (nextEvent >= events) {
                 sendEnd();
--- a/src/test/java/org/yuccagw/daemon/VirtualCaller.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualCaller.java
@@ -62,7 +62,7 @@
     private final List<String> trace = new ArrayList<>();
     private final List<String> violations = new ArrayList<>();
     private final Map<Long, PausingEndpoint.Reaction> reactions = new LinkedHashMap<>();
-    private Optional<PausingEndpoint.Reaction> reactionToAll = Optional.empty();
+    private Optional<PausingEndpoint.Failure> failure = Optional.empty();
     private OptionalInt silentBeforeEvent = OptionalInt.empty();
     private boolean faultForwarded;
     private boolean refusedAsSuspect;
@@ -123,9 +123,9 @@
         }
     }
 
-    /** Sets how endpoints react to each send of the request, in place of their own reactions. */
-    void setReactionToAll(PausingEndpoint.Reaction ofAllSends) {
-        reactionToAll = Optional.of(ofAllSends);
+    /** Lets each endpoint fail that the request is sent to. */
+    void failAll(PausingEndpoint.Failure ofAllSends) {
+        failure = Optional.of(ofAllSends);
     }
 
     /** Returns the endpoint to which the request was sent first. */
@@ -330,9 +330,8 @@
         Leg sent = new Leg(leg, placed);
         legs.put(leg, sent);
         PausingEndpoint endpoint = endpoints.get(id);
-        PausingEndpoint.Reaction reaction =
-                reactionToAll.orElseGet(() -> reactions.getOrDefault(leg, endpoint.reaction()));
-        sent.run = endpoint.send(afterEvent, events, reaction, sent);
+        sent.run = endpoint.send(afterEvent, events, reactions.getOrDefault(leg, endpoint.reaction()), sent);
+        failure.ifPresent(sent.run::failWith);
         if (leg == 1) {
             silentBeforeEvent.ifPresent(sent.run::fallSilentBefore);
         }
