--- a/src/main/java/org/yuccagw/adapters/caller/CallerRun.java
+++ b/src/main/java/org/yuccagw/adapters/caller/CallerRun.java
@@ -12,12 +12,9 @@
 import java.util.function.Consumer;
 import org.xnio.XnioIoThread;
 import org.yuccagw.adapters.engine.CompletionBody;
-import org.yuccagw.adapters.engine.PlainRequest;
 import org.yuccagw.core.admission.AdmissionRequested;
 import org.yuccagw.core.cache.BlockChain;
 import org.yuccagw.core.cache.BlockKey;
-import org.yuccagw.core.catalogue.RequestClass;
-import org.yuccagw.core.catalogue.Service;
 import org.yuccagw.core.catalogue.Workspace;
 import org.yuccagw.core.claim.ClaimDecision;
 import org.yuccagw.core.claim.ClaimLookupRequested;
@@ -42,7 +39,6 @@
 import org.yuccagw.core.routing.AttemptReport;
 import org.yuccagw.core.routing.ImportPlan;
 import org.yuccagw.core.routing.RouteRequested;
-import org.yuccagw.core.suspect.SuspectPart;
 
 /**
  * Executes the effects of the request machine on the I/O thread of the caller's exchange: queries to the control core,
@@ -60,7 +56,7 @@
     private final CallerServices services;
     private final XnioIoThread thread;
     private final RequestProfile profile;
-    private final Target target;
+    private final CallTarget target;
     private final RequestSpans spans;
     private final String authorization;
     private final RequestMachine machine;
@@ -73,38 +69,11 @@
     private long pieces;
     private long stepBytes;
 
-    /**
-     * The target of the request.
-     *
-     * @param completionBody present for a model service
-     * @param plainRequest present for a plain service
-     */
-    record Target(
-            Workspace workspace,
-            Service service,
-            RequestClass requestClass,
-            Optional<CompletionBody> completionBody,
-            Optional<PlainRequest> plainRequest) {
-        String salt(String version) {
-            String adapter = service.model().map(Service.ModelSettings::adapter).orElse("");
-            return BlockChain.salt(workspace.cacheSecret(), service.name().value(), version, adapter);
-        }
-
-        /** Returns the parts of the prompt that other prompts may share; none for a plain service. */
-        ImmutableSet<SuspectPart> sharedParts() {
-            return completionBody.map(CompletionBody::sharedParts).orElse(ImmutableSet.of());
-        }
-
-        String catalogueVersion() {
-            return service.model().map(settings -> settings.version().value()).orElse("");
-        }
-    }
-
     private CallerRun(
             CallerServices services,
             XnioIoThread thread,
             RequestProfile profile,
-            Target target,
+            CallTarget target,
             Span span,
             String authorization) {
         this.authorization = authorization;
@@ -126,7 +95,7 @@
             CallerServices services,
             XnioIoThread thread,
             RequestProfile profile,
-            Target target,
+            CallTarget target,
             Span span,
             String authorization) {
         return new CallerRun(services, thread, profile, target, span, authorization);
--- a/src/main/java/org/yuccagw/adapters/caller/CallerServer.java
+++ b/src/main/java/org/yuccagw/adapters/caller/CallerServer.java
@@ -252,7 +252,7 @@
         String path = exchange.getRequestPath();
         CompletionBody body = CompletionBody.read(bytes, path.equals(CHAT));
         Service service = modelService(catalogue, body.model());
-        CallerRun.Target target = new CallerRun.Target(
+        CallTarget target = new CallTarget(
                 workspace, service, classOf(catalogue, workspace, service), Optional.of(body), Optional.empty());
         RequestId request = RequestIds.next();
         RequestProfile profile = profile(exchange, catalogue, target, request, path, bytes, body.isStreamed());
@@ -280,7 +280,7 @@
         withBody(exchange, bytes -> {
             PlainRequest plainRequest = new PlainRequest(
                     exchange.getRequestMethod().toString(), servicePath + query, exchange.getRequestHeaders(), bytes);
-            CallerRun.Target target = new CallerRun.Target(
+            CallTarget target = new CallTarget(
                     workspace,
                     service,
                     classOf(catalogue, workspace, service),
@@ -299,7 +299,7 @@
     private void start(
             HttpServerExchange exchange,
             RequestProfile profile,
-            CallerRun.Target target,
+            CallTarget target,
             CallerAnswer.Form form,
             Optional<CompletionFormat> format,
             RunStarter starter) {
@@ -319,7 +319,7 @@
     private RequestProfile profile(
             HttpServerExchange exchange,
             Catalogue catalogue,
-            CallerRun.Target target,
+            CallTarget target,
             RequestId request,
             String path,
             byte[] body,
@@ -422,7 +422,7 @@
             throw ErrorKind.WRONG_RESUME_TOKEN.raise("belongs to another workspace");
         }
         Service service = modelService(catalogue, token.service().value());
-        CallerRun.Target target = new CallerRun.Target(
+        CallTarget target = new CallTarget(
                 workspace, service, classOf(catalogue, workspace, service), resumeRequest.body(), Optional.empty());
         RequestProfile.ResumePoint resumePoint = new RequestProfile.ResumePoint(
                 token.endpoint(),
--- a/src/main/java/org/yuccagw/adapters/caller/EndpointCalls.java
+++ b/src/main/java/org/yuccagw/adapters/caller/EndpointCalls.java
@@ -26,7 +26,7 @@
     private final EndpointClient client;
     private final XnioIoThread thread;
     private final RequestProfile profile;
-    private final CallerRun.Target target;
+    private final CallTarget target;
     private final RequestSpans spans;
     private final RequestMachine machine;
     private final Map<Long, OngoingCall> callsByLeg = new HashMap<>();
@@ -36,7 +36,7 @@
             EndpointClient client,
             XnioIoThread thread,
             RequestProfile profile,
-            CallerRun.Target target,
+            CallTarget target,
             RequestSpans spans,
             RequestMachine machine) {
         this.client = client;
@@ -56,7 +56,7 @@
             EndpointClient client,
             XnioIoThread thread,
             RequestProfile profile,
-            CallerRun.Target target,
+            CallTarget target,
             RequestSpans spans,
             RequestMachine machine) {
         return new EndpointCalls(client, thread, profile, target, spans, machine);
--- a/src/main/java/org/yuccagw/core/placing/PlacementClient.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementClient.java
@@ -102,26 +102,12 @@
     private final NoticesComponent notices;
     private final SuspectPartCheck suspectParts;
     private final Map<Long, DelegatedRequest> pending = new HashMap<>();
-    private final Map<Long, RemoteAttempt> remoteAttempts = new HashMap<>();
+    private final RemoteAttempts remoteAttempts = RemoteAttempts.create();
     private final Map<EntryId, Long> suspendedUntilNanos = new HashMap<>();
     private final Map<EndpointId, Long> unreachedUntilNanos = new HashMap<>();
     private ControlContext context;
     private long nextNumber;
 
-    /** An attempt that was placed by a lead. */
-    private static final class RemoteAttempt {
-        private final EntryId lead;
-        private final EndpointIncarnation endpoint;
-        private Work work;
-        private boolean countedLocally;
-
-        private RemoteAttempt(EntryId lead, EndpointIncarnation endpoint, Work work) {
-            this.lead = lead;
-            this.endpoint = endpoint;
-            this.work = work;
-        }
-    }
-
     private PlacementClient(
             Function<PlacementRequest, List<EntryId>> placers,
             Function<EndpointIncarnation, Optional<ListedEndpoint>> usable,
@@ -157,6 +143,7 @@
     @Override
     public void start(ControlContext controlContext) {
         context = controlContext;
+        remoteAttempts.start(controlContext);
         nextNumber = context.self().incarnation() * MAX_REQUESTS_PER_MILLISECOND;
     }
 
@@ -169,7 +156,7 @@
         } else if (event instanceof RivalDecision.Decided decided) {
             onDecidedLocally(decided);
         } else if (event instanceof AttemptBegun begun) {
-            onBegun(begun);
+            remoteAttempts.begin(begun);
         } else if (event instanceof AttemptEnded ended) {
             onEnded(ended);
         } else if (event instanceof PeersComponent.PeerLost lost) {
@@ -343,7 +330,7 @@
                     .ifPresent(delegated ->
                             onNothingFromLead(delegated, delegated.request(), message.number(), "undecided"));
         } else if (message instanceof PlacementMessage.Dropped dropped) {
-            onDropped(from, dropped);
+            remoteAttempts.drop(from, ticketOf(dropped.number()));
         }
     }
 
@@ -415,7 +402,7 @@
         }
         long ticket = ticketOf(placed.number());
         Work work = Work.ofOne(placed.tokens(), placed.unreadTokens());
-        remoteAttempts.put(ticket, new RemoteAttempt(from, placed.endpoint(), work));
+        remoteAttempts.add(ticket, from, placed.endpoint(), work);
         context.perform(logLine("placed-by-lead", delegated.get()).with("endpoint", placed.endpoint()));
         notices.recordRequest(placed.endpoint());
         reply(
@@ -449,35 +436,10 @@
 
     // Progress of attempts
 
-    private void onBegun(AttemptBegun begun) {
-        RemoteAttempt attempt = remoteAttempts.get(begun.ticket());
-        if (attempt == null) {
-            return;
-        }
-        Work previous = attempt.work;
-        attempt.work = previous.withoutUnreadTokens();
-        if (attempt.countedLocally) {
-            context.raise(new WorkTransferred(attempt.endpoint, attempt.work, previous));
-        } else {
-            context.send(attempt.lead, new PlacementMessage.Begun(-begun.ticket()));
-        }
-    }
-
     private void onEnded(AttemptEnded ended) {
-        RemoteAttempt attempt = remoteAttempts.remove(ended.ticket());
-        if (attempt == null) {
-            return;
-        }
-        if (ended.end() == AttemptEnded.End.UNREACHED) {
-            unreachedUntilNanos.put(attempt.endpoint.endpoint(), context.nowNanos() + UNREACHED_EXCLUSION.toNanos());
-        }
-        if (attempt.countedLocally) {
-            context.raise(new WorkTransferred(attempt.endpoint, Work.NONE, attempt.work));
-        } else {
-            context.send(
-                    attempt.lead,
-                    new PlacementMessage.Ended(
-                            -ended.ticket(), ended.end(), ended.version(), ended.pace(), ended.success()));
+        Optional<EndpointIncarnation> endpoint = remoteAttempts.end(ended);
+        if (endpoint.isPresent() && ended.end() == AttemptEnded.End.UNREACHED) {
+            unreachedUntilNanos.put(endpoint.get().endpoint(), context.nowNanos() + UNREACHED_EXCLUSION.toNanos());
         }
     }
 
@@ -495,22 +457,6 @@
                 .map(Map.Entry::getKey)
                 .toList();
         unanswered.forEach(number -> giveUpLostLead(pending.get(number), number));
-        remoteAttempts.values().stream()
-                .filter(attempt -> attempt.lead.equals(entry))
-                .forEach(this::countLocally);
-    }
-
-    private void onDropped(EntryId from, PlacementMessage.Dropped dropped) {
-        RemoteAttempt attempt = remoteAttempts.get(ticketOf(dropped.number()));
-        if (attempt != null && attempt.lead.equals(from)) {
-            countLocally(attempt);
-        }
-    }
-
-    private void countLocally(RemoteAttempt attempt) {
-        if (!attempt.countedLocally) {
-            attempt.countedLocally = true;
-            context.raise(new WorkTransferred(attempt.endpoint, attempt.work, Work.NONE));
-        }
+        remoteAttempts.countThoseOf(entry);
     }
 }
