Ignore refusals of a part that began before the part was cleared

What callers saw: nothing; by reading. An answer to a prompt with a refused part clears it at the entry that saw it. An entry that had not heard of that yet told the part again with its next reminder, the entry refused it once more, and both went on telling each other a part that somebody had cleared.

Change: an entry remembers what was cleared for as long as a refusal can last, and ignores a refusal that began before.

--- a/src/main/java/org/yuccagw/core/placing/CrashDetector.java
+++ b/src/main/java/org/yuccagw/core/placing/CrashDetector.java
@@ -54,6 +54,7 @@
 
     private final SuspectPartsComponent suspects;
     private final Map<EndpointIncarnation, List<Loss>> losses = new HashMap<>();
+
     /** When other entries reported that a connection to an endpoint broke. */
     private final Map<EndpointIncarnation, Long> brokenNanos = new HashMap<>();
 
--- a/src/main/java/org/yuccagw/core/suspect/RefusedParts.java
+++ b/src/main/java/org/yuccagw/core/suspect/RefusedParts.java
@@ -12,15 +12,19 @@
  * <p>A part is refused while prompts with it come, and for {@link #RETENTION} after the last one, but not for longer
  * than {@link #MAX_AGE}: the endpoints may have been mended meanwhile. After that, one more crash is enough to refuse
  * it again.
+ *
+ * <p>An entry that hasn't learned yet that a part was answered still tells others that it is refused. So a refusal that
+ * began before the answer is ignored.
  */
 final class RefusedParts {
     static final Duration RETENTION = Duration.ofMinutes(10);
     static final Duration MAX_AGE = Duration.ofMinutes(30);
 
-    private static final int MAX_PARTS = 256;
+    private static final int MAX_PARTS = 1_024;
 
     private final LinkedHashMap<SuspectPart, Refusal> refusals = new LinkedHashMap<>();
     private final LinkedHashMap<SuspectPart, Long> lapsedNanos = new LinkedHashMap<>();
+    private final LinkedHashMap<SuspectPart, Long> clearedNanos = new LinkedHashMap<>();
 
     private static final class Refusal {
         private final long beganNanos;
@@ -43,16 +47,22 @@
             present.lastUsedNanos = Math.max(present.lastUsedNanos, lastUsedNanos);
             return false;
         }
-        if (refused.age().compareTo(MAX_AGE) >= 0 || refused.idle().compareTo(RETENTION) >= 0) {
+        long beganNanos = nowNanos - refused.age().toNanos();
+        boolean isOver = refused.age().compareTo(MAX_AGE) >= 0 || refused.idle().compareTo(RETENTION) >= 0;
+        if (isOver || wasClearedSince(refused.part(), beganNanos)) {
             return false;
         }
         lapsedNanos.remove(refused.part());
-        long beganNanos = nowNanos - refused.age().toNanos();
         refusals.put(refused.part(), new Refusal(refused.crashes(), beganNanos, lastUsedNanos));
         removeOldest(refusals);
         return true;
     }
 
+    private boolean wasClearedSince(SuspectPart part, long beganNanos) {
+        Long cleared = clearedNanos.get(part);
+        return cleared != null && cleared - beganNanos >= 0;
+    }
+
     private static void removeOldest(Map<SuspectPart, ?> parts) {
         if (parts.size() > MAX_PARTS) {
             parts.remove(parts.keySet().iterator().next());
@@ -68,15 +78,18 @@
     }
 
     /** Returns the number of endpoints that crashed with a part if it is refused, and prolongs its refusal. */
-    Optional<Integer> use(SuspectPart part, long nowNanos) {
+    Optional<Integer> prolong(SuspectPart part, long nowNanos) {
         Optional<Refusal> refusal = Optional.ofNullable(refusals.get(part));
-        refusal.ifPresent(used -> used.lastUsedNanos = nowNanos);
-        return refusal.map(used -> used.crashes);
+        refusal.ifPresent(present -> present.lastUsedNanos = nowNanos);
+        return refusal.map(present -> present.crashes);
     }
 
-    /** Removes a part; returns whether it was refused. */
-    boolean remove(SuspectPart part) {
+    /** Removes a part, since a prompt with it was answered; returns whether it was refused. */
+    boolean clear(SuspectPart part, long nowNanos) {
         lapsedNanos.remove(part);
+        clearedNanos.remove(part);
+        clearedNanos.put(part, nowNanos);
+        removeOldest(clearedNanos);
         return refusals.remove(part) != null;
     }
 
@@ -94,6 +107,7 @@
         removeOldest(lapsedNanos);
         refusals.values().removeIf(refusal -> isOver(refusal, nowNanos));
         lapsedNanos.values().removeIf(lapsed -> nowNanos - lapsed > MAX_AGE.toNanos());
+        clearedNanos.values().removeIf(cleared -> nowNanos - cleared > MAX_AGE.toNanos());
     }
 
     private static boolean isOver(Refusal refusal, long nowNanos) {
--- a/src/main/java/org/yuccagw/core/suspect/SuspectPartsComponent.java
+++ b/src/main/java/org/yuccagw/core/suspect/SuspectPartsComponent.java
@@ -92,7 +92,7 @@
             return Optional.empty();
         }
         for (SuspectPart part : parts) {
-            Optional<Integer> crashes = refused.use(part, context.nowNanos());
+            Optional<Integer> crashes = refused.prolong(part, context.nowNanos());
             if (crashes.isPresent()) {
                 return Optional.of(new SuspectMessage.Refused(part, crashes.get(), Duration.ZERO, Duration.ZERO));
             }
@@ -195,7 +195,7 @@
 
     private void clear(SuspectPart part) {
         records.remove(part);
-        if (refused.remove(part)) {
+        if (refused.clear(part, context.nowNanos())) {
             context.perform(Decision.of("part-cleared").with("part", part));
         }
     }
