--- a/src/main/java/org/yuccagw/core/peers/PeersComponent.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersComponent.java
@@ -4,13 +4,9 @@
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.yuccagw.core.control.ControlComponent;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
@@ -73,9 +69,6 @@
     /** A lead declares an entry failed after three of these intervals and reports it 60 ms later. */
     static final Duration LEAD_HEARTBEAT_INTERVAL = Duration.ofMillis(500);
 
-    /** The second lead is the backup of the first one and exchanges messages only in every second round. */
-    private static final int SECOND_LEAD_PERIOD_ROUNDS = 2;
-
     /**
      * Interval of the failure checks of the first lead. Shorter than its heartbeat interval, since each caller that is
      * directed to a failed entry loses a second.
@@ -84,7 +77,6 @@
 
     private static final int MISSED_HEARTBEATS = 3;
     private static final int MISSED_MESH_HEARTBEATS = 4;
-    private static final int UNREACHED_PERIOD_ROUNDS = 3;
 
     /** By the end of this time, an entry that still sends no heartbeats has lost its connections or has stopped. */
     private static final Duration SILENCE_TOLERANCE = Duration.ofSeconds(3);
@@ -103,8 +95,6 @@
     private static final Duration ROSTER_TIME_TO_LIVE = FOLLOW_TIMEOUT.plus(LEAD_HEARTBEAT_INTERVAL.multipliedBy(3));
 
     private final LocalState localState;
-    private final List<NetworkAddress> seeds;
-    private final Map<EntryId, NetworkAddress> seedAddresses = new HashMap<>();
     private final PeerTable peers = new PeerTable(this::onContact, this::onChange);
     private final PeerRosters rosters = new PeerRosters();
     private final FleetTopology topology = new FleetTopology(this::createView);
@@ -113,6 +103,7 @@
     private final LeadSearch leadSearch = new LeadSearch(peers, rosterReceiver, FOLLOW_TIMEOUT);
     private final DigestSender digestSender;
     private final FleetMessenger messenger;
+    private final HeartbeatSender heartbeats;
     private ControlContext context;
     private FailureDomain ownDomain;
     private boolean leaving;
@@ -120,7 +111,6 @@
     private boolean everReady;
     private boolean pushScheduled;
     private boolean failureCheckScheduled;
-    private long round;
     private Optional<PeersSnapshot> snapshot = Optional.empty();
 
     /** Supplies the state of the other components of this entry for its own heartbeat. */
@@ -157,10 +147,10 @@
 
     private PeersComponent(LocalState localState, List<NetworkAddress> seeds) {
         this.localState = localState;
-        this.seeds = List.copyOf(seeds);
         this.digestSender = new DigestSender(
                 peers, rosters, topology::view, this::status, localState::confirmedNanos, FOLLOW_TIMEOUT);
         this.messenger = new FleetMessenger(topology, peers, digestSender::followers);
+        this.heartbeats = HeartbeatSender.of(topology, peers, leadSearch, this::status, this::invalidateViews, seeds);
     }
 
     /**
@@ -181,12 +171,8 @@
         rosterReceiver.start(startContext);
         leadSearch.start(startContext);
         digestSender.start(startContext);
+        heartbeats.start(startContext);
         ownDomain = context.self().domain();
-        for (NetworkAddress seed : seeds) {
-            if (!seed.equals(context.self().peerAddress())) {
-                seedAddresses.put(EntryId.of("seed " + seed), seed);
-            }
-        }
         sendHeartbeats();
     }
 
@@ -286,7 +272,7 @@
         if (snapshot.isEmpty()) {
             String reason = reason();
             ImmutableMap.Builder<EntryId, NetworkAddress> addresses = ImmutableMap.builder();
-            addresses.putAll(seedAddresses);
+            addresses.putAll(heartbeats.seedAddresses());
             peers.forEach((entry, peer) -> addresses.put(entry, peer.contact().peers()));
             snapshot = Optional.of(
                     new PeersSnapshot(topology.view().serving(), reason.isEmpty(), reason, addresses.buildOrThrow()));
@@ -300,7 +286,7 @@
     }
 
     private void onContact(EntryContact contact) {
-        seedAddresses.values().remove(contact.peers());
+        heartbeats.forgetSeed(contact.peers());
         invalidateViews();
     }
 
@@ -313,30 +299,26 @@
 
     private void sendHeartbeats() {
         context.after(interval(), this::sendHeartbeats);
-        round++;
+        heartbeats.beginRound();
         updateMode();
         peers.detectFailures().forEach(rosters::forgetSent);
         invalidateViews();
         updateReadiness();
         if (topology.isMeshed()) {
-            sendStatusToAll();
+            heartbeats.sendToAll();
         } else {
             digestSender.updateOwnRoster(ready);
-            sendStatusToLeads();
+            heartbeats.sendToLeads(hasNewsForAllLeads());
             sendDigestsInTurn();
             scheduleFailureCheck();
         }
-        sendStatusToSeeds();
+        heartbeats.sendToSeeds();
     }
 
     private Duration interval() {
         return topology.isMeshed() ? MESH_HEARTBEAT_INTERVAL : LEAD_HEARTBEAT_INTERVAL;
     }
 
-    private boolean isTurnOfSecondLead() {
-        return round % SECOND_LEAD_PERIOD_ROUNDS == 0;
-    }
-
     private void scheduleFailureCheck() {
         if (!topology.isFirstLead() || failureCheckScheduled) {
             return;
@@ -384,55 +366,20 @@
             peers.ids().forEach(entry -> context.send(entry, status));
         } else {
             digestSender.updateOwnRoster(ready);
-            sendStatusToLeads();
-            digestSender.send(false, wasLead || topology.isAmongLeads(), round);
-        }
-    }
-
-    private void sendStatusToAll() {
-        PeerStatus status = status();
-        peers.forEach((entry, peer) -> {
-            if (peer.isAlive() || round % UNREACHED_PERIOD_ROUNDS == 0) {
-                context.send(entry, status);
-            }
-        });
-    }
-
-    private void sendStatusToSeeds() {
-        if (round % UNREACHED_PERIOD_ROUNDS == 1 && !seedAddresses.isEmpty()) {
-            PeerStatus status = status();
-            seedAddresses.keySet().forEach(seed -> context.send(seed, status));
+            heartbeats.sendToLeads(hasNewsForAllLeads());
+            digestSender.send(false, wasLead || topology.isAmongLeads(), heartbeats.round());
         }
     }
 
-    /**
-     * Sends the heartbeat of an entry that isn't a lead; a lead sends digests instead. Endpoints that load weights and
-     * weights that engines run are also reported to all leads.
-     */
-    private void sendStatusToLeads() {
-        Set<EntryId> receivers = new LinkedHashSet<>();
-        if (!topology.isAmongLeads()) {
-            leadSearch.follow(topology.leadsOfOwnDomain());
-            invalidateViews();
-            topology.leadsOfOwnDomain().stream()
-                    .limit(isTurnOfSecondLead() ? LeadOrder.LEADS_PER_DOMAIN : 1)
-                    .forEach(receivers::add);
-            receivers.addAll(leadSearch.fallbackEntries());
-        } else if (round % UNREACHED_PERIOD_ROUNDS == 0) {
-            receivers.addAll(leadSearch.unheardEntries());
-        }
-        if (!localState.loading().isEmpty() || !localState.weights().isEmpty()) {
-            receivers.addAll(topology.allLeads());
-        }
-        receivers.remove(context.self().entry());
-        PeerStatus status = status();
-        receivers.forEach(entry -> context.send(entry, status));
+    /** Returns whether engines load weights, or are known to run some, which all leads need to know at once. */
+    private boolean hasNewsForAllLeads() {
+        return !localState.loading().isEmpty() || !localState.weights().isEmpty();
     }
 
     /** Sends the digests of this round: the first lead in each, other entries with followers in every second one. */
     private void sendDigestsInTurn() {
-        if (topology.isFirstLead() || isTurnOfSecondLead()) {
-            digestSender.send(false, topology.isAmongLeads(), round);
+        if (topology.isFirstLead() || heartbeats.isTurnOfSecondLead()) {
+            digestSender.send(false, topology.isAmongLeads(), heartbeats.round());
         }
     }
 
@@ -442,7 +389,7 @@
             context.after(ROSTER_PUSH_DELAY, () -> {
                 pushScheduled = false;
                 digestSender.updateOwnRoster(ready);
-                digestSender.send(true, topology.isAmongLeads(), round);
+                digestSender.send(true, topology.isAmongLeads(), heartbeats.round());
             });
         }
     }
