--- a/src/main/java/org/yuccagw/core/placing/SuspectPartCheck.java
+++ b/src/main/java/org/yuccagw/core/placing/SuspectPartCheck.java
@@ -18,6 +18,7 @@
         this.suspects = suspects;
     }
 
+    /** Creates the check of one entry. */
     public static SuspectPartCheck of(SuspectPartsComponent suspects) {
         return new SuspectPartCheck(suspects);
     }
--- a/src/main/java/org/yuccagw/core/suspect/AllMembers.java
+++ b/src/main/java/org/yuccagw/core/suspect/AllMembers.java
@@ -16,6 +16,7 @@
 
     private AllMembers() {}
 
+    /** Creates the fleet as one entry sees it, without other members at first. */
     public static AllMembers create() {
         return new AllMembers();
     }
--- a/src/main/java/org/yuccagw/core/suspect/SuspectPartsComponent.java
+++ b/src/main/java/org/yuccagw/core/suspect/SuspectPartsComponent.java
@@ -33,6 +33,11 @@
     /** An entry that can be reached again after a cut must know the refused parts within three seconds. */
     private static final Duration REMINDER_INTERVAL = Duration.ofMillis(1_500);
 
+    /** How this entry learned that a part is to be refused, for its log. */
+    private static final String FOUND = "crashes";
+
+    private static final String TOLD = "told";
+
     private final Fleet fleet;
     private final CrashRecords records = new CrashRecords();
     private final RefusedParts refused = new RefusedParts();
@@ -57,6 +62,7 @@
         this.fleet = fleet;
     }
 
+    /** Creates the component of one entry. */
     public static SuspectPartsComponent of(Fleet fleet) {
         return new SuspectPartsComponent(fleet);
     }
@@ -107,7 +113,7 @@
 
     /** Refuses parts that another entry refuses. */
     public void refuseAll(Iterable<SuspectMessage.Refused> parts) {
-        parts.forEach(part -> refuse(part, "told"));
+        parts.forEach(part -> refuse(part, TOLD));
     }
 
     /** Returns whether any part is refused. */
@@ -166,7 +172,7 @@
     private void blame(SuspectPart part) {
         SuspectMessage.Refused blamed =
                 new SuspectMessage.Refused(part, records.crashes(part), Duration.ZERO, Duration.ZERO);
-        if (refuse(blamed, "crashes")) {
+        if (refuse(blamed, FOUND)) {
             fleet.sendToAll(new SuspectMessage.PartsRefused(ImmutableList.of(blamed)));
         }
     }
