--- a/src/main/java/org/yuccagw/bench/control/InMemoryKeyValue.java
+++ b/src/main/java/org/yuccagw/bench/control/InMemoryKeyValue.java
@@ -19,7 +19,7 @@
 
 /**
  * The key-value service in memory, with the ways in which it fails: down, slow, cut off from one entry, answers lost
- * after the write took effect, watches that fall silent.
+ * after the write took effect, watches that fall silent, contents restored from an older copy.
  */
 public final class InMemoryKeyValue {
     private static final Duration CLIENT_TIMEOUT = Duration.ofSeconds(5);
@@ -48,9 +48,17 @@
         return new InMemoryKeyValue(time);
     }
 
-    private record Stored(byte[] value, long revision, Optional<LeaseHandle> lease) {}
+    record Stored(byte[] value, long revision, Optional<LeaseHandle> lease) {}
 
-    private record Lease(Duration timeToLive, long lapsesNanos) {}
+    record Lease(Duration timeToLive, long lapsesNanos) {}
+
+    /** The contents of the service at one moment, from which it can be restored. */
+    public record Copy(
+            Map<String, Stored> keys,
+            Map<String, Long> removals,
+            Map<Long, Lease> leases,
+            long revision,
+            long nextLease) {}
 
     private static final class Waiting {
         private final KeyValueCall.Watch watch;
@@ -84,6 +92,41 @@
         losesAnswer = calls;
     }
 
+    /** Copies the contents. */
+    public Copy copy() {
+        lapse();
+        return new Copy(new HashMap<>(keys), new HashMap<>(removals), new HashMap<>(leases), revision, nextLease);
+    }
+
+    /**
+     * Restores the contents from a copy: later writes are gone, and their revisions and lease numbers are granted
+     * again. Waiting watches are cut, and leases run from now on.
+     */
+    public void restore(Copy copy) {
+        keys.clear();
+        keys.putAll(copy.keys());
+        removals.clear();
+        removals.putAll(copy.removals());
+        leases.clear();
+        copy.leases()
+                .forEach((number, lease) -> leases.put(
+                        number,
+                        new Lease(
+                                lease.timeToLive(),
+                                time.nowNanos() + lease.timeToLive().toNanos())));
+        revision = copy.revision();
+        nextLease = copy.nextLease();
+        cutWatches();
+    }
+
+    private void cutWatches() {
+        for (Waiting waiting : List.copyOf(watches)) {
+            waiting.over = true;
+            watches.remove(waiting);
+            waiting.answer.accept(new KeyValueAnswer.Lost("the watch was cut"));
+        }
+    }
+
     public void cutOff(EntryId entry) {
         cutOff.add(entry);
     }
@@ -94,6 +137,10 @@
 
     // ---- What tests look at.
 
+    public long revision() {
+        return revision;
+    }
+
     /** Calls by kind, such as {@code Read}, since the start or the last {@link #forgetCalls}. */
     public Map<String, Long> callsByKind() {
         return callsByKind;
@@ -236,6 +283,10 @@
                     watch.maxWait().plus(WATCH_MARGIN), () -> answer.accept(new KeyValueAnswer.Lost("silent watch")));
             return;
         }
+        if (watch.afterRevision() > revision) {
+            answer.accept(new KeyValueAnswer.HistoryGone());
+            return;
+        }
         watches.add(waiting);
         time.after(watch.maxWait(), () -> {
             if (!waiting.over) {
