Order what the key-value service says by its era, and void its earlier leases

Cause: after the service had come back from an older copy, its revisions were granted again for other writes. Entries kept the highest revision that they had seen, so they took a removal with a number of before for seen, and watched from a number that the service didn't have. Class: a number that orders events is compared without the history that it belongs to.

Change: the era that the service states takes the high bits of every revision (KeyValueRevision); KeyValueEras, in the control core, keeps answers, watches, conditions and leases of eras apart for all components. In a later era a followed key keeps its state unless the service holds a value that its writer didn't write before (FollowedKeys, split off). Registrations are written again under a new lease; the holder of the duty stops, and nobody claims it until leases of the earlier era have expired. What other entries tell of an earlier era is ignored and confirms nothing.

The stand-in of the service can be copied and restored as well, and states its era.

--- a/src/main/java/org/yuccagw/core/control/ControlCore.java
+++ b/src/main/java/org/yuccagw/core/control/ControlCore.java
@@ -38,6 +38,8 @@
     private final PriorityQueue<ScheduledTask> timers = new PriorityQueue<>();
     private final Map<Long, Consumer<KeyValueAnswer>> continuations = new HashMap<>();
     private final ArrayDeque<ControlEvent> raised = new ArrayDeque<>();
+    private final KeyValueEras eras = KeyValueEras.of(
+            this::send, task -> context.after(Duration.ZERO, task), era -> raised.add(new KeyValueRestored(era)));
 
     private List<Effect> effects = new ArrayList<>();
     private ControlSnapshot snapshot = ControlSnapshot.empty();
@@ -160,6 +162,12 @@
         }
     }
 
+    private void send(KeyValueCall call, Consumer<KeyValueAnswer> continuation) {
+        long number = nextCall++;
+        continuations.put(number, continuation);
+        effects.add(new Effect.Call(number, call));
+    }
+
     private List<Effect> takeEffects() {
         List<Effect> current = effects;
         effects = new ArrayList<>();
@@ -189,9 +197,7 @@
 
         @Override
         public void call(KeyValueCall call, Consumer<KeyValueAnswer> continuation) {
-            long number = nextCall++;
-            continuations.put(number, continuation);
-            effects.add(new Effect.Call(number, call));
+            eras.submit(call, continuation);
         }
 
         @Override
--- a/src/main/java/org/yuccagw/core/duty/DutyComponent.java
+++ b/src/main/java/org/yuccagw/core/duty/DutyComponent.java
@@ -10,6 +10,7 @@
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.control.Decision;
+import org.yuccagw.core.control.KeyValueRestored;
 import org.yuccagw.core.follow.KeyValueRecord;
 import org.yuccagw.core.follow.KeyValueRecordCodec;
 import org.yuccagw.core.follow.KeyValueRecordRemoved;
@@ -27,7 +28,8 @@
  * Elects the entry that holds one duty: the holder owns one key, written by compare-and-swap under a lease.
  *
  * <p>While the key is absent, entries try to write it in an order given by a hash of their names, each a little after
- * the previous one, so that usually only one writes. The revision of the write is the holder's fencing number.
+ * the previous one, so that usually only one writes. The revision of the write is the holder's fencing number, which
+ * increases over restorations of the service as well (see {@link org.yuccagw.core.port.KeyValueRevision}).
  *
  * <p>Some endpoints ignore fencing numbers. For their sake the holder stops at the end of its own lease, counted from
  * before the renewal was sent, or as soon as it notices that its process was suspended. A new holder waits {@code
@@ -63,6 +65,8 @@
     private boolean stopping;
     private boolean cutOff;
     private long claimNanos;
+    private long era;
+    private long claimsAllowedFromNanos;
     private long fencingNumber;
     private long actionsAllowedFromNanos;
     private boolean attemptScheduled;
@@ -107,6 +111,7 @@
     @Override
     public void start(ControlContext startContext) {
         context = startContext;
+        claimsAllowedFromNanos = context.nowNanos();
         lease = LeaseRenewer.of(context, LEASE_TIMES, this::claim, () -> stepDown("lease lapsed"));
         context.after(CHECK_INTERVAL, this::check);
     }
@@ -125,6 +130,8 @@
                 stepDown("key removed");
             }
             scheduleAttempt();
+        } else if (event instanceof KeyValueRestored restored) {
+            onRestored(restored.era());
         } else if (event instanceof CutOffChanged changed) {
             cutOff = changed.cutOff();
             if (cutOff && (holding || claiming)) {
@@ -138,6 +145,21 @@
         }
     }
 
+    /**
+     * Ends this entry's claim, and makes it wait until any holder of an earlier era has stopped: a restored service may
+     * lack the holder's claim, while the holder still believes in its lease.
+     */
+    private void onRestored(long restoredEra) {
+        if (restoredEra <= era) {
+            return;
+        }
+        era = restoredEra;
+        claimsAllowedFromNanos = context.nowNanos() + LEASE_TIMES.timeToLive().toNanos();
+        if (holding || claiming) {
+            stepDown("the key-value service was restored");
+        }
+    }
+
     /** Returns whether this entry may act for the duty at this moment. */
     public boolean mayAct() {
         if (pauseDetector.suspendedSinceLastCheck(context.nowNanos(), context.wallMillis()) && (holding || claiming)) {
@@ -176,7 +198,7 @@
         context.after(FIRST_ATTEMPT_DELAY.plus(ATTEMPT_INTERVAL.multipliedBy(ownRank())), () -> {
             attemptScheduled = false;
             boolean stillVacant = holder.isEmpty() && !holding && !claiming && !stopping && !cutOff;
-            if (stillVacant) {
+            if (stillVacant && context.nowNanos() - claimsAllowedFromNanos >= 0) {
                 claiming = true;
                 claimNanos = context.nowNanos();
                 lease.acquire();
--- a/src/main/java/org/yuccagw/core/fleet/ListedEndpoint.java
+++ b/src/main/java/org/yuccagw/core/fleet/ListedEndpoint.java
@@ -18,6 +18,7 @@
  * @param leaving whether the endpoint takes no new work and terminates soon
  * @param coldMillis remaining time during which the endpoint is slow after its start, in milliseconds
  * @param weights weight version by model; empty for plain services
+ * @param heartbeats number of heartbeats that the endpoint had sent when it wrote the registration
  */
 public record ListedEndpoint(
         EndpointIncarnation incarnation,
@@ -28,7 +29,8 @@
         int slots,
         boolean leaving,
         long coldMillis,
-        ImmutableMap<String, Long> weights) {
+        ImmutableMap<String, Long> weights,
+        long heartbeats) {
 
     /** Returns the id of the endpoint, which may stay the same across restarts. */
     public EndpointId id() {
--- a/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
+++ b/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
@@ -3,23 +3,20 @@
 import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
-import java.util.Set;
-import java.util.TreeMap;
 import org.yuccagw.core.control.ControlComponent;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.control.ControlSnapshot;
 import org.yuccagw.core.control.Decision;
+import org.yuccagw.core.control.KeyValueRestored;
 import org.yuccagw.core.control.PeerReceived;
-import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.port.KeyValueAnswer;
 import org.yuccagw.core.port.KeyValueAnswer.Item;
 import org.yuccagw.core.port.KeyValueCall;
+import org.yuccagw.core.port.KeyValueRevision;
 
 /**
  * Maintains a copy of the followed keys and raises an event for each changed key, with its decoded record.
@@ -34,6 +31,8 @@
  *
  * <ul>
  *   <li>The revision of a key never decreases: a late answer or a slow peer can't undo a newer write or removal.
+ *   <li>After a restoration of the service from an older copy, a key keeps its state unless the service holds another
+ *       value that its writer didn't write before the known one.
  *   <li>A removal is treated as a lapsed lease, after which the key may be written again, only in the first answer
  *       after an outage; any later removal is reported by a working service.
  *   <li>{@link #revision} is raised only once everything up to it has been received, here or at the peer that reported
@@ -105,18 +104,16 @@
 
     private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(100);
     private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(500);
+    private static final Duration MAX_RELIST_DELAY = Duration.ofMillis(400);
     private static final Duration MIN_LAPSING_OUTAGE = Duration.ofMillis(800);
-    private static final Duration REMOVAL_RETENTION = Duration.ofSeconds(60);
-    private static final int MAX_RETAINED_REMOVALS = 2_000;
     private static final long NO_REVISION = 0;
 
     private final KeyValueRecordCodec codec;
     private final WatchRole watchRole;
-    private final TreeMap<String, KeyState> keys = new TreeMap<>();
+    private FollowedKeys keys;
     private ControlContext context;
     private long startedNanos;
     private long revision = NO_REVISION;
-    private long deletedRemovalRevision = NO_REVISION;
     private long confirmedNanos;
     private boolean everConfirmed;
     private long leadConfirmedNanos;
@@ -124,10 +121,11 @@
     private Duration retryDelay = MIN_RETRY_DELAY;
     private boolean unavailable;
     private long unavailableSinceNanos;
+    private long lastFailureNanos;
     private boolean lapsesPossible;
+    private boolean goneSinceLastWatch;
     private long recoveredNanos = Long.MIN_VALUE;
     private boolean peerRequestPending;
-    private int retainedRemovals;
 
     private KeyValueFollowComponent(KeyValueRecordCodec codec, WatchRole watchRole) {
         this.codec = codec;
@@ -179,9 +177,6 @@
         }
     }
 
-    /** The last write or the removal of a key, and when it was received. */
-    private record KeyState(Item item, long receivedNanos) {}
-
     /** Raised when another entry reported its revision. */
     public record PeerRevisionReported(EntryId entry, long revision) implements ControlEvent {}
 
@@ -196,6 +191,7 @@
     public void start(ControlContext startContext) {
         context = startContext;
         startedNanos = context.nowNanos();
+        keys = FollowedKeys.of(codec, context);
         list();
     }
 
@@ -237,6 +233,7 @@
         context.call(new KeyValueCall.ReadPrefix(codec.followedPrefix()), answer -> {
             if (answer instanceof KeyValueAnswer.Found found) {
                 onServiceAvailable();
+                lapsesPossible |= noticeRestoration(found.revision());
                 applyList(found.items(), found.revision(), lapsesPossible);
                 lapsesPossible = false;
                 confirm(sentNanos);
@@ -271,8 +268,7 @@
             if (answer instanceof KeyValueAnswer.Found found) {
                 onWatchAnswer(found, sentNanos, wait);
             } else if (answer instanceof KeyValueAnswer.HistoryGone) {
-                context.perform(Decision.of("history-gone").with("revision", revision));
-                list();
+                onHistoryGone();
             } else {
                 onServiceFailure("watch", answer);
                 context.after(nextRetryDelay(), this::watchOrRely);
@@ -280,6 +276,44 @@
         });
     }
 
+    /**
+     * Lists the keys again, after a random delay: the service discards its history for all entries at once. An entry to
+     * which another one has sent all keys of the present era meanwhile needs no list.
+     */
+    private void onHistoryGone() {
+        context.perform(Decision.of("history-gone")
+                .with("era", KeyValueRevision.era(revision))
+                .with("revision", KeyValueRevision.number(revision)));
+        long staleRevision = revision;
+        Duration delay = Duration.ofMillis(context.random().nextLong(MAX_RELIST_DELAY.toMillis()));
+        context.after(goneSinceLastWatch ? delay.plus(MAX_RELIST_DELAY) : delay, () -> {
+            if (KeyValueRevision.isOfEarlierEra(staleRevision, revision)) {
+                watchOrRely();
+            } else {
+                list();
+            }
+        });
+        goneSinceLastWatch = true;
+    }
+
+    /**
+     * Reports whether the service has been restored from an older copy since the keys here were received, and announces
+     * it to the other components.
+     */
+    private boolean noticeRestoration(long newRevision) {
+        if (revision == NO_REVISION || !KeyValueRevision.isOfEarlierEra(revision, newRevision)) {
+            return false;
+        }
+        recoveredNanos = context.nowNanos();
+        context.perform(Decision.of("key-value-service-restored")
+                .with("era", KeyValueRevision.era(newRevision))
+                .with("revision", KeyValueRevision.number(newRevision))
+                .with("before_era", KeyValueRevision.era(revision))
+                .with("before_revision", KeyValueRevision.number(revision)));
+        context.raise(new KeyValueRestored(KeyValueRevision.era(newRevision)));
+        return true;
+    }
+
     /** Returns the delay of the next watch; not extended before the first configuration, which serving requires. */
     private Duration coalescingDelay() {
         boolean starting = context.nowNanos() - startedNanos < STARTUP_PERIOD.toNanos() && watchRole.isServing();
@@ -295,6 +329,7 @@
 
     private void onWatchAnswer(KeyValueAnswer.Found found, long sentNanos, Duration wait) {
         onServiceAvailable();
+        goneSinceLastWatch = false;
         long previousRevision = revision;
         applyItems(found.items(), found.revision(), lapsesPossible);
         lapsesPossible = false;
@@ -310,6 +345,7 @@
     }
 
     private void onServiceFailure(String call, KeyValueAnswer answer) {
+        lastFailureNanos = context.nowNanos();
         if (!unavailable) {
             unavailable = true;
             unavailableSinceNanos = context.nowNanos();
@@ -330,7 +366,9 @@
         context.perform(Decision.of("dependency-regained")
                 .with("dependency", "key-value service")
                 .with("away_ms", unavailableNanos / 1_000_000));
-        if (unavailableNanos >= MIN_LAPSING_OUTAGE.toNanos()) {
+        // What happened in an outage that other entries have confirmed to be over is known from them.
+        boolean confirmedSince = everConfirmed && confirmedNanos - lastFailureNanos > 0;
+        if (unavailableNanos >= MIN_LAPSING_OUTAGE.toNanos() && !confirmedSince) {
             lapsesPossible = true;
             recoveredNanos = context.nowNanos();
         }
@@ -384,10 +422,18 @@
      * of the sender only if no changes in between are missing, as after the loss of a message.
      */
     private void applyChanges(EntryId from, FollowMessage.Changes changes) {
+        if (KeyValueRevision.isOfEarlierEra(changes.revision(), revision)) {
+            return;
+        }
         if (changes.whole()) {
+            noticeRestoration(changes.revision());
             applyList(changes.items(), changes.revision(), changes.afterOutage());
         } else {
-            changes.items().forEach(item -> apply(item, changes.afterOutage()));
+            if (KeyValueRevision.isOfEarlierEra(revision, changes.revision())) {
+                context.send(from, new FollowMessage.ChangesRequest(revision));
+                return;
+            }
+            keys.apply(changes.items(), arrival(changes.afterOutage()));
             if (changes.afterRevision() > revision) {
                 context.send(from, new FollowMessage.ChangesRequest(revision));
                 return;
@@ -401,7 +447,7 @@
     }
 
     private void onLeadConfirmation(long confirmedRevision, long asOfNanos) {
-        if (confirmedRevision > revision) {
+        if (confirmedRevision > revision || KeyValueRevision.isOfEarlierEra(confirmedRevision, revision)) {
             return;
         }
         confirm(asOfNanos);
@@ -412,15 +458,11 @@
     }
 
     private FollowMessage.Changes answerTo(FollowMessage.ChangesRequest request) {
-        boolean whole = request.afterRevision() < deletedRemovalRevision || request.afterRevision() == NO_REVISION;
-        ImmutableList.Builder<Item> items = ImmutableList.builder();
-        for (KeyState each : keys.values()) {
-            boolean included = whole ? !each.item().deleted() : each.item().revision() > request.afterRevision();
-            if (included) {
-                items.add(each.item());
-            }
-        }
-        return changesMessage(whole, request.afterRevision(), items.build());
+        boolean whole = request.afterRevision() == NO_REVISION
+                || !keys.retainRemovalsAfter(request.afterRevision())
+                || KeyValueRevision.isOfEarlierEra(request.afterRevision(), revision);
+        ImmutableList<Item> items = whole ? keys.present() : keys.changedAfter(request.afterRevision());
+        return changesMessage(whole, request.afterRevision(), items);
     }
 
     private FollowMessage.Changes changesMessage(boolean whole, long afterRevision, ImmutableList<Item> items) {
@@ -432,96 +474,24 @@
 
     // ---- Applying changes
 
-    /** Applies a list of all keys: a key that isn't in it counts as removed, unless a newer write of it is known. */
     private void applyList(List<Item> items, long listRevision, boolean afterOutage) {
-        Set<String> listed = new HashSet<>();
-        for (Item item : items) {
-            listed.add(item.key());
-            apply(item, afterOutage);
-        }
-        List<String> missing = new ArrayList<>();
-        for (KeyState each : keys.values()) {
-            boolean notNewer = each.item().revision() <= listRevision;
-            if (notNewer
-                    && !each.item().deleted()
-                    && !listed.contains(each.item().key())) {
-                missing.add(each.item().key());
-            }
-        }
-        missing.forEach(key -> apply(new Item(key, new byte[0], listRevision, true), afterOutage));
+        keys.applyList(items, listRevision, arrival(afterOutage));
         advanceTo(listRevision);
     }
 
     private void applyItems(List<Item> items, long newRevision, boolean afterOutage) {
-        items.forEach(item -> apply(item, afterOutage));
+        keys.apply(items, arrival(afterOutage));
         advanceTo(newRevision);
     }
 
     private void advanceTo(long newRevision) {
         revision = Math.max(revision, newRevision);
-        deleteOldRemovals();
-    }
-
-    private void apply(Item item, boolean afterOutage) {
-        KeyState known = keys.get(item.key());
-        boolean notNewer = known != null && known.item().revision() >= item.revision();
-        boolean alreadyRemoved =
-                item.deleted() && (known == null || known.item().deleted());
-        if (notNewer || alreadyRemoved) {
-            return;
-        }
-        keys.put(item.key(), new KeyState(item, context.nowNanos()));
-        if (item.deleted()) {
-            retainedRemovals++;
-            context.raise(new KeyValueRecordRemoved(codec.subject(item.key()), item.revision(), afterOutage));
-            return;
-        }
-        try {
-            codec.decode(item.key(), item.value())
-                    .ifPresent(record -> context.raise(new KeyValueRecordUpdated(
-                            record, item.revision(), !everConfirmed, unseenSince(afterOutage))));
-        } catch (YuccagwException unreadable) {
-            onUnreadable(item);
-            context.perform(Decision.of("value-unreadable")
-                    .with("key", item.key())
-                    .with("revision", item.revision())
-                    .with("error", unreadable.getMessage()));
-        }
-    }
-
-    private OptionalLong unseenSince(boolean afterOutage) {
-        return afterOutage && everConfirmed ? OptionalLong.of(confirmedNanos) : OptionalLong.empty();
+        keys.deleteOldRemovals();
     }
 
-    /**
-     * Handles a value that can't be decoded, which another program must have written. A registration of an endpoint
-     * counts as removed, since the value describes no endpoint. For all other keys the previous state stays in force,
-     * since a partly decoded configuration would be worse than an older one.
-     */
-    private void onUnreadable(Item item) {
-        KeyValueRecord.Subject subject = codec.subject(item.key());
-        if (subject instanceof KeyValueRecord.Subject.EndpointSubject) {
-            context.raise(new KeyValueRecordRemoved(subject, item.revision(), false));
-        }
-    }
-
-    /**
-     * Deletes old removals, which are retained for peers that lag behind; a peer that lags further is sent all keys.
-     */
-    private void deleteOldRemovals() {
-        if (retainedRemovals == 0) {
-            return;
-        }
-        long cutoffNanos = context.nowNanos() - REMOVAL_RETENTION.toNanos();
-        boolean overLimit = retainedRemovals > MAX_RETAINED_REMOVALS;
-        keys.values().removeIf(each -> {
-            boolean expired = each.item().deleted() && (overLimit || each.receivedNanos() - cutoffNanos < 0);
-            if (expired) {
-                deletedRemovalRevision =
-                        Math.max(deletedRemovalRevision, each.item().revision());
-                retainedRemovals--;
-            }
-            return expired;
-        });
+    private FollowedKeys.Arrival arrival(boolean afterOutage) {
+        OptionalLong unseenSince =
+                afterOutage && everConfirmed ? OptionalLong.of(confirmedNanos) : OptionalLong.empty();
+        return new FollowedKeys.Arrival(!everConfirmed, afterOutage, unseenSince);
     }
 }
--- a/src/main/java/org/yuccagw/core/follow/KeyValueRecord.java
+++ b/src/main/java/org/yuccagw/core/follow/KeyValueRecord.java
@@ -10,17 +10,58 @@
 
 /** The decoded value of one key of the key-value service. */
 public sealed interface KeyValueRecord {
+    /**
+     * Returns whether this record was written before another one of the same key, by what the writer states itself.
+     * Decides between records of two eras of the key-value service, whose revisions say nothing about each other.
+     *
+     * @param removed whether the other record has been removed since
+     */
+    default boolean isOlderThan(KeyValueRecord other, boolean removed) {
+        return false;
+    }
+
     /** The configuration written by operators. */
-    record Configured(Deployment deployment) implements KeyValueRecord {}
+    record Configured(Deployment deployment) implements KeyValueRecord {
+        @Override
+        public boolean isOlderThan(KeyValueRecord other, boolean removed) {
+            return other instanceof Configured known
+                    && deployment.version() < known.deployment().version();
+        }
+    }
 
     /** The registration of an endpoint. */
-    record EndpointListed(ListedEndpoint endpoint) implements KeyValueRecord {}
+    record EndpointListed(ListedEndpoint endpoint) implements KeyValueRecord {
+        /** A registration that hasn't changed since the endpoint was removed is a copy of the removed one. */
+        @Override
+        public boolean isOlderThan(KeyValueRecord other, boolean removed) {
+            if (!(other instanceof EndpointListed known)) {
+                return false;
+            }
+            if (!endpoint.incarnation().equals(known.endpoint().incarnation())) {
+                return endpoint.incarnation().isBefore(known.endpoint().incarnation());
+            }
+            return endpoint.heartbeats() < known.endpoint().heartbeats()
+                    || (removed && endpoint.heartbeats() == known.endpoint().heartbeats());
+        }
+    }
 
     /** The weights that all engines of a model are to run, as named by operators. */
-    record WeightsNamed(ModelWeights weights) implements KeyValueRecord {}
+    record WeightsNamed(ModelWeights weights) implements KeyValueRecord {
+        @Override
+        public boolean isOlderThan(KeyValueRecord other, boolean removed) {
+            return other instanceof WeightsNamed known
+                    && weights.version() < known.weights().version();
+        }
+    }
 
     /** The registration of an entry, written under the entry's lease. */
-    record EntryListed(EntryContact contact) implements KeyValueRecord {}
+    record EntryListed(EntryContact contact) implements KeyValueRecord {
+        @Override
+        public boolean isOlderThan(KeyValueRecord other, boolean removed) {
+            return other instanceof EntryListed known
+                    && contact.incarnation() < known.contact().incarnation();
+        }
+    }
 
     /** The claim of an entry to a duty, written under the entry's lease. */
     record DutyHeld(String duty, EntryId holder, long incarnation) implements KeyValueRecord {}
--- a/src/main/java/org/yuccagw/core/lease/LeaseRenewer.java
+++ b/src/main/java/org/yuccagw/core/lease/LeaseRenewer.java
@@ -70,6 +70,16 @@
         }
     }
 
+    /**
+     * Gives up a lease that was granted before the present era of the service, which knows nothing of it any more, and
+     * acquires another one if it is still required.
+     */
+    public void dropBeforeEra(long era) {
+        if (lease.isPresent() && lease.get().era() < era) {
+            handleLost();
+        }
+    }
+
     /** Revokes the lease; the service removes every key that is bound to it. */
     public void release() {
         required = false;
--- a/src/main/java/org/yuccagw/core/placing/Evacuations.java
+++ b/src/main/java/org/yuccagw/core/placing/Evacuations.java
@@ -11,6 +11,7 @@
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.deployment.ColdTraits;
+import org.yuccagw.core.follow.KeyValueFollowComponent;
 import org.yuccagw.core.follow.KeyValueRecord;
 import org.yuccagw.core.follow.KeyValueRecordRemoved;
 import org.yuccagw.core.follow.KeyValueRecordUpdated;
@@ -29,6 +30,9 @@
  */
 final class Evacuations {
     private final Set<FailureDomain> evacuated = new HashSet<>();
+    /** The evacuated failure domains whose key hasn't been removed since. */
+    private final Set<FailureDomain> listed = new HashSet<>();
+
     private final Supplier<Collection<EndpointState>> endpoints;
     private final Function<ServiceName, ColdTraits> coldTraits;
 
@@ -49,7 +53,21 @@
             evacuate(record.domain(), context);
         } else if (event instanceof KeyValueRecordRemoved removed
                 && removed.subject() instanceof KeyValueRecord.Subject.EvacuationSubject subject) {
-            resume(subject.domain(), context);
+            listed.remove(subject.domain());
+            if (removed.afterOutage()) {
+                context.after(
+                        KeyValueFollowComponent.REREGISTRATION_GRACE,
+                        () -> resumeUnlessListed(subject.domain(), context));
+            } else {
+                resume(subject.domain(), context);
+            }
+        }
+    }
+
+    /** A restored key-value service may lack an evacuation, which operators write again a moment later. */
+    private void resumeUnlessListed(FailureDomain domain, ControlContext context) {
+        if (!listed.contains(domain)) {
+            resume(domain, context);
         }
     }
 
@@ -60,6 +78,7 @@
 
     private void evacuate(FailureDomain domain, ControlContext context) {
         evacuated.add(domain);
+        listed.add(domain);
         List<EndpointState> affected = endpointsIn(domain);
         affected.forEach(endpoint -> endpoint.setEvacuated(true));
         logDecision("domain-evacuated", domain, affected, context);
--- a/src/main/java/org/yuccagw/core/port/KeyValueAnswer.java
+++ b/src/main/java/org/yuccagw/core/port/KeyValueAnswer.java
@@ -8,7 +8,7 @@
     /**
      * One key with its value.
      *
-     * @param revision the service-wide revision of the last write to the key
+     * @param revision the service-wide revision of the last write to the key, a {@link KeyValueRevision}
      * @param deleted true in the answer to a watch if the last write deleted the key; the value is then empty
      */
     record Item(String key, byte[] value, long revision, boolean deleted) {
@@ -45,6 +45,12 @@
     /** The call was refused and had no effect, for example because the rate limit of the service was exceeded. */
     record Refused(String reason) implements KeyValueAnswer {}
 
+    /**
+     * An answer with the era of the service in which it was made. Only the connection to the service gives it;
+     * components receive the answer itself.
+     */
+    record InEra(long era, KeyValueAnswer answer) implements KeyValueAnswer {}
+
     /** No usable answer arrived. A write may have taken effect or may still do so. */
     record Lost(String reason) implements KeyValueAnswer {}
 }
--- a/src/main/java/org/yuccagw/core/port/KeyValueCall.java
+++ b/src/main/java/org/yuccagw/core/port/KeyValueCall.java
@@ -43,6 +43,10 @@
      */
     record Watch(String prefix, long afterRevision, Duration maxWait) implements KeyValueCall {}
 
-    /** The id of a lease in the service. */
-    record LeaseHandle(long value) {}
+    /**
+     * The id of a lease in the service.
+     *
+     * @param era the era in which it was granted; a restored service may grant the same number again
+     */
+    record LeaseHandle(long era, long value) {}
 }
--- a/src/main/java/org/yuccagw/platform/EndpointReader.java
+++ b/src/main/java/org/yuccagw/platform/EndpointReader.java
@@ -27,6 +27,7 @@
     private static final String STARTED_MILLIS = "born";
     private static final String WEIGHTS = "models";
     private static final String SOFTWARE = "version";
+    private static final String SEQUENCE = "sequence";
 
     private EndpointReader() {}
 
@@ -46,7 +47,8 @@
                 (int) Math.min(Integer.MAX_VALUE, requiredNumber(registration, "slots")),
                 readLeaving(requiredText(registration, "state")),
                 requiredNumber(registration, "coldLeftMs"),
-                readWeights(registration));
+                readWeights(registration),
+                registration.path(SEQUENCE).asLong(0));
     }
 
     /**
@@ -59,7 +61,7 @@
         return new EngineState(
                 readStartMillis(report),
                 report.path("busy").asBoolean(false),
-                report.path("sequence").asLong(0),
+                report.path(SEQUENCE).asLong(0),
                 readWeights(report));
     }
 
--- a/src/main/java/org/yuccagw/platform/KeyValueClient.java
+++ b/src/main/java/org/yuccagw/platform/KeyValueClient.java
@@ -19,6 +19,7 @@
 import org.yuccagw.core.port.KeyValueAnswer.Item;
 import org.yuccagw.core.port.KeyValueCall;
 import org.yuccagw.core.port.KeyValueCall.LeaseHandle;
+import org.yuccagw.core.port.KeyValueRevision;
 
 /**
  * HTTP client of the key-value service. Each call is answered exactly once and never throws.
@@ -87,10 +88,14 @@
             long firstRevision,
             Consumer<KeyValueAnswer> answer) {
         send(read, KeyValueRequests.encodePage(address, read.prefix(), afterKey), page -> {
-            if (!(page instanceof Page found)) {
+            if (!(page instanceof KeyValueAnswer.InEra inEra && inEra.answer() instanceof Page found)) {
                 answer.accept(page);
                 return;
             }
+            if (!afterKey.isEmpty() && inEra.era() != KeyValueRevision.era(firstRevision)) {
+                answer.accept(new KeyValueAnswer.Lost("the service was restored between two pages"));
+                return;
+            }
             List<Item> items = new ArrayList<>(previousItems);
             items.addAll(found.items());
             long revision = afterKey.isEmpty() ? found.revision() : firstRevision;
@@ -100,7 +105,7 @@
                 String lastKey = items.get(items.size() - 1).key();
                 readPages(read, lastKey, items, revision, answer);
             } else {
-                answer.accept(new KeyValueAnswer.Found(items, revision));
+                answer.accept(new KeyValueAnswer.InEra(inEra.era(), new KeyValueAnswer.Found(items, revision)));
             }
         });
     }
@@ -138,11 +143,12 @@
     private KeyValueAnswer readResponse(KeyValueCall call, HttpResponse response) {
         KeyValueAnswer read;
         try {
-            read = readAnswer(call, response.status(), response.body());
-        } catch (IOException e) {
+            long era = readEra(response);
+            read = new KeyValueAnswer.InEra(era, readAnswer(call, era, response.status(), response.body()));
+        } catch (IOException | IllegalArgumentException e) {
             read = new KeyValueAnswer.Lost("the key-value service's answer can't be read: " + e.getMessage());
         }
-        if (read instanceof KeyValueAnswer.Lost || response.status() == SERVICE_UNAVAILABLE) {
+        if (isLost(read) || response.status() == SERVICE_UNAVAILABLE) {
             breaker.recordFailure(System.nanoTime());
         } else {
             breaker.recordSuccess();
@@ -150,6 +156,21 @@
         return read;
     }
 
+    private static boolean isLost(KeyValueAnswer answer) {
+        return answer instanceof KeyValueAnswer.Lost
+                || (answer instanceof KeyValueAnswer.InEra inEra && inEra.answer() instanceof KeyValueAnswer.Lost);
+    }
+
+    /** Returns the era that an answer states; 0 if the service knows no eras. */
+    private static long readEra(HttpResponse response) throws IOException {
+        String stated = response.header(PlatformNames.STORE_ERA);
+        try {
+            return stated.isEmpty() ? 0 : Long.parseLong(stated.trim());
+        } catch (NumberFormatException e) {
+            throw new IOException("the era '" + stated + "' is not a number", e);
+        }
+    }
+
     private KeyValueAnswer readFailure(HttpResponseListener.Phase phase, IOException cause) {
         breaker.recordFailure(System.nanoTime());
         return phase == HttpResponseListener.Phase.CONNECT
@@ -172,17 +193,19 @@
         return breaker.isOpen();
     }
 
-    private static KeyValueAnswer readAnswer(KeyValueCall call, int status, byte[] body) throws IOException {
+    private static KeyValueAnswer readAnswer(KeyValueCall call, long era, int status, byte[] body) throws IOException {
         return switch (status) {
             case TOO_MANY_REQUESTS -> new KeyValueAnswer.Refused("the key-value service is over its rate");
             case SERVICE_UNAVAILABLE -> new KeyValueAnswer.Refused("the key-value service says that it did nothing");
             case CONTENT_TOO_LARGE ->
                 new KeyValueAnswer.Refused("the key-value service says that the value is too large");
             case GONE -> new KeyValueAnswer.HistoryGone();
-            case NOT_FOUND -> readNotFound(call, body);
-            case PRECONDITION_FAILED -> new KeyValueAnswer.Conflict(currentRevision(call, JsonText.read(body)));
+            case NOT_FOUND -> readNotFound(call, era, body);
+            case PRECONDITION_FAILED -> new KeyValueAnswer.Conflict(currentRevision(call, era, JsonText.read(body)));
             case OK ->
-                isProvenByStatus(call) ? new KeyValueAnswer.LeaseRenewed() : readSuccess(call, JsonText.read(body));
+                isProvenByStatus(call)
+                        ? new KeyValueAnswer.LeaseRenewed()
+                        : readSuccess(call, era, JsonText.read(body));
             default -> new KeyValueAnswer.Lost("the key-value service answered with status " + status);
         };
     }
@@ -191,37 +214,39 @@
         return call instanceof KeyValueCall.RenewLease || call instanceof KeyValueCall.RevokeLease;
     }
 
-    private static KeyValueAnswer readNotFound(KeyValueCall call, byte[] body) throws IOException {
+    private static KeyValueAnswer readNotFound(KeyValueCall call, long era, byte[] body) throws IOException {
         if (call instanceof KeyValueCall.Read) {
             JsonNode answer = body.length == 0 ? JsonText.object() : JsonText.read(body);
             return new KeyValueAnswer.Found(
-                    List.of(), answer.path(PlatformNames.STORE_REVISION).asLong(0));
+                    List.of(),
+                    KeyValueRevision.of(
+                            era, answer.path(PlatformNames.STORE_REVISION).asLong(0)));
         }
         return new KeyValueAnswer.LeaseLapsed();
     }
 
-    private static KeyValueAnswer readSuccess(KeyValueCall call, JsonNode answer) throws IOException {
+    private static KeyValueAnswer readSuccess(KeyValueCall call, long era, JsonNode answer) throws IOException {
         if (call instanceof KeyValueCall.GrantLease) {
-            return new KeyValueAnswer.LeaseGranted(new LeaseHandle(requiredLong(answer, PlatformNames.LEASE)));
+            return new KeyValueAnswer.LeaseGranted(new LeaseHandle(era, requiredLong(answer, PlatformNames.LEASE)));
         }
         if (call instanceof KeyValueCall.CompareAndSwap || call instanceof KeyValueCall.Delete) {
-            return new KeyValueAnswer.Written(requiredLong(answer, PlatformNames.REVISION));
+            return new KeyValueAnswer.Written(KeyValueRevision.of(era, requiredLong(answer, PlatformNames.REVISION)));
         }
-        long storeRevision = requiredLong(answer, PlatformNames.STORE_REVISION);
+        long storeRevision = KeyValueRevision.of(era, requiredLong(answer, PlatformNames.STORE_REVISION));
         if (call instanceof KeyValueCall.Read) {
-            return new KeyValueAnswer.Found(List.of(readItem(answer)), storeRevision);
+            return new KeyValueAnswer.Found(List.of(readItem(era, answer)), storeRevision);
         }
         if (call instanceof KeyValueCall.Watch) {
-            return new KeyValueAnswer.Found(readItems(answer.path(PlatformNames.EVENTS)), storeRevision);
+            return new KeyValueAnswer.Found(readItems(era, answer.path(PlatformNames.EVENTS)), storeRevision);
         }
         boolean truncated = answer.path(PlatformNames.TRUNCATED).asBoolean(false);
-        return new Page(readItems(answer.path(PlatformNames.ITEMS)), storeRevision, truncated);
+        return new Page(readItems(era, answer.path(PlatformNames.ITEMS)), storeRevision, truncated);
     }
 
     /** Returns the current revision of the call's key, from the items in the answer to a failed condition. */
-    private static long currentRevision(KeyValueCall call, JsonNode answer) throws IOException {
+    private static long currentRevision(KeyValueCall call, long era, JsonNode answer) throws IOException {
         String key = call instanceof KeyValueCall.CompareAndSwap swap ? swap.key() : ((KeyValueCall.Delete) call).key();
-        for (Item item : readItems(answer.path(PlatformNames.ITEMS))) {
+        for (Item item : readItems(era, answer.path(PlatformNames.ITEMS))) {
             if (item.key().equals(key) && !item.deleted()) {
                 return item.revision();
             }
@@ -229,22 +254,22 @@
         return KeyValueCall.ABSENT;
     }
 
-    private static List<Item> readItems(JsonNode list) throws IOException {
+    private static List<Item> readItems(long era, JsonNode list) throws IOException {
         List<Item> items = new ArrayList<>();
         for (JsonNode item : list) {
             if (item.isObject()) {
-                items.add(readItem(item));
+                items.add(readItem(era, item));
             }
         }
         return items;
     }
 
-    private static Item readItem(JsonNode item) throws IOException {
+    private static Item readItem(long era, JsonNode item) throws IOException {
         JsonNode value = item.path(PlatformNames.VALUE);
         boolean deleted = item.path(PlatformNames.REMOVED).asBoolean(false) || !value.isTextual();
         byte[] bytes = deleted ? new byte[0] : value.binaryValue();
         long revision = item.path(PlatformNames.REVISION).asLong(KeyValueCall.ABSENT);
-        return new Item(item.path(PlatformNames.KEY).asText(), bytes, revision, deleted);
+        return new Item(item.path(PlatformNames.KEY).asText(), bytes, KeyValueRevision.of(era, revision), deleted);
     }
 
     /** Returns a mandatory number. A missing field must not read as 0: revision 0 means that the key is absent. */
--- a/src/main/java/org/yuccagw/platform/KeyValueRequests.java
+++ b/src/main/java/org/yuccagw/platform/KeyValueRequests.java
@@ -9,6 +9,7 @@
 import org.yuccagw.adapters.http.JsonText;
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.core.port.KeyValueCall;
+import org.yuccagw.core.port.KeyValueRevision;
 
 /** Encodes calls to the key-value service as HTTP requests. */
 final class KeyValueRequests {
@@ -33,7 +34,7 @@
             return HttpRequest.get(
                     address,
                     PlatformNames.WATCH_PATH + "?pathPrefix=" + escape(watch.prefix()) + "&after="
-                            + watch.afterRevision() + "&waitMs="
+                            + KeyValueRevision.number(watch.afterRevision()) + "&waitMs="
                             + watch.maxWait().toMillis());
         }
         if (call instanceof KeyValueCall.CompareAndSwap swap) {
@@ -75,7 +76,10 @@
 
     private static ObjectNode conditions(String key, long revision) {
         ObjectNode body = JsonText.object();
-        body.putArray("expected").addObject().put(PlatformNames.KEY, key).put(PlatformNames.REVISION, revision);
+        body.putArray("expected")
+                .addObject()
+                .put(PlatformNames.KEY, key)
+                .put(PlatformNames.REVISION, KeyValueRevision.number(revision));
         return body;
     }
 
--- a/src/main/java/org/yuccagw/platform/PlatformNames.java
+++ b/src/main/java/org/yuccagw/platform/PlatformNames.java
@@ -45,6 +45,9 @@
     /** The most requests that the endpoint can reject in a second for lack of room without failing. */
     static final String BRITTLE = "Server-Brittle";
 
+    /** How often the key-value service has been restored from an older copy, counted from any number. */
+    static final String STORE_ERA = "Store-Era";
+
     /** Seconds, possibly with a fraction. */
     static final String RETRY_AFTER = "Retry-After";
 
--- a/src/main/java/org/yuccagw/standins/keyvalue/KeyValueStandIn.java
+++ b/src/main/java/org/yuccagw/standins/keyvalue/KeyValueStandIn.java
@@ -25,6 +25,7 @@
  * handlers hold only for the duration of a map operation.
  */
 public final class KeyValueStandIn implements StandIn {
+    private static final String ERA_HEADER = "Store-Era";
     private static final int PAGE_SIZE = 500;
     private static final int MAX_VALUE_BYTES = 1 << 20;
     private static final int NOT_FOUND = 404;
@@ -42,6 +43,8 @@
     private final CallRateLimit writeRateLimit;
     private final CallRateLimit readRateLimit;
     private WriteFaults writeFaults = WriteFaults.none();
+    private KeyValueState.Copy copy = state.copy();
+    private long era = 1;
 
     private record PendingWatch(StandInCall call, String prefix, long after) {}
 
@@ -236,7 +239,7 @@
             return;
         }
         PendingWatch watch = new PendingWatch(call, call.parameter("pathPrefix").orElse(""), call.number("after"));
-        if (state.isCompacted(watch.after())) {
+        if (!state.hasHistorySince(watch.after())) {
             call.reply(GONE, StandInJson.object());
             return;
         }
@@ -278,6 +281,7 @@
 
     private boolean admit(StandInCall call, String kind, CallRateLimit rateLimit) {
         callCounts.merge(kind, 1L, Long::sum);
+        call.withHeader(ERA_HEADER, Long.toString(era));
         if (rateLimit.tryAcquire(System.nanoTime())) {
             return true;
         }
@@ -319,6 +323,19 @@
         state.compact();
     }
 
+    /** Takes the copy from which {@link #restoreCopy} restores the service. */
+    public synchronized void takeCopy() {
+        copy = state.copy();
+    }
+
+    /** Restores the service from its latest copy, or from its empty start, as the next era; cuts waiting watches. */
+    public synchronized void restoreCopy() {
+        era++;
+        state.restore(copy, System.nanoTime());
+        pendingWatches.forEach(watch -> watch.call().closeConnection());
+        pendingWatches.clear();
+    }
+
     private synchronized ObjectNode record() {
         ObjectNode record = StandInJson.object();
         record.set("calls_by_kind", StandInJson.tree(callCounts));
@@ -331,6 +348,12 @@
         if (knobs.has("writes")) {
             writeFaults = WriteFaults.of(knobs.path("writes"));
         }
+        if (knobs.path("copy").asBoolean(false)) {
+            takeCopy();
+        }
+        if (knobs.path("restore").asBoolean(false)) {
+            restoreCopy();
+        }
         if (knobs.path("compact").asBoolean(false)) {
             compact();
         }
--- a/src/main/java/org/yuccagw/standins/keyvalue/KeyValueState.java
+++ b/src/main/java/org/yuccagw/standins/keyvalue/KeyValueState.java
@@ -53,6 +53,29 @@
         }
     }
 
+    /** The contents at one moment; leases by their time to live in nanoseconds. */
+    record Copy(Map<String, Item> items, Map<Long, Long> leaseTimes, long revision, long lastLease, long compacted) {}
+
+    Copy copy() {
+        Map<Long, Long> leaseTimes = new HashMap<>();
+        leases.forEach((lease, state) -> leaseTimes.put(lease, state.ttlNanos));
+        return new Copy(new HashMap<>(items), leaseTimes, revision, lastLease, compactedRevision);
+    }
+
+    /**
+     * Goes back to a copy. Later writes and leases are gone, and their numbers will be granted again; the other leases
+     * run anew.
+     */
+    void restore(Copy copy, long nowNanos) {
+        items.clear();
+        items.putAll(copy.items());
+        leases.clear();
+        copy.leaseTimes().forEach((lease, ttl) -> leases.put(lease, new Lease(ttl, nowNanos + ttl)));
+        revision = copy.revision();
+        lastLease = copy.lastLease();
+        compactedRevision = copy.compacted();
+    }
+
     long revision() {
         return revision;
     }
@@ -109,9 +132,9 @@
         compactedRevision = revision;
     }
 
-    /** Returns whether changes after the revision may have been discarded by {@link #compact}. */
-    boolean isCompacted(long after) {
-        return after < compactedRevision;
+    /** Returns whether the changes after the revision are known: it is neither discarded nor in the future. */
+    boolean hasHistorySince(long after) {
+        return after >= compactedRevision && after <= revision;
     }
 
     long grant(long nowNanos, long ttlNanos) {
--- a/src/test/java/org/yuccagw/standins/keyvalue/KeyValueStandInTest.java
+++ b/src/test/java/org/yuccagw/standins/keyvalue/KeyValueStandInTest.java
@@ -50,6 +50,28 @@
         assertEquals(json(caller.call("GET", "/kv-key?key=a")).path("revision").asLong(), 2);
     }
 
+    @Test
+    public void aRestoredServiceGrantsRevisionsAndLeasesAgainInALaterEra() throws Exception {
+        put("a", 0);
+        service.takeCopy();
+        HttpResponse lost = put("b", 0);
+        long lease = grantedLease();
+        service.restoreCopy();
+        HttpResponse written = put("c", 0);
+        assertEquals(json(written).path("revision"), json(lost).path("revision"));
+        assertEquals(Long.parseLong(written.header("Store-Era")), Long.parseLong(lost.header("Store-Era")) + 1);
+        assertEquals(caller.call("GET", "/kv-key?key=b").status(), 404);
+        assertEquals(grantedLease(), lease);
+        assertEquals(
+                caller.call("GET", "/kv-watch?pathPrefix=&after=9&waitMs=10").status(), 410);
+    }
+
+    private long grantedLease() throws Exception {
+        return json(caller.call("POST", "/kv-lease", StandInJson.object().put("ttlMs", 5000)))
+                .path("lease")
+                .asLong();
+    }
+
     @Test
     public void aPrefixReadReturnsItsKeysInOrder() throws Exception {
         put("b/2", 0);
