Bound what a server may send beside content, in one turn, and in a collected body

Endpoints may send bytes without end, in a head or a body, until we close. An entry read them as fast as they came: it kept a header's value in memory without a bound, and the I/O thread that read them served nothing else, not even its timers.

A body is read at most 256 KB in one turn of the I/O thread. A body that is collected, as those of the key-value service, reports, lists and peers, has at most 16 MB. In each case the connection is closed and the request fails as any broken one. Connections with TLS, between parts of the product only, have no limit of heads.

--- a/src/main/java/org/yuccagw/adapters/http/HttpCall.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpCall.java
@@ -2,18 +2,17 @@
 
 import com.google.common.collect.ImmutableSet;
 import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
@@ -31,6 +30,9 @@
 public final class HttpCall implements OngoingCall {
     private static final ImmutableSet<String> METHODS_WITHOUT_BODY = ImmutableSet.of("GET", "HEAD", "DELETE");
 
+    /** After this much of a body, the other connections and timers of the I/O thread have their turn. */
+    private static final int MAX_BYTES_PER_TURN = 256 * 1024;
+
     private final HttpClient client;
     private final HttpRequest request;
     private final XnioIoThread thread;
@@ -40,7 +42,7 @@
     private boolean finished;
     private boolean paused;
     private boolean reused;
-    private ClientConnection connection;
+    private HttpConnection connection;
     private StreamSourceChannel responseChannel;
     private XnioExecutor.Key silenceTimer;
     private long lastByteNanos;
@@ -92,7 +94,7 @@
                 () -> fail(false, new IOException("no connection to " + request.address() + " within its timeout")),
                 request.connectTimeout().toMillis(),
                 TimeUnit.MILLISECONDS);
-        Optional<ClientConnection> idle = client.takeIdleConnection(request, thread);
+        Optional<HttpConnection> idle = client.takeIdleConnection(request, thread);
         if (idle.isPresent()) {
             reused = true;
             onConnected(idle.get());
@@ -100,7 +102,7 @@
         }
         client.connect(request.address(), thread, new ClientCallback<>() {
             @Override
-            public void completed(ClientConnection established) {
+            public void completed(HttpConnection established) {
                 onConnected(established);
             }
 
@@ -111,16 +113,13 @@
         });
     }
 
-    static void close(ClientConnection connection) {
-        IoUtils.safeClose(connection);
-    }
-
-    private void onConnected(ClientConnection established) {
+    private void onConnected(HttpConnection established) {
         if (finished) {
-            close(established);
+            established.close();
             return;
         }
         connection = established;
+        connection.startRequest();
         phase = Phase.AWAIT;
         lastByteNanos = System.nanoTime();
         checkSilence();
@@ -128,7 +127,7 @@
             listener.onNewConnection();
         }
         listener.onConnected();
-        connection.sendRequest(toClientRequest(), new ClientCallback<>() {
+        connection.channel().sendRequest(toClientRequest(), new ClientCallback<>() {
             @Override
             public void completed(ClientExchange exchange) {
                 onExchange(exchange);
@@ -225,7 +224,12 @@
     private void readBody() {
         try (PooledByteBuffer pooled = client.buffers().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
+            int readInTurn = 0;
             while (!finished && !paused) {
+                if (readInTurn >= MAX_BYTES_PER_TURN) {
+                    responseChannel.wakeupReads();
+                    return;
+                }
                 buffer.clear();
                 int count = responseChannel.read(buffer);
                 if (count < 0) {
@@ -238,10 +242,14 @@
                 }
                 lastByteNanos = System.nanoTime();
                 buffer.flip();
+                connection.addContent(count);
+                readInTurn += count;
                 listener.onBytes(buffer);
             }
         } catch (IOException e) {
             fail(false, e);
+        } catch (UncheckedIOException e) {
+            fail(false, e.getCause());
         }
     }
 
@@ -268,7 +276,7 @@
         } else {
             // If the server responded before the whole body was sent and the connection were reused, the server would
             // read the rest of the body as the start of the next request.
-            close(connection);
+            connection.close();
         }
         listener.onEnd(bodyEnd);
     }
@@ -295,7 +303,7 @@
         finished = true;
         cancelSilenceTimer();
         if (connection != null) {
-            close(connection);
+            connection.close();
         }
     }
 
--- a/src/main/java/org/yuccagw/adapters/http/HttpClient.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpClient.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 import javax.net.ssl.SSLContext;
 import org.xnio.OptionMap;
@@ -63,6 +64,7 @@
     private final ByteBufferPool buffers;
     private final Optional<XnioSsl> tls;
     private final UnaryOperator<NetworkAddress> dialedAddress;
+    private final Map<XnioIoThread, LimitedConnector> connectors = new ConcurrentHashMap<>();
     private final Map<XnioIoThread, Map<NetworkAddress, ArrayDeque<IdleConnection>>> idleByThread =
             new ConcurrentHashMap<>();
 
@@ -160,8 +162,8 @@
         CompletableFuture<Boolean> result = new CompletableFuture<>();
         thread.execute(() -> connect(address, thread, new ClientCallback<>() {
             @Override
-            public void completed(ClientConnection established) {
-                HttpCall.close(established);
+            public void completed(HttpConnection established) {
+                established.close();
                 result.complete(true);
             }
 
@@ -183,27 +185,50 @@
         connections.clear();
     }
 
-    /** Opens a new connection. */
-    void connect(NetworkAddress address, XnioIoThread thread, ClientCallback<ClientConnection> callback) {
+    /** Opens a new connection. Called on the I/O thread. */
+    void connect(NetworkAddress address, XnioIoThread thread, ClientCallback<HttpConnection> callback) {
         OptionMap options = OptionMap.create(Options.TCP_NODELAY, true);
         NetworkAddress dialed = dialedAddress.apply(address);
         if (tls.isPresent()) {
             URI uri = URI.create("https://" + dialed);
-            UndertowClient.getInstance().connect(callback, uri, thread, tls.get(), buffers, options);
+            UndertowClient.getInstance()
+                    .connect(withLimit(callback, Optional::empty), uri, thread, tls.get(), buffers, options);
         } else {
             URI uri = URI.create("http://" + dialed);
-            UndertowClient.getInstance().connect(callback, uri, thread, buffers, options);
+            LimitedConnector connector = connectors.computeIfAbsent(thread, LimitedConnector::of);
+            UndertowClient.getInstance()
+                    .connect(
+                            withLimit(callback, () -> Optional.of(connector.latestLimit())),
+                            uri,
+                            connector,
+                            buffers,
+                            options);
         }
     }
 
+    private static ClientCallback<ClientConnection> withLimit(
+            ClientCallback<HttpConnection> callback, Supplier<Optional<OverheadLimit>> limit) {
+        return new ClientCallback<>() {
+            @Override
+            public void completed(ClientConnection established) {
+                callback.completed(new HttpConnection(established, limit.get()));
+            }
+
+            @Override
+            public void failed(IOException cause) {
+                callback.failed(cause);
+            }
+        };
+    }
+
     /**
      * An idle connection.
      *
      * @param expiryNanos monotonic time until which it may be reused
      */
-    private record IdleConnection(ClientConnection connection, long expiryNanos) {
+    private record IdleConnection(HttpConnection connection, long expiryNanos) {
         private void close() {
-            HttpCall.close(connection);
+            connection.close();
         }
 
         private boolean isUsable() {
@@ -212,13 +237,13 @@
     }
 
     /** Returns a connection to the pool after a complete response, or closes it if it can't be reused. */
-    void release(NetworkAddress address, XnioIoThread thread, ClientConnection connection, Duration idleLimit) {
+    void release(NetworkAddress address, XnioIoThread thread, HttpConnection connection, Duration idleLimit) {
         ArrayDeque<IdleConnection> connections = idleConnections(address, thread);
         boolean isReusable = connection.isOpen() && idleLimit.compareTo(Duration.ZERO) > 0;
         if (isReusable && connections.size() < MAX_IDLE_PER_ADDRESS) {
             connections.addLast(new IdleConnection(connection, System.nanoTime() + idleLimit.toNanos()));
         } else {
-            HttpCall.close(connection);
+            connection.close();
         }
     }
 
@@ -226,7 +251,7 @@
      * Removes the most recently used idle connection that is still usable from the pool; empty if there is none or the
      * request needs a new one.
      */
-    Optional<ClientConnection> takeIdleConnection(HttpRequest request, XnioIoThread thread) {
+    Optional<HttpConnection> takeIdleConnection(HttpRequest request, XnioIoThread thread) {
         if (request.newConnection()) {
             return Optional.empty();
         }
--- a/src/main/java/org/yuccagw/adapters/http/HttpResponseListener.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpResponseListener.java
@@ -33,7 +33,11 @@
     /** Called when the status line and the headers have been received. */
     void onHead(int status, HeaderMap headers);
 
-    /** Called with the next bytes of the body. The buffer is valid during the call only. */
+    /**
+     * Called with the next bytes of the body. The buffer is valid during the call only.
+     *
+     * @throws java.io.UncheckedIOException if the body is unacceptable; the request then fails with its cause
+     */
     void onBytes(ByteBuffer bytes);
 
     /**
--- a/src/main/java/org/yuccagw/adapters/http/ResponseCollector.java
+++ b/src/main/java/org/yuccagw/adapters/http/ResponseCollector.java
@@ -3,12 +3,16 @@
 import io.undertow.util.HeaderMap;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
 import org.yuccagw.core.port.BodyEnd;
 
-/** Collects a response in memory and passes it on when it has ended. */
+/** Collects a response in memory, up to {@link #MAX_BODY_BYTES}, and passes it on when it has ended. */
 public final class ResponseCollector implements HttpResponseListener {
+    /** The largest lists of the platform take a few megabytes. */
+    static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
     private final Consumer<HttpResponse> onResponse;
     private final FailureHandler onFailure;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -39,6 +43,10 @@
 
     @Override
     public void onBytes(ByteBuffer bytes) {
+        if (body.size() + bytes.remaining() > MAX_BODY_BYTES) {
+            throw new UncheckedIOException(
+                    new IOException("a response body of more than " + MAX_BODY_BYTES + " bytes"));
+        }
         byte[] chunk = new byte[bytes.remaining()];
         bytes.get(chunk);
         body.writeBytes(chunk);
