Keep the product's own catalogue and shards over a restoration of the service

An accepted edit that the restored service lacks stayed in force at the entries, but the next one was refused as conflicting, or got a revision that no entry took up. An entry that reads an older catalogue than its own now writes its own again by compare-and-swap. The owners of shards give up those of an earlier era, and nobody acquires any until such leases have expired.

CatalogueTest.anAcceptedEditOutlivesTheRestorationOfTheServiceFromAnOlderCopy came with the code. The records of claims that the service lost aren't written again: docs/design/eras.md, "Not covered".

--- a/src/main/java/org/yuccagw/core/catalogue/CatalogueComponent.java
+++ b/src/main/java/org/yuccagw/core/catalogue/CatalogueComponent.java
@@ -46,6 +46,9 @@
     private ControlContext context;
     private Catalogue current = Catalogue.empty();
     private byte[] document = new byte[0];
+    /** The value that was last read from or written to the key-value service. */
+    private Optional<StoredCatalogue> latestStored = Optional.empty();
+
     private byte[] previousDocument = new byte[0];
     private long previousRevision;
     private List<EntryId> others = List.of();
@@ -67,7 +70,7 @@
         context = startContext;
         lastContactNanos = context.nowNanos();
         requestPendingUntilNanos = context.nowNanos();
-        follower = new CatalogueFollower(context, this::applyStored, this::onServiceAnswer);
+        follower = new CatalogueFollower(context, this::onStored, this::onServiceAnswer);
         follower.start();
     }
 
@@ -119,7 +122,29 @@
 
     // ---- Applying revisions
 
+    private void onStored(StoredCatalogue stored, long keyRevision) {
+        if (stored.revision() < current.revision()) {
+            writeAgain(stored, keyRevision);
+        } else if (stored.revision() > 0) {
+            applyStored(stored);
+        }
+    }
+
+    /**
+     * Writes the catalogue in force to the key-value service, which has been restored from a copy that lacks accepted
+     * edits. If the service holds a later catalogue meanwhile, the write has no effect.
+     */
+    private void writeAgain(StoredCatalogue older, long keyRevision) {
+        StoredCatalogue value = latestStored
+                .filter(stored -> stored.revision() == current.revision())
+                .orElseGet(() -> older.restoredTo(current.revision(), context.wallMillis(), document));
+        context.call(
+                new KeyValueCall.CompareAndSwap(CatalogueKeys.CURRENT, keyRevision, value.encode(), Optional.empty()),
+                ignored -> {});
+    }
+
     private void applyStored(StoredCatalogue stored) {
+        latestStored = Optional.of(stored);
         apply(stored.revision(), stored.document());
     }
 
--- a/src/main/java/org/yuccagw/core/catalogue/CatalogueFollower.java
+++ b/src/main/java/org/yuccagw/core/catalogue/CatalogueFollower.java
@@ -39,7 +39,7 @@
     private static final Duration MAX_RETRY_DELAY = Duration.ofSeconds(5);
 
     private final ControlContext context;
-    private final Consumer<StoredCatalogue> catalogueListener;
+    private final CatalogueListener catalogueListener;
     private final Consumer<Boolean> serviceListener;
     private List<EntryId> entries;
     private boolean watching = true;
@@ -47,15 +47,24 @@
     private Duration retryDelay = MIN_RETRY_DELAY;
     private long round;
 
+    /** Receives what the service holds. */
+    @FunctionalInterface
+    interface CatalogueListener {
+        /**
+         * Called with each stored catalogue that is read, or with an empty one if there is none.
+         *
+         * @param keyRevision the revision of its key
+         */
+        void onStored(StoredCatalogue stored, long keyRevision);
+    }
+
     /**
      * Creates a follower, which starts with {@link #start}.
      *
-     * @param catalogueListener called with each stored catalogue that is read
      * @param serviceListener called for each successful read and for each unreadable value; the argument is whether the
      *     service has a readable catalogue
      */
-    CatalogueFollower(
-            ControlContext context, Consumer<StoredCatalogue> catalogueListener, Consumer<Boolean> serviceListener) {
+    CatalogueFollower(ControlContext context, CatalogueListener catalogueListener, Consumer<Boolean> serviceListener) {
         this.context = context;
         this.catalogueListener = catalogueListener;
         this.serviceListener = serviceListener;
@@ -149,6 +158,9 @@
             return false;
         }
         serviceListener.accept(!found.items().isEmpty());
+        if (found.items().isEmpty()) {
+            catalogueListener.onStored(StoredCatalogue.empty(), KeyValueCall.ABSENT);
+        }
         found.items().forEach(this::handleItem);
         return true;
     }
@@ -165,7 +177,7 @@
 
     private void handleItem(Item item) {
         try {
-            catalogueListener.accept(StoredCatalogue.decode(item.value()));
+            catalogueListener.onStored(StoredCatalogue.decode(item.value()), item.revision());
         } catch (YuccagwException e) {
             // The value is foreign or damaged. The catalogue in force stays, and the next round reads the key again.
             serviceListener.accept(false);
--- a/src/main/java/org/yuccagw/core/catalogue/StoredCatalogue.java
+++ b/src/main/java/org/yuccagw/core/catalogue/StoredCatalogue.java
@@ -53,6 +53,20 @@
         return new StoredCatalogue(latest, newDocument);
     }
 
+    /**
+     * Returns the value with a later document, whose edits are known as one only: they were accepted and then lost by
+     * the service.
+     */
+    StoredCatalogue restoredTo(long revision, long wallMillis, byte[] newDocument) {
+        AcceptedEdit restored = new AcceptedEdit(revision, "restored-" + revision, "yuccagw", wallMillis);
+        int from = Math.max(0, edits.size() + 1 - MAX_EDITS);
+        ImmutableList<AcceptedEdit> latest = ImmutableList.<AcceptedEdit>builder()
+                .addAll(edits.subList(from, edits.size()))
+                .add(restored)
+                .build();
+        return new StoredCatalogue(latest, newDocument);
+    }
+
     byte[] encode() {
         StringBuilder header = new StringBuilder();
         for (AcceptedEdit edit : edits) {
--- a/src/main/java/org/yuccagw/core/shard/ShardsComponent.java
+++ b/src/main/java/org/yuccagw/core/shard/ShardsComponent.java
@@ -14,6 +14,7 @@
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.control.ControlSnapshot;
+import org.yuccagw.core.control.KeyValueRestored;
 import org.yuccagw.core.control.PeerReceived;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.ShardNumber;
@@ -75,6 +76,8 @@
     private LeaseRenewer lease;
     private List<EntryId> candidates = List.of();
     private int shardCount;
+    private long era;
+    private long acquisitionAllowedFromNanos;
     private boolean assignmentScheduled;
     private boolean startupDelayPassed;
     private boolean stopping;
@@ -97,6 +100,7 @@
     @Override
     public void start(ControlContext startContext) {
         context = startContext;
+        acquisitionAllowedFromNanos = context.nowNanos();
         lease = LeaseRenewer.of(context, LEASE_TIMES, this::reconcile, this::handleLeaseLost);
         candidates = List.of(context.self().entry());
         context.after(STARTUP_DELAY, () -> {
@@ -120,9 +124,25 @@
         } else if (event instanceof StopRequested) {
             stopping = true;
             reconcile();
+        } else if (event instanceof KeyValueRestored restored) {
+            onRestored(restored.era());
         }
     }
 
+    /**
+     * Gives up the shards that were acquired in an earlier era, and waits until other owners' leases of that era have
+     * expired: a restored service may lack their keys.
+     */
+    private void onRestored(long restoredEra) {
+        if (restoredEra <= era) {
+            return;
+        }
+        era = restoredEra;
+        acquisitionAllowedFromNanos =
+                context.nowNanos() + LEASE_TIMES.timeToLive().toNanos();
+        lease.dropBeforeEra(era);
+    }
+
     @Override
     public OptionalLong epochIfHeld(ShardNumber shard, long nowNanos) {
         Long epoch = ownedEpochs.get(shard);
@@ -222,6 +242,7 @@
 
     private void acquire(ShardNumber shard) {
         if (!startupDelayPassed
+                || context.nowNanos() - acquisitionAllowedFromNanos < 0
                 || ownedEpochs.containsKey(shard)
                 || pendingDeletes.containsKey(shard)
                 || lease.handle().isEmpty()
--- a/src/test/java/org/yuccagw/core/catalogue/CatalogueTest.java
+++ b/src/test/java/org/yuccagw/core/catalogue/CatalogueTest.java
@@ -13,10 +13,12 @@
 import org.yuccagw.bench.control.BenchNode;
 import org.yuccagw.bench.control.ControlBench;
 import org.yuccagw.bench.control.ControlComponents;
+import org.yuccagw.bench.control.InMemoryKeyValue;
 import org.yuccagw.bench.control.SampleCatalogues;
 import org.yuccagw.core.catalogue.CatalogueEditRequested.Result;
 import org.yuccagw.core.control.PeerReceived;
 import org.yuccagw.core.error.ErrorKind;
+import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.id.WorkspaceId;
 import org.yuccagw.core.membership.DirectorySnapshot;
 import org.yuccagw.core.port.KeyValueCall;
@@ -49,6 +51,21 @@
         entries.forEach(entry -> assertEquals(limitOf(entry), 5));
     }
 
+    // Guards against accepted edits that a key-value service restored from an older copy has lost.
+    @Test
+    public void anAcceptedEditOutlivesTheRestorationOfTheServiceFromAnOlderCopy() throws YuccagwException {
+        InMemoryKeyValue.Copy copy = bench.keyValue().copy();
+        assertEquals(applyEdit(entries.get(1), 1, catalogueWithLimit(5), "second"), new Result.Accepted(2));
+        assertTrue(bench.runUntil(() -> allAtRevision(2), SHORT_TIMEOUT));
+        bench.keyValue().restore(copy);
+        bench.runFor(SHORT_TIMEOUT);
+        byte[] stored = bench.keyValue().peek(CatalogueKeys.CURRENT).orElseThrow();
+        assertEquals(StoredCatalogue.decode(stored).revision(), 2);
+        assertTrue(allAtRevision(2));
+        assertEquals(applyEdit(entries.get(2), 2, catalogueWithLimit(6), "third"), new Result.Accepted(3));
+        assertTrue(bench.runUntil(() -> allAtRevision(3), SHORT_TIMEOUT));
+    }
+
     // Two operators change the same limit concurrently through two entries. If the second edit silently overwrote the
     // accepted one, the first operator's change would be lost. The conflict must name the field that both changed.
     @Test
