--- a/src/test/java/org/yuccagw/process/SoakConfiguration.java
+++ b/src/test/java/org/yuccagw/process/SoakConfiguration.java
@@ -17,6 +17,7 @@
     private static final int ATTEMPTS = 2;
 
     private final KeyValueStandIn keyValue;
+    private byte[] latestDocument = new byte[0];
     private final List<Version> versions = new ArrayList<>();
 
     SoakConfiguration(KeyValueStandIn keyValue) {
@@ -87,11 +88,17 @@
         document.workspace("ministry", PERMANENT_KEY, false);
         document.workspace("guests", next.guestKey(), false);
         long putNanos = System.nanoTime();
-        keyValue.put(PlatformDocuments.CONFIGURATION, document.bytes());
+        latestDocument = document.bytes();
+        publishAgain();
         versions.add(
                 new Version(next.guestNumber(), next.addedRoutes(), next.timeoutMillis(), putNanos, System.nanoTime()));
     }
 
+    /** Writes the latest configuration once more, as operators do when the service has lost it. */
+    synchronized void publishAgain() {
+        keyValue.put(PlatformDocuments.CONFIGURATION, latestDocument);
+    }
+
     /** Returns the configurations that an entry may have applied to a request that was sent and ended then. */
     synchronized List<Version> inForce(SoakCall call) {
         List<Version> possible = new ArrayList<>();
--- a/src/test/java/org/yuccagw/process/SoakDeployment.java
+++ b/src/test/java/org/yuccagw/process/SoakDeployment.java
@@ -5,7 +5,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -33,6 +35,7 @@
     private final SplittableRandom random;
     private final KeyValueStandIn keyValue = KeyValueStandIn.start(KeyValueSettings.defaults());
     private final HttpClient http = HttpClient.start(1);
+    private final Set<SoakEndpoint> registered = ConcurrentHashMap.newKeySet();
     private final SoakConfiguration configuration = new SoakConfiguration(keyValue);
     private final List<SoakEndpoint> endpoints = new ArrayList<>();
     private final List<SoakEntry> entries = new ArrayList<>();
@@ -193,6 +196,7 @@
                 case SETTINGS_CHANGE -> atEntry(step, entry -> entry.reload(step.target()));
                 case ENTRY_IS_TERMINATED -> atEntry(step, SoakEntry::terminateAndRestart);
                 case ENTRY_IS_KILLED -> atEntry(step, SoakEntry::killAndRestart);
+                case KEY_VALUE_SERVICE_IS_RESTORED -> restoreKeyValueService(step.millis());
                 default -> changeConfiguration(step);
             }
         } catch (Exception e) {
@@ -210,12 +214,25 @@
                 });
     }
 
+    /** Restores the service from a copy of the given age; operators and endpoints then write their keys again. */
+    private void restoreKeyValueService(int ageMillis) throws InterruptedException {
+        keyValue.takeCopy();
+        Thread.sleep(ageMillis);
+        synchronized (this) {
+            keyValue.restoreCopy();
+            configuration.publishAgain();
+        }
+        for (SoakEndpoint endpoint : endpoints) {
+            writeRegistration(endpoint);
+        }
+    }
+
     private void dieAndReturn(SoakEndpoint endpoint, int millis) throws Exception {
         synchronized (endpoint) {
-            String id = endpoint.id();
             endpoint.die();
             Thread.sleep(REGISTERED_AFTER_DEATH.toMillis());
-            keyValue.remove(PlatformDocuments.endpointKey(id));
+            registered.remove(endpoint);
+            writeRegistration(endpoint);
             Thread.sleep(millis);
             endpoint.startAgain();
             register(endpoint);
@@ -223,7 +240,19 @@
     }
 
     private void register(SoakEndpoint endpoint) {
-        keyValue.put(PlatformDocuments.endpointKey(endpoint.id()), endpoint.registration());
+        registered.add(endpoint);
+        writeRegistration(endpoint);
+    }
+
+    private void writeRegistration(SoakEndpoint endpoint) {
+        String key = PlatformDocuments.endpointKey(endpoint.id());
+        synchronized (registered) {
+            if (registered.contains(endpoint)) {
+                keyValue.put(key, endpoint.registration());
+            } else {
+                keyValue.remove(key);
+            }
+        }
     }
 
     /** A step at an entry. */
--- a/src/test/java/org/yuccagw/process/SoakStep.java
+++ b/src/test/java/org/yuccagw/process/SoakStep.java
@@ -1,6 +1,7 @@
 package org.yuccagw.process;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.stream.Stream;
@@ -16,8 +17,10 @@
     private static final int MAX_INTERVAL_MILLIS = 900;
     private static final int MIN_SILENCE_MILLIS = 300;
     private static final int MAX_SILENCE_MILLIS = 2_500;
+    private static final int MIN_RESTORATION_INTERVAL_MILLIS = 1_000;
+    private static final int MAX_RESTORATION_INTERVAL_MILLIS = 20_000;
 
-    /** Kinds of steps with their shares in a schedule. */
+    /** Kinds of steps with their shares in a schedule; a kind without a share is scheduled on its own. */
     enum Kind {
         ENDPOINT_IS_SILENT(40),
         ALL_ENDPOINTS_ARE_SILENT(8),
@@ -28,7 +31,8 @@
         ENTRY_IS_KILLED(2),
         KEY_IS_TAKEN_AWAY(8),
         ROUTE_IS_ADDED(5),
-        TIMEOUT_CHANGES(5);
+        TIMEOUT_CHANGES(5),
+        KEY_VALUE_SERVICE_IS_RESTORED(0);
 
         private final int share;
 
@@ -55,6 +59,20 @@
             int millis = random.nextInt(MIN_SILENCE_MILLIS, MAX_SILENCE_MILLIS + 1);
             steps.add(new SoakStep(at, Kind.pick(random), random.nextInt(1_000), millis));
         }
+        steps.addAll(restorations(random, seconds));
+        steps.sort(Comparator.comparingLong(SoakStep::atMillis));
+        return steps;
+    }
+
+    /** Drawn after all other steps, which therefore stay the same for a seed. */
+    private static List<SoakStep> restorations(SplittableRandom random, long seconds) {
+        List<SoakStep> steps = new ArrayList<>();
+        long at = random.nextInt(MAX_RESTORATION_INTERVAL_MILLIS);
+        while (at < seconds * 1_000) {
+            int millis = random.nextInt(MIN_SILENCE_MILLIS, MAX_SILENCE_MILLIS + 1);
+            steps.add(new SoakStep(at, Kind.KEY_VALUE_SERVICE_IS_RESTORED, 0, millis));
+            at += random.nextInt(MIN_RESTORATION_INTERVAL_MILLIS, MAX_RESTORATION_INTERVAL_MILLIS);
+        }
         return steps;
     }
 }
