--- a/src/main/java/org/yuccagw/core/control/KeyValueEras.java
+++ b/src/main/java/org/yuccagw/core/control/KeyValueEras.java
@@ -34,6 +34,7 @@
     private final Scheduler later;
     private final LongConsumer onRestored;
     private long era = UNKNOWN;
+    /** Whether no call has remained without an answer since the era was last stated. */
     private boolean certain = true;
 
     /** Sends a call; the answer arrives as a later event. */
@@ -110,7 +111,9 @@
     /** Returns what an answer means for its call, given the era in which it was made. */
     private KeyValueAnswer evaluate(KeyValueCall call, KeyValueAnswer raw) {
         if (!(raw instanceof KeyValueAnswer.InEra answered)) {
-            certain &= !(raw instanceof KeyValueAnswer.Lost || raw instanceof KeyValueAnswer.Refused);
+            if (raw instanceof KeyValueAnswer.Lost || raw instanceof KeyValueAnswer.Refused) {
+                certain = false;
+            }
             return raw;
         }
         if (answered.era() < era) {
--- a/src/test/java/org/yuccagw/daemon/RestoredKeyValueTest.java
+++ b/src/test/java/org/yuccagw/daemon/RestoredKeyValueTest.java
@@ -75,31 +75,23 @@
     // Guards against requests to an endpoint whose removal got a revision that had been granted before.
     @Test(dataProvider = "restorations")
     public void anEndpointThatLeavesAfterARestorationIsNotUsed(int entries, Duration away, Progress progress) {
-        Play play = Play.start(entries);
-        play.restore(away, progress);
-        play.fleet.bench.runFor(SETTLING);
+        Play play = Play.settledAfterRestoration(entries, away, progress);
         play.fleet.expireRegistration("plain-1");
-        play.fleet.bench.runFor(CHANGE_LIMIT);
-        assertEquals(play.entriesUsing("plain-1"), List.of());
+        play.assertUnusedInTime("plain-1");
     }
 
     // Guards against a drain that is taken for seen.
     @Test(dataProvider = "restorations")
     public void anEndpointThatDrainsAfterARestorationIsNotUsed(int entries, Duration away, Progress progress) {
-        Play play = Play.start(entries);
-        play.restore(away, progress);
-        play.fleet.bench.runFor(SETTLING);
+        Play play = Play.settledAfterRestoration(entries, away, progress);
         play.fleet.markPlainLeaving("plain-1");
-        play.fleet.bench.runFor(CHANGE_LIMIT);
-        assertEquals(play.entriesUsing("plain-1"), List.of());
+        play.assertUnusedInTime("plain-1");
     }
 
     // Guards against a configuration that is taken for seen.
     @Test(dataProvider = "restorations")
     public void aConfigurationAfterARestorationIsInForceInTime(int entries, Duration away, Progress progress) {
-        Play play = Play.start(entries);
-        play.restore(away, progress);
-        play.fleet.bench.runFor(SETTLING);
+        Play play = Play.settledAfterRestoration(entries, away, progress);
         play.fleet.configure(9);
         play.fleet.bench.runFor(CHANGE_LIMIT);
         assertEquals(play.entriesNotAt(9), List.of());
@@ -161,8 +153,7 @@
         play.restore(Duration.ZERO, Progress.EQUAL);
         play.fleet.bench.runFor(SETTLING);
         play.fleet.expireRegistration("plain-1");
-        play.fleet.bench.runFor(CHANGE_LIMIT);
-        assertEquals(play.entriesUsing("plain-1"), List.of());
+        play.assertUnusedInTime("plain-1");
     }
 
     // Guards against an entry that holds the earlier history and confirms others with it.
@@ -173,8 +164,7 @@
         play.restore(away, progress);
         play.fleet.bench.runFor(SETTLING);
         play.fleet.expireRegistration("plain-1");
-        play.fleet.bench.runFor(CHANGE_LIMIT);
-        assertEquals(play.entriesUsing("plain-1"), List.of());
+        play.assertUnusedInTime("plain-1");
     }
 
     // Guards against orders of two holders, and against fencing numbers that fall.
@@ -269,6 +259,13 @@
             return play;
         }
 
+        private static Play settledAfterRestoration(int entries, Duration away, Progress progress) {
+            Play play = start(entries);
+            play.restore(away, progress);
+            play.fleet.bench.runFor(SETTLING);
+            return play;
+        }
+
         private void startRest() {
             startEntries(nodes.size(), entries);
         }
@@ -308,6 +305,11 @@
                     .toList();
         }
 
+        private void assertUnusedInTime(String endpoint) {
+            fleet.bench.runFor(CHANGE_LIMIT);
+            assertEquals(entriesUsing(endpoint), List.of());
+        }
+
         private List<EntryId> entriesNotAt(long version) {
             return nodes.stream()
                     .filter(node -> !node.isDead() && VirtualFleet.configurationOf(node) != version)
