Let an entry that starts learn what others know better than the key-value service

What callers saw: an entry that started while the service held an older copy answered 404 for routes that all other entries served, and sent requests to endpoints that had left, until operators and endpoints wrote again.

Cause: what an entry believes at its start came from one source. The service's copy was the truth for it, and the other entries, which retain newer states by what their writers state, were never asked. A state of an earlier era could not replace a copy of a later one.

Change: two states of different eras are ordered by their writers whichever arrives first. Removals are passed on with the value before them. A leaving endpoint doesn't return within its incarnation.

--- a/src/main/java/org/yuccagw/adapters/peer/FollowCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/FollowCodec.java
@@ -21,6 +21,7 @@
 public final class FollowCodec implements BodyCodec {
     private static final int REQUEST = 0;
     private static final int REPLY = 1;
+    private static final int STILL_STARTING = 2;
 
     private FollowCodec() {}
 
@@ -35,6 +36,10 @@
                     PeerProtocol.FollowMessage.newBuilder().setKind(REQUEST).setRevision(request.afterRevision()));
             return true;
         }
+        if (message instanceof FollowMessage.StillStarting) {
+            envelope.setFollow(PeerProtocol.FollowMessage.newBuilder().setKind(STILL_STARTING));
+            return true;
+        }
         if (message instanceof FollowMessage.Changes reply) {
             envelope.setFollow(encode(reply));
             return true;
@@ -91,6 +96,9 @@
         if (wire.getKind() == REQUEST) {
             return Optional.of(new FollowMessage.ChangesRequest(wire.getRevision()));
         }
+        if (wire.getKind() == STILL_STARTING) {
+            return Optional.of(new FollowMessage.StillStarting());
+        }
         return Optional.of(new FollowMessage.Changes(
                 wire.getWhole(),
                 wire.getAfterRevision(),
--- a/src/main/java/org/yuccagw/core/follow/ConfigurationComponent.java
+++ b/src/main/java/org/yuccagw/core/follow/ConfigurationComponent.java
@@ -13,9 +13,16 @@
  *
  * <p>Invariant: the version in force only increases. A configuration that arrives late, through a slow answer or from a
  * peer that lags behind, replaces the current one only if its version is higher.
+ *
+ * <p>The first configuration comes into force only when this entry has been told what others know better than the
+ * key-value service. Until then it has none, so that it serves nothing.
  */
 public final class ConfigurationComponent implements ControlComponent {
     private Optional<Deployment> current = Optional.empty();
+    /** The newest configuration that was received before the first one came into force. */
+    private Optional<KeyValueRecordUpdated> awaitingStart = Optional.empty();
+
+    private boolean started;
 
     private ConfigurationComponent() {}
 
@@ -30,23 +37,39 @@
 
     @Override
     public void handle(ControlEvent event, ControlContext context) {
-        if (event instanceof KeyValueRecordUpdated updated
-                && updated.record() instanceof KeyValueRecord.Configured configured) {
-            Deployment received = configured.deployment();
-            boolean newer =
-                    current.map(known -> received.version() > known.version()).orElse(true);
-            if (newer) {
-                context.perform(Decision.of("configuration-applied")
-                        .with("version", received.version())
-                        .with("before", current.map(Deployment::version).orElse(0L))
-                        .with("revision", updated.revision())
-                        .with("routes", received.routeCount()));
-                current = Optional.of(received);
-                context.raise(new Applied(received));
+        if (event instanceof KeyValueFollowComponent.Started) {
+            started = true;
+            awaitingStart.ifPresent(updated -> apply(updated, context));
+            awaitingStart = Optional.empty();
+        } else if (event instanceof KeyValueRecordUpdated updated
+                && updated.record() instanceof KeyValueRecord.Configured) {
+            if (started) {
+                apply(updated, context);
+            } else if (awaitingStart.isEmpty() || versionOf(updated) > versionOf(awaitingStart.get())) {
+                awaitingStart = Optional.of(updated);
             }
         }
     }
 
+    private static long versionOf(KeyValueRecordUpdated updated) {
+        return ((KeyValueRecord.Configured) updated.record()).deployment().version();
+    }
+
+    private void apply(KeyValueRecordUpdated updated, ControlContext context) {
+        Deployment received = ((KeyValueRecord.Configured) updated.record()).deployment();
+        long before = current.map(Deployment::version).orElse(0L);
+        if (current.isPresent() && received.version() <= before) {
+            return;
+        }
+        context.perform(Decision.of("configuration-applied")
+                .with("version", received.version())
+                .with("before", before)
+                .with("revision", updated.revision())
+                .with("routes", received.routeCount()));
+        current = Optional.of(received);
+        context.raise(new Applied(received));
+    }
+
     /** Raised when a newer configuration has come into force. */
     public record Applied(Deployment deployment) implements ControlEvent {}
 
--- a/src/main/java/org/yuccagw/core/follow/FollowMessage.java
+++ b/src/main/java/org/yuccagw/core/follow/FollowMessage.java
@@ -9,11 +9,16 @@
     /** Requests the changes after a revision, or all keys if the revision is 0. */
     record ChangesRequest(long afterRevision) implements FollowMessage {}
 
+    /** Answers a request with the statement that this entry has just started and knows only what the service states. */
+    record StillStarting() implements FollowMessage {}
+
     /**
      * Reports changes, either as the answer to a request or unrequested from a lead to its followers.
      *
-     * @param whole whether the items are all keys, so that every other key has been removed
-     * @param afterRevision unless {@code whole}, the items are all changes after this revision
+     * @param whole whether the items are all keys, so that every other key has been removed; recent removals, with the
+     *     value before them, are among the items
+     * @param afterRevision unless {@code whole}, the items are all changes after this revision, and what the sender
+     *     knows better than a service that was restored from an older copy
      * @param revision the revision up to which the sender's copy is complete
      * @param confirmedAgeMillis time since the sender's copy was confirmed
      * @param afterOutage whether the key-value service has just become reachable again for the sender, so that a
--- a/src/main/java/org/yuccagw/core/follow/FollowedKeys.java
+++ b/src/main/java/org/yuccagw/core/follow/FollowedKeys.java
@@ -20,9 +20,10 @@
 /**
  * The last known write or removal of each followed key. Raises an event for each change.
  *
- * <p>Within an era of the service, a write counts if its revision is higher than that of the known one. In a later era,
- * the service may hold an older copy of a key: it counts if its value differs from the known one and, by what its
- * writer states, isn't older (see {@link KeyValueRecord#isOlderThan}).
+ * <p>Of two states of a key within one era of the service, the one with the higher revision counts. Of two states of
+ * different eras, the one of the later era counts, unless it is an older copy by what its writer states (see {@link
+ * KeyValueRecord#isOlderThan}). The order in which the two arrive doesn't matter: an entry may receive the older copy
+ * from the service and then, from another entry, the state that it replaced.
  */
 final class FollowedKeys {
     private static final Duration REMOVAL_RETENTION = Duration.ofSeconds(60);
@@ -50,12 +51,19 @@
      * @param afterOutage whether the service has just become reachable again, or has been restored, so that a removal
      *     may be the lapse of a lease
      * @param unseenSinceNanos see {@link KeyValueRecordUpdated}
+     * @param presentRevision the revision that the sender's copy includes
      */
-    record Arrival(boolean initial, boolean afterOutage, OptionalLong unseenSinceNanos) {}
+    record Arrival(boolean initial, boolean afterOutage, OptionalLong unseenSinceNanos, long presentRevision) {
+        /** Returns whether a removal may be the lapse of a lease, which no removal before a restoration is. */
+        boolean mayBeLapse(Item removal) {
+            return afterOutage && !KeyValueRevision.isOfEarlierEra(removal.revision(), presentRevision);
+        }
+    }
 
     /**
      * The last write or the removal of a key, and when it was received.
      *
+     * @param item after a removal with the value before it, so that other entries can decode it
      * @param record the decoded value, after a removal the one before it; empty if there is none
      */
     private record KeyState(Item item, Optional<KeyValueRecord> record, long receivedNanos) {
@@ -64,7 +72,7 @@
         }
 
         boolean hasSameValue(Item other) {
-            return item.deleted() == other.deleted() && Arrays.equals(item.value(), other.value());
+            return !isRemoved() && !other.deleted() && Arrays.equals(item.value(), other.value());
         }
     }
 
@@ -80,25 +88,45 @@
         List<String> missing = new ArrayList<>();
         for (KeyState state : keys.values()) {
             boolean notNewer = state.item().revision() <= listRevision;
-            if (notNewer && !state.isRemoved() && !listed.contains(state.item().key())) {
+            boolean lost = isLostByRestoration(state, listRevision);
+            if (notNewer
+                    && !lost
+                    && !state.isRemoved()
+                    && !listed.contains(state.item().key())) {
                 missing.add(state.item().key());
             }
         }
         missing.forEach(key -> apply(new Item(key, new byte[0], listRevision, true), arrival));
     }
 
-    /** Returns the keys that exist. */
-    ImmutableList<Item> present() {
-        return items(item -> !item.deleted());
+    /** Returns whether a key that a restored service lacks stays in force, since such keys are never removed. */
+    private boolean isLostByRestoration(KeyState state, long listRevision) {
+        return state.record().isPresent()
+                && KeyValueRevision.isOfEarlierEra(state.item().revision(), listRevision)
+                && codec.subject(state.item().key()) instanceof KeyValueRecord.Subject.OtherSubject;
     }
 
-    /** Returns the keys that were written or removed after the revision. */
-    ImmutableList<Item> changedAfter(long revision) {
-        return items(item -> item.revision() > revision);
+    /** Returns the keys that exist, and the removals that are retained, with the values before them. */
+    ImmutableList<Item> all() {
+        return items(state -> !state.isRemoved() || state.record().isPresent());
     }
 
-    private ImmutableList<Item> items(Predicate<Item> included) {
-        return keys.values().stream().map(KeyState::item).filter(included).collect(ImmutableList.toImmutableList());
+    /** Returns the keys that were written or removed after the revision, and what is known better than the service. */
+    ImmutableList<Item> changedAfterAndRetained(long revision, long presentRevision) {
+        return items(state -> state.item().revision() > revision || isRetained(state, presentRevision));
+    }
+
+    /**
+     * Returns whether the state is retained from an earlier era than the present one, because the service holds an older
+     * copy of the key or none.
+     */
+    private static boolean isRetained(KeyState state, long presentRevision) {
+        return state.record().isPresent()
+                && KeyValueRevision.isOfEarlierEra(state.item().revision(), presentRevision);
+    }
+
+    private ImmutableList<Item> items(Predicate<KeyState> included) {
+        return keys.values().stream().filter(included).map(KeyState::item).collect(ImmutableList.toImmutableList());
     }
 
     /** Returns whether all removals after the revision are still known. */
@@ -126,44 +154,83 @@
 
     private void apply(Item item, Arrival arrival) {
         KeyState known = keys.get(item.key());
-        boolean notNewer = known != null && known.item().revision() >= item.revision();
-        boolean alreadyRemoved = item.deleted() && (known == null || known.isRemoved());
-        if (notNewer || alreadyRemoved) {
-            return;
+        if (known == null) {
+            applyFirst(item, arrival);
+        } else if (KeyValueRevision.isOfEarlierEra(known.item().revision(), item.revision())) {
+            applyOfLaterEra(item, known, arrival);
+        } else if (KeyValueRevision.isOfEarlierEra(item.revision(), known.item().revision())) {
+            applyOfEarlierEra(item, known, arrival);
+        } else if (item.revision() > known.item().revision()) {
+            applyNewer(item, known, arrival);
         }
-        boolean ofLaterEra =
-                known != null && KeyValueRevision.isOfEarlierEra(known.item().revision(), item.revision());
-        if (ofLaterEra && known.hasSameValue(item)) {
-            return;
+    }
+
+    private void applyFirst(Item item, Arrival arrival) {
+        if (!item.deleted()) {
+            write(item, Optional.empty(), arrival);
+        } else if (item.value().length > 0) {
+            store(item, decodeIfReadable(item));
+            retainedRemovals++;
         }
-        Optional<KeyValueRecord> before = known == null ? Optional.empty() : known.record();
-        if (item.deleted()) {
-            remove(item, before, arrival);
-            return;
+    }
+
+    private void applyNewer(Item item, KeyState known, Arrival arrival) {
+        if (!item.deleted()) {
+            write(item, known.record(), arrival);
+        } else if (!known.isRemoved()) {
+            remove(item, known, arrival);
+        }
+    }
+
+    private void applyOfLaterEra(Item item, KeyState known, Arrival arrival) {
+        if (known.hasSameValue(item)) {
+            store(item, known.record());
+        } else if (!item.deleted() && isOlderCopy(decodeIfReadable(item), known)) {
+            logIgnored(item, known);
+        } else {
+            applyNewer(item, known, arrival);
+        }
+    }
+
+    /** Applies a state that another entry retained from an earlier era, if the known one is an older copy. */
+    private void applyOfEarlierEra(Item item, KeyState known, Arrival arrival) {
+        Optional<KeyValueRecord> retained = decodeIfReadable(item);
+        boolean knownIsOlder = !known.isRemoved()
+                && retained.isPresent()
+                && known.record().isPresent()
+                && known.record().get().isOlderThan(retained.get(), item.deleted());
+        if (knownIsOlder) {
+            applyNewer(item, known, arrival);
         }
+    }
+
+    private void remove(Item item, KeyState known, Arrival arrival) {
+        boolean stated = item.value().length > 0;
+        byte[] before = stated ? item.value() : known.item().value();
+        Optional<KeyValueRecord> record = stated ? decodeIfReadable(item) : known.record();
+        store(new Item(item.key(), before, item.revision(), true), record);
+        retainedRemovals++;
+        context.raise(new KeyValueRecordRemoved(codec.subject(item.key()), item.revision(), arrival.mayBeLapse(item)));
+    }
+
+    private void write(Item item, Optional<KeyValueRecord> before, Arrival arrival) {
         try {
             Optional<KeyValueRecord> written = codec.decode(item.key(), item.value());
-            if (ofLaterEra && isOlderCopy(written, known)) {
-                logIgnored(item, known);
-            } else {
-                write(item, written, before, arrival);
-            }
+            store(item, written.or(() -> before));
+            written.ifPresent(record -> context.raise(
+                    new KeyValueRecordUpdated(record, item.revision(), arrival.initial(), arrival.unseenSinceNanos())));
         } catch (YuccagwException unreadable) {
             store(item, before);
             handleUnreadable(item, unreadable);
         }
     }
 
-    private void remove(Item item, Optional<KeyValueRecord> before, Arrival arrival) {
-        store(item, before);
-        retainedRemovals++;
-        context.raise(new KeyValueRecordRemoved(codec.subject(item.key()), item.revision(), arrival.afterOutage()));
-    }
-
-    private void write(Item item, Optional<KeyValueRecord> written, Optional<KeyValueRecord> before, Arrival arrival) {
-        store(item, written.or(() -> before));
-        written.ifPresent(record -> context.raise(
-                new KeyValueRecordUpdated(record, item.revision(), arrival.initial(), arrival.unseenSinceNanos())));
+    private Optional<KeyValueRecord> decodeIfReadable(Item item) {
+        try {
+            return codec.decode(item.key(), item.value());
+        } catch (YuccagwException unreadable) {
+            return Optional.empty();
+        }
     }
 
     private void store(Item item, Optional<KeyValueRecord> record) {
--- a/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
+++ b/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
@@ -1,10 +1,10 @@
 package org.yuccagw.core.follow;
 
-import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.Supplier;
 import org.yuccagw.core.control.ControlComponent;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
@@ -102,14 +102,13 @@
     /** The wait of a watch while the service is unavailable; short, so that its recovery is detected immediately. */
     private static final Duration OUTAGE_WATCH_WAIT = Duration.ofMillis(50);
 
-    private static final Duration MIN_RETRY_DELAY = Duration.ofMillis(100);
-    private static final Duration MAX_RETRY_DELAY = Duration.ofMillis(500);
     private static final Duration MAX_RELIST_DELAY = Duration.ofMillis(400);
-    private static final Duration MIN_LAPSING_OUTAGE = Duration.ofMillis(800);
     private static final long NO_REVISION = 0;
 
     private final KeyValueRecordCodec codec;
     private final WatchRole watchRole;
+    private final StateInquiry inquiry;
+    private final ServiceAvailability service = new ServiceAvailability();
     private FollowedKeys keys;
     private ControlContext context;
     private long startedNanos;
@@ -118,25 +117,29 @@
     private boolean everConfirmed;
     private long leadConfirmedNanos;
     private boolean everLeadConfirmed;
-    private Duration retryDelay = MIN_RETRY_DELAY;
-    private boolean unavailable;
-    private long unavailableSinceNanos;
-    private long lastFailureNanos;
-    private boolean lapsesPossible;
     private boolean goneSinceLastWatch;
-    private long recoveredNanos = Long.MIN_VALUE;
     private boolean peerRequestPending;
 
-    private KeyValueFollowComponent(KeyValueRecordCodec codec, WatchRole watchRole) {
+    private KeyValueFollowComponent(
+            KeyValueRecordCodec codec, WatchRole watchRole, Supplier<List<EntryId>> otherEntries) {
         this.codec = codec;
         this.watchRole = watchRole;
+        this.inquiry = StateInquiry.of(otherEntries, this::revision, () -> context.raise(new Started()));
     }
 
-    /** Creates a component with an empty copy. */
-    public static KeyValueFollowComponent of(KeyValueRecordCodec codec, WatchRole watchRole) {
-        return new KeyValueFollowComponent(codec, watchRole);
+    /**
+     * Creates a component with an empty copy.
+     *
+     * @param otherEntries returns the other entries that are known
+     */
+    public static KeyValueFollowComponent of(
+            KeyValueRecordCodec codec, WatchRole watchRole, Supplier<List<EntryId>> otherEntries) {
+        return new KeyValueFollowComponent(codec, watchRole, otherEntries);
     }
 
+    /** Raised once, when the copy also includes what other entries know better, or these didn't answer in time. */
+    public record Started() implements ControlEvent {}
+
     /** Determines whether this entry watches itself, and whether it forwards changes to followers. */
     public interface WatchRole {
         /** Returns whether this entry may rely on confirmations from leads instead of watching. */
@@ -192,6 +195,8 @@
         context = startContext;
         startedNanos = context.nowNanos();
         keys = FollowedKeys.of(codec, context);
+        service.start(context);
+        inquiry.start(context);
         list();
     }
 
@@ -213,7 +218,7 @@
 
     /** Returns whether the copy has been confirmed and the last call to the key-value service didn't fail. */
     public boolean isReachable() {
-        return everConfirmed && !unavailable;
+        return everConfirmed && !service.isUnavailable();
     }
 
     /** Returns the highest revision that the copy includes. */
@@ -232,15 +237,15 @@
         long sentNanos = context.nowNanos();
         context.call(new KeyValueCall.ReadPrefix(codec.followedPrefix()), answer -> {
             if (answer instanceof KeyValueAnswer.Found found) {
-                onServiceAvailable();
-                lapsesPossible |= noticeRestoration(found.revision());
-                applyList(found.items(), found.revision(), lapsesPossible);
-                lapsesPossible = false;
+                service.recordAnswer(confirmedNanos());
+                boolean restored = noticeRestoration(found.revision());
+                boolean lapsesPossible = service.takeLapsesPossible();
+                applyList(found.items(), found.revision(), restored || lapsesPossible);
                 confirm(sentNanos);
                 watchOrRely();
             } else {
-                onServiceFailure("list", answer);
-                context.after(nextRetryDelay(), this::list);
+                service.recordFailure("list", answer);
+                context.after(service.nextRetryDelay(), this::list);
             }
         });
     }
@@ -270,8 +275,8 @@
             } else if (answer instanceof KeyValueAnswer.HistoryGone) {
                 onHistoryGone();
             } else {
-                onServiceFailure("watch", answer);
-                context.after(nextRetryDelay(), this::watchOrRely);
+                service.recordFailure("watch", answer);
+                context.after(service.nextRetryDelay(), this::watchOrRely);
             }
         });
     }
@@ -304,16 +309,24 @@
         if (revision == NO_REVISION || !KeyValueRevision.isOfEarlierEra(revision, newRevision)) {
             return false;
         }
-        recoveredNanos = context.nowNanos();
+        service.recordRestoration();
         context.perform(Decision.of("key-value-service-restored")
                 .with("era", KeyValueRevision.era(newRevision))
                 .with("revision", KeyValueRevision.number(newRevision))
                 .with("before_era", KeyValueRevision.era(revision))
                 .with("before_revision", KeyValueRevision.number(revision)));
         context.raise(new KeyValueRestored(KeyValueRevision.era(newRevision)));
+        inquireLater();
         return true;
     }
 
+    /** Asks the other entries after a random delay, since all of them notice a restoration at once. */
+    private void inquireLater() {
+        if (inquiry.isStarted()) {
+            context.after(Duration.ofMillis(context.random().nextLong(MAX_RELIST_DELAY.toMillis())), inquiry::begin);
+        }
+    }
+
     /** Returns the delay of the next watch; not extended before the first configuration, which serving requires. */
     private Duration coalescingDelay() {
         boolean starting = context.nowNanos() - startedNanos < STARTUP_PERIOD.toNanos() && watchRole.isServing();
@@ -321,18 +334,17 @@
     }
 
     private Duration watchWait() {
-        if (unavailable) {
+        if (service.isUnavailable()) {
             return OUTAGE_WATCH_WAIT;
         }
         return watchRole.hasFollowers() ? LEAD_WATCH_WAIT : WATCH_WAIT;
     }
 
     private void onWatchAnswer(KeyValueAnswer.Found found, long sentNanos, Duration wait) {
-        onServiceAvailable();
+        service.recordAnswer(confirmedNanos());
         goneSinceLastWatch = false;
         long previousRevision = revision;
-        applyItems(found.items(), found.revision(), lapsesPossible);
-        lapsesPossible = false;
+        applyItems(found.items(), found.revision(), service.takeLapsesPossible());
         if (found.items().isEmpty()) {
             boolean fullWait = context.nowNanos() - sentNanos >= wait.toNanos();
             confirm(fullWait ? sentNanos + (long) (wait.toNanos() * CONFIRMED_WAIT_FRACTION) : sentNanos);
@@ -344,43 +356,6 @@
         }
     }
 
-    private void onServiceFailure(String call, KeyValueAnswer answer) {
-        lastFailureNanos = context.nowNanos();
-        if (!unavailable) {
-            unavailable = true;
-            unavailableSinceNanos = context.nowNanos();
-            context.perform(Decision.of("dependency-lost")
-                    .with("dependency", "key-value service")
-                    .with("call", call)
-                    .with("answer", answer));
-        }
-    }
-
-    private void onServiceAvailable() {
-        retryDelay = MIN_RETRY_DELAY;
-        if (!unavailable) {
-            return;
-        }
-        unavailable = false;
-        long unavailableNanos = context.nowNanos() - unavailableSinceNanos;
-        context.perform(Decision.of("dependency-regained")
-                .with("dependency", "key-value service")
-                .with("away_ms", unavailableNanos / 1_000_000));
-        // What happened in an outage that other entries have confirmed to be over is known from them.
-        boolean confirmedSince = everConfirmed && confirmedNanos - lastFailureNanos > 0;
-        if (unavailableNanos >= MIN_LAPSING_OUTAGE.toNanos() && !confirmedSince) {
-            lapsesPossible = true;
-            recoveredNanos = context.nowNanos();
-        }
-    }
-
-    private Duration nextRetryDelay() {
-        Duration delay = retryDelay;
-        Duration doubled = retryDelay.multipliedBy(2);
-        retryDelay = Comparators.min(doubled, MAX_RETRY_DELAY);
-        return delay.plusMillis(context.random().nextInt(50));
-    }
-
     private void confirm(long asOfNanos) {
         if (!everConfirmed || asOfNanos - confirmedNanos > 0) {
             confirmedNanos = asOfNanos;
@@ -409,14 +384,33 @@
 
     private void receive(EntryId from, FollowMessage message) {
         if (message instanceof FollowMessage.ChangesRequest request) {
-            if (everConfirmed) {
-                context.send(from, answerTo(request));
-            }
+            onRequest(from, request);
         } else if (message instanceof FollowMessage.Changes changes) {
             applyChanges(from, changes);
+        } else if (message instanceof FollowMessage.StillStarting) {
+            inquiry.recordStarting(from);
+        }
+    }
+
+    /**
+     * Answers a request, unless this entry may itself lack what the others know. An entry that is asked from a later
+     * era than its own first asks for the changes since; the other one will ask again.
+     */
+    private void onRequest(EntryId from, FollowMessage.ChangesRequest request) {
+        if (KeyValueRevision.isOfEarlierEra(revision, request.afterRevision())) {
+            context.send(from, new FollowMessage.ChangesRequest(revision));
+        } else if (everConfirmed && (inquiry.isStarted() || isOutdated(request))) {
+            context.send(from, answerTo(request));
+        } else {
+            context.send(from, new FollowMessage.StillStarting());
         }
     }
 
+    private boolean isOutdated(FollowMessage.ChangesRequest request) {
+        return request.afterRevision() == NO_REVISION
+                || KeyValueRevision.isOfEarlierEra(request.afterRevision(), revision);
+    }
+
     /**
      * Applies changes received from another entry. The items always apply, but they raise this entry's revision to that
      * of the sender only if no changes in between are missing, as after the loss of a message.
@@ -433,13 +427,14 @@
                 context.send(from, new FollowMessage.ChangesRequest(revision));
                 return;
             }
-            keys.apply(changes.items(), arrival(changes.afterOutage()));
+            keys.apply(changes.items(), arrival(changes.afterOutage(), changes.revision()));
             if (changes.afterRevision() > revision) {
                 context.send(from, new FollowMessage.ChangesRequest(revision));
                 return;
             }
             advanceTo(changes.revision());
         }
+        inquiry.recordAnswer(from);
         onLeadConfirmation(
                 changes.revision(),
                 context.nowNanos()
@@ -458,29 +453,31 @@
     }
 
     private FollowMessage.Changes answerTo(FollowMessage.ChangesRequest request) {
-        boolean whole = request.afterRevision() == NO_REVISION
-                || !keys.retainRemovalsAfter(request.afterRevision())
-                || KeyValueRevision.isOfEarlierEra(request.afterRevision(), revision);
-        ImmutableList<Item> items = whole ? keys.present() : keys.changedAfter(request.afterRevision());
+        boolean whole = isOutdated(request) || !keys.retainRemovalsAfter(request.afterRevision());
+        ImmutableList<Item> items =
+                whole ? keys.all() : keys.changedAfterAndRetained(request.afterRevision(), revision);
         return changesMessage(whole, request.afterRevision(), items);
     }
 
     private FollowMessage.Changes changesMessage(boolean whole, long afterRevision, ImmutableList<Item> items) {
         long ageMillis = (context.nowNanos() - confirmedNanos) / 1_000_000;
-        boolean afterOutage = recoveredNanos != Long.MIN_VALUE
-                && context.nowNanos() - recoveredNanos < REREGISTRATION_GRACE.toNanos();
+        boolean afterOutage = service.recoveredWithin(REREGISTRATION_GRACE);
         return new FollowMessage.Changes(whole, afterRevision, revision, ageMillis, afterOutage, items);
     }
 
     // ---- Applying changes
 
     private void applyList(List<Item> items, long listRevision, boolean afterOutage) {
-        keys.applyList(items, listRevision, arrival(afterOutage));
+        boolean first = revision == NO_REVISION;
+        keys.applyList(items, listRevision, arrival(afterOutage, listRevision));
         advanceTo(listRevision);
+        if (first) {
+            inquiry.begin();
+        }
     }
 
     private void applyItems(List<Item> items, long newRevision, boolean afterOutage) {
-        keys.apply(items, arrival(afterOutage));
+        keys.apply(items, arrival(afterOutage, newRevision));
         advanceTo(newRevision);
     }
 
@@ -489,9 +486,9 @@
         keys.deleteOldRemovals();
     }
 
-    private FollowedKeys.Arrival arrival(boolean afterOutage) {
+    private FollowedKeys.Arrival arrival(boolean afterOutage, long presentRevision) {
         OptionalLong unseenSince =
                 afterOutage && everConfirmed ? OptionalLong.of(confirmedNanos) : OptionalLong.empty();
-        return new FollowedKeys.Arrival(!everConfirmed, afterOutage, unseenSince);
+        return new FollowedKeys.Arrival(!everConfirmed, afterOutage, unseenSince, presentRevision);
     }
 }
--- a/src/main/java/org/yuccagw/core/follow/KeyValueRecord.java
+++ b/src/main/java/org/yuccagw/core/follow/KeyValueRecord.java
@@ -31,7 +31,10 @@
 
     /** The registration of an endpoint. */
     record EndpointListed(ListedEndpoint endpoint) implements KeyValueRecord {
-        /** A registration that hasn't changed since the endpoint was removed is a copy of the removed one. */
+        /**
+         * A registration that hasn't changed since the endpoint was removed is a copy of the removed one. An endpoint
+         * that is leaving doesn't return within its incarnation.
+         */
         @Override
         public boolean isOlderThan(KeyValueRecord other, boolean removed) {
             if (!(other instanceof EndpointListed known)) {
@@ -40,6 +43,9 @@
             if (!endpoint.incarnation().equals(known.endpoint().incarnation())) {
                 return endpoint.incarnation().isBefore(known.endpoint().incarnation());
             }
+            if (endpoint.leaving() != known.endpoint().leaving()) {
+                return known.endpoint().leaving();
+            }
             return endpoint.heartbeats() < known.endpoint().heartbeats()
                     || (removed && endpoint.heartbeats() == known.endpoint().heartbeats());
         }
--- a/src/main/java/org/yuccagw/core/peers/HeartbeatSender.java
+++ b/src/main/java/org/yuccagw/core/peers/HeartbeatSender.java
@@ -112,7 +112,7 @@
      * Sends the heartbeat of an entry that isn't a lead to its leads. A lead sends digests instead, and a heartbeat
      * only to entries of its domain that it doesn't hear.
      *
-     * @param toAllLeads whether the leads of all domains are sent the heartbeat too
+     * @param toAllLeads whether the leads of all domains are sent the heartbeat too, also those not heard yet
      */
     void sendToLeads(boolean toAllLeads) {
         Set<EntryId> receivers = new LinkedHashSet<>();
@@ -127,7 +127,7 @@
             receivers.addAll(leadSearch.unheardEntries());
         }
         if (toAllLeads) {
-            receivers.addAll(topology.allLeads());
+            topology.view().allLeads().forEach(receivers::add);
         }
         receivers.remove(context.self().entry());
         PeerStatus heartbeat = status.get();
--- a/src/main/java/org/yuccagw/core/peers/PeersComponent.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersComponent.java
@@ -90,9 +90,10 @@
     /**
      * How long an entry that a roster lists counts as alive without a further roster. When all leads of a domain fail
      * at once, the other entries detect it after {@link #FOLLOW_TIMEOUT}, follow the next ones within one heartbeat
-     * interval and receive their rosters; until then they must not declare each other failed.
+     * interval and receive their rosters; until then they must not declare each other failed. The only entry of a domain
+     * is listed for this time after its failure, plus one heartbeat interval, since no other lead can withdraw it.
      */
-    private static final Duration ROSTER_TIME_TO_LIVE = FOLLOW_TIMEOUT.plus(LEAD_HEARTBEAT_INTERVAL.multipliedBy(3));
+    private static final Duration ROSTER_TIME_TO_LIVE = FOLLOW_TIMEOUT.plus(Duration.ofMillis(900));
 
     private final LocalState localState;
     private final PeerTable peers = new PeerTable(this::onContact, this::onChange);
@@ -206,6 +207,13 @@
         return 1 + peers.aliveCount();
     }
 
+    /** Returns the known other entries, and the names that stand for seeds at which no entry is known yet. */
+    public List<EntryId> otherEntries() {
+        List<EntryId> entries = new ArrayList<>(peers.ids());
+        entries.addAll(heartbeats.seedAddresses().keySet());
+        return entries;
+    }
+
     /** Returns the number of known entries, including this one and those that failed recently. */
     public int knownCount() {
         return 1 + peers.size();
@@ -348,7 +356,8 @@
      * <p>Guards against directories that omit an entry which could serve: after a power failure of all entries, each
      * became available 0.3 s later than necessary, the time until its next heartbeat, and callers overloaded the few
      * entries that were listed. A lead that stops notifies its followers and the other leads, so that they follow the
-     * next one before it terminates.
+     * next one before it terminates. An entry that becomes ready for the first time notifies the leads of all domains,
+     * none of which it may have heard yet: it may be the only entry of its domain.
      */
     private void updateReadiness() {
         String reason = reason();
@@ -356,6 +365,7 @@
             return;
         }
         boolean wasLead = topology.isAmongLeads();
+        boolean firstTime = !everReady;
         ready = reason.isEmpty();
         everReady |= ready;
         invalidateViews();
@@ -366,7 +376,7 @@
             peers.ids().forEach(entry -> context.send(entry, status));
         } else {
             digestSender.updateOwnRoster(ready);
-            heartbeats.sendToLeads(hasNewsForAllLeads());
+            heartbeats.sendToLeads(firstTime || hasNewsForAllLeads());
             digestSender.send(false, wasLead || topology.isAmongLeads(), heartbeats.round());
         }
     }
--- a/src/main/java/org/yuccagw/daemon/GatewayComponents.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayComponents.java
@@ -75,7 +75,7 @@
     private GatewayComponents(GatewaySettings settings, KeyValueRecordCodec codec) {
         self = settings.entry();
         ownDomain = settings.domain();
-        follow = KeyValueFollowComponent.of(codec, watchRole(settings));
+        follow = KeyValueFollowComponent.of(codec, watchRole(settings), this::otherEntries);
         configuration = ConfigurationComponent.create();
         peers = PeersComponent.of(this, settings.seeds());
         origins = StreamOriginsComponent.of(peers.topology()::allLeadContacts, follow::confirmedNanos);
@@ -189,6 +189,10 @@
                 SuspectCodec.create()));
     }
 
+    private List<EntryId> otherEntries() {
+        return peers.otherEntries();
+    }
+
     private Work workOf(long ticket) {
         return placement.workOf(ticket);
     }
--- a/src/test/java/org/yuccagw/adapters/peer/StatusCodecTest.java
+++ b/src/test/java/org/yuccagw/adapters/peer/StatusCodecTest.java
@@ -56,6 +56,7 @@
             {new DomainDigest(status, OptionalLong.empty(), ImmutableList.of())},
             {new RosterRequest(FailureDomain.of("a"))},
             {new FollowMessage.ChangesRequest(7)},
+            {new FollowMessage.StillStarting()},
             {new FollowMessage.Changes(false, 7, 9, 40, true, ImmutableList.of())}
         };
     }
