Divide the retry budget by the entries known for a while, and hold a share before it is used

Cause: the slack was divided among the entries that an entry heard at the moment, so parts of a partitioned fleet and entries that had just started took the shares of the others; and an entry that started, or became a lead, used the ratio of requests that another one had used before within the same window.

Change: FleetShares counts entries for 60 s after they were last seen, and a share that has grown is used only after it was held for a window. Cold endpoints are divided by the same count.

--- a/src/main/java/org/yuccagw/core/peers/PeersComponent.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersComponent.java
@@ -102,6 +102,7 @@
     private final RosterReceiver rosterReceiver =
             new RosterReceiver(peers, rosters, topology::isFirstLead, FOLLOW_TIMEOUT, ROSTER_TIME_TO_LIVE);
     private final LeadSearch leadSearch = new LeadSearch(peers, rosterReceiver, FOLLOW_TIMEOUT);
+    private final FleetShares shares = new FleetShares();
     private final DigestSender digestSender;
     private final FleetMessenger messenger;
     private final HeartbeatSender heartbeats;
@@ -168,6 +169,7 @@
         context = startContext;
         peers.start(startContext);
         topology.start(startContext);
+        shares.start(startContext);
         messenger.start(startContext);
         rosterReceiver.start(startContext);
         leadSearch.start(startContext);
@@ -241,7 +243,7 @@
     }
 
     /** Returns whether more than half of the known entries of the own failure domain, including this one, are alive. */
-    public boolean isMajorityOfOwnDomainAlive() {
+    private boolean isMajorityOfOwnDomainAlive() {
         int known = 1;
         int alive = 1;
         for (Peer peer : peers.all()) {
@@ -253,6 +255,16 @@
         return alive * 2 > known;
     }
 
+    /** Returns whether this entry is a lead of its failure domain and isn't partitioned from most of its entries. */
+    public boolean isConnectedLead() {
+        return topology.ownLeads().contains(context.self().entry()) && isMajorityOfOwnDomainAlive();
+    }
+
+    /** Returns this entry's share of the limits that hold for the whole fleet. */
+    public FleetShares shares() {
+        return shares;
+    }
+
     /** Returns who serves and leads in the fleet. */
     public FleetTopology topology() {
         return topology;
@@ -312,6 +324,7 @@
         peers.detectFailures().forEach(rosters::forgetSent);
         invalidateViews();
         updateReadiness();
+        shares.update(peers.all(), topology.isMeshed(), isConnectedLead());
         if (topology.isMeshed()) {
             heartbeats.sendToAll();
         } else {
--- a/src/main/java/org/yuccagw/core/placing/PlacementComponent.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementComponent.java
@@ -1,6 +1,7 @@
 package org.yuccagw.core.placing;
 
 import com.google.common.collect.ImmutableList;
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.yuccagw.core.control.ControlComponent;
@@ -82,7 +83,7 @@
                 rejectionLimits,
                 fleet,
                 decisionHandler::isLocal);
-        retryBudget = RetryBudget.of(bounds.retries(), fleet::retryShareCount);
+        retryBudget = RetryBudget.of(bounds.retries(), fleet::retryShare);
         forecast = OverloadForecast.create(queue, candidates, pacing, fleet);
         choice = EndpointChoice.of(endpoints, weights, planner, pacing);
         crashes = CrashDetector.of(suspectParts);
@@ -131,10 +132,11 @@
         boolean isPlacingEntry(EntryId entry);
 
         /**
-         * Returns the number of equal shares into which the slack of the retry budget is divided. This entry has one of
-         * them.
+         * Returns this entry's share of the slack of the retry budget, between 0 and 1.
+         *
+         * @param window in which the budget is counted
          */
-        int retryShareCount();
+        double retryShare(Duration window);
 
         /**
          * Returns the number of equal shares into which the limit on requests to one cold endpoint of a failure domain
--- a/src/main/java/org/yuccagw/core/placing/RetryBudget.java
+++ b/src/main/java/org/yuccagw/core/placing/RetryBudget.java
@@ -1,28 +1,29 @@
 package org.yuccagw.core.placing;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.IntSupplier;
+import java.util.function.ToDoubleFunction;
 import org.yuccagw.core.id.ServiceName;
 
 /** This entry's shares of the retry budgets of all services. */
 final class RetryBudget {
     private final RetryBounds bounds;
-    private final IntSupplier shareCount;
+    private final ToDoubleFunction<Duration> share;
     private final Map<ServiceName, RetryAllowance> allowances = new HashMap<>();
 
-    private RetryBudget(RetryBounds bounds, IntSupplier shareCount) {
+    private RetryBudget(RetryBounds bounds, ToDoubleFunction<Duration> share) {
         this.bounds = bounds;
-        this.shareCount = shareCount;
+        this.share = share;
     }
 
     /**
      * Creates the budget of one entry.
      *
-     * @param shareCount returns the number of equal shares into which the slack is divided at present
+     * @param share returns this entry's share of the slack, between 0 and 1, for the window in which it is counted
      */
-    static RetryBudget of(RetryBounds bounds, IntSupplier shareCount) {
-        return new RetryBudget(bounds, shareCount);
+    static RetryBudget of(RetryBounds bounds, ToDoubleFunction<Duration> share) {
+        return new RetryBudget(bounds, share);
     }
 
     /** Counts a request that arrived, which raises the budget of its service if it is no retry. */
@@ -35,7 +36,7 @@
 
     /** Returns whether the request may be sent now: it is no retry, or this entry's share of the budget permits one. */
     boolean permits(PlacementRequest request, long nowNanos) {
-        return !request.isRetry() || allowanceOf(request.service()).permitsRetry(nowNanos, shareCount.getAsInt());
+        return !request.isRetry() || allowanceOf(request.service()).permitsRetry(nowNanos, currentShare());
     }
 
     /**
@@ -43,7 +44,11 @@
      * entry's share of the budget is spent.
      */
     boolean tryConsume(PlacementRequest request, long nowNanos) {
-        return !request.isRetry() || allowanceOf(request.service()).tryConsume(nowNanos, shareCount.getAsInt());
+        return !request.isRetry() || allowanceOf(request.service()).tryConsume(nowNanos, currentShare());
+    }
+
+    private double currentShare() {
+        return share.applyAsDouble(bounds.window());
     }
 
     private RetryAllowance allowanceOf(ServiceName service) {
--- a/src/main/java/org/yuccagw/daemon/GatewayComponents.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayComponents.java
@@ -1,6 +1,7 @@
 package org.yuccagw.daemon;
 
 import com.google.common.collect.ImmutableList;
+import java.time.Duration;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
@@ -237,12 +238,6 @@
 
     /** The entries that place requests, as the placement component needs them. */
     private final class PlacementFleet implements PlacementComponent.Fleet {
-        /**
-         * Divides the share of the retry slack of an entry that isn't a lead but places requests alone, since there may
-         * be many such entries for a short time.
-         */
-        private static final int RETRY_SHARES_PER_LONE_ENTRY = 5;
-
         @Override
         public int placingEntryCount() {
             return peers.topology().isMeshed()
@@ -255,26 +250,16 @@
             return peers.topology().isMeshed() || peers.topology().firstLeads().contains(entry);
         }
 
-        /**
-         * In a mesh, each entry has one share. Otherwise each lead has one. Second leads are counted too, since some
-         * entries may already follow them. For example, there are 10 shares with 95 entries in five failure domains,
-         * and also with 300 entries.
-         */
         @Override
-        public int retryShareCount() {
-            if (peers.topology().isMeshed()) {
-                return peers.aliveCount();
-            }
-            List<EntryId> leads = peers.topology().allLeads();
-            boolean isLead = leads.contains(self);
-            return isLead ? leads.size() : RETRY_SHARES_PER_LONE_ENTRY * peers.aliveCount();
+        public double retryShare(Duration window) {
+            return peers.shares().placingShare(window);
         }
 
         /** In a mesh, each known entry has one share. Otherwise each lead of the endpoint's failure domain has one. */
         @Override
         public int coldShareCount(FailureDomain domain) {
             if (peers.topology().isMeshed()) {
-                return peers.knownCount();
+                return peers.shares().entries();
             }
             return isConnectedLeadOf(domain) ? PeersComponent.MAX_LEADS_PER_DOMAIN : 0;
         }
@@ -313,9 +298,7 @@
 
     /** Returns whether this entry is a lead of the failure domain and is not partitioned from most of its entries. */
     private boolean isConnectedLeadOf(FailureDomain domain) {
-        return domain.equals(ownDomain)
-                && peers.topology().ownLeads().contains(self)
-                && peers.isMajorityOfOwnDomainAlive();
+        return domain.equals(ownDomain) && peers.isConnectedLead();
     }
 
     /** The entries that send to rate-limited endpoints, and the receivers of endpoint updates. */
