Count a stream that was rejected and waits against the retry budget

What callers saw: nothing; endpoints got arrivals beyond the budget. A stream that its caller takes up again, whose endpoint rejected it and that then waits for another one, was placed as if nothing had been sent, although a rejected request has arrived.

Cause: whether an attempt counts was decided by whether the request may have run, not by whether it may have arrived.

Measured: ReturningStreamTest.aStreamThatWasRejectedAndWaitsIsARepeat failed before (placed UNSENT) and passes now.

--- a/src/main/java/org/yuccagw/core/forward/AttemptHistory.java
+++ b/src/main/java/org/yuccagw/core/forward/AttemptHistory.java
@@ -22,6 +22,7 @@
     private final Set<EndpointId> excludedForNow = new LinkedHashSet<>();
     private final Map<Long, EndpointId> runLegs = new HashMap<>();
     private int sends;
+    private boolean arrived;
     private boolean failedPermittedAgain;
     private String lastFailure = "";
     private String lastEndpoint = "none";
@@ -51,14 +52,21 @@
 
     /** Records that the request may have run on the leg. */
     void recordRun(Leg leg) {
+        arrived = true;
         runLegs.put(leg.number(), leg.endpoint());
     }
 
     /** Records that the request has not run on the leg, whatever was assumed before. */
     void recordNotRun(Leg leg) {
+        arrived = true;
         runLegs.remove(leg.number());
     }
 
+    /** Returns whether the request may have arrived at an endpoint, which may have rejected it. */
+    boolean mayHaveArrived() {
+        return arrived;
+    }
+
     boolean mayHaveRun() {
         return !runLegs.isEmpty();
     }
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -338,7 +338,7 @@
     private void retryPlacement() {
         if (legs.current().isEmpty() && !inquiry.isWanted() && deadline.permitsAttempt()) {
             history.permitExcludedForNow();
-            requestPlacement(history.mayHaveRun() ? Kind.REPEAT : Kind.UNSENT);
+            requestPlacement(history.mayHaveArrived() ? Kind.REPEAT : Kind.UNSENT);
         }
     }
 
--- a/src/test/java/org/yuccagw/core/forward/ReturningStreamTest.java
+++ b/src/test/java/org/yuccagw/core/forward/ReturningStreamTest.java
@@ -40,6 +40,20 @@
         assertEquals(effects.callerBody.toString(), FIRST_EVENT + SECOND_EVENT);
     }
 
+    // Guards against arrivals beyond the retry budget: a rejection counts as an arrival, though nothing ran.
+    @Test
+    public void aStreamThatWasRejectedAndWaitsIsARepeat() {
+        ForwardMachine machine = begin(RouteKind.STREAM, true, 2, 1);
+        machine.onPlacementDecision(placed("e1"));
+        machine.onHead(1, notRun(503));
+        effects.lines.clear();
+        machine.onPlacementDecision(new PlacementDecision.Refused(ErrorKind.NO_ENDPOINT.raise(SERVICE)));
+        effects.advance(Duration.ofMillis(50));
+        machine.onTimer(TimerKind.PLACEMENT, 0);
+        assertTrue(
+                effects.lines.stream().anyMatch(line -> line.startsWith("place REPEAT")), effects.lines.toString());
+    }
+
     // Guards against the end of a paused stream whose second endpoint rejects it while none is free.
     @Test
     public void aStreamThatIsRejectedLateGoesBackToTheEndpointThatPaused() {
