--- a/src/test/java/org/yuccagw/core/forward/ReturningStreamTest.java
+++ b/src/test/java/org/yuccagw/core/forward/ReturningStreamTest.java
@@ -50,8 +50,7 @@
         machine.onPlacementDecision(new PlacementDecision.Refused(ErrorKind.NO_ENDPOINT.raise(SERVICE)));
         effects.advance(Duration.ofMillis(50));
         machine.onTimer(TimerKind.PLACEMENT, 0);
-        assertTrue(
-                effects.lines.stream().anyMatch(line -> line.startsWith("place REPEAT")), effects.lines.toString());
+        assertTrue(effects.lines.stream().anyMatch(line -> line.startsWith("place REPEAT")), effects.lines.toString());
     }
 
     // Guards against the end of a paused stream whose second endpoint rejects it while none is free.
