--- a/src/main/java/org/yuccagw/core/follow/FollowedKeys.java
+++ b/src/main/java/org/yuccagw/core/follow/FollowedKeys.java
@@ -117,8 +117,8 @@
     }
 
     /**
-     * Returns whether the state is retained from an earlier era than the present one, because the service holds an older
-     * copy of the key or none.
+     * Returns whether the state is retained from an earlier era than the present one, because the service holds an
+     * older copy of the key or none.
      */
     private static boolean isRetained(KeyState state, long presentRevision) {
         return state.record().isPresent()
--- a/src/main/java/org/yuccagw/core/follow/StateInquiry.java
+++ b/src/main/java/org/yuccagw/core/follow/StateInquiry.java
@@ -21,8 +21,8 @@
  * before retain the newer states; an entry that has just started, or that was cut off meanwhile, has only the copy.
  *
  * <p>A few entries are asked at a time, others in the next round, until {@link #SUFFICIENT_ANSWERS} have told what they
- * know. An entry that starts waits for them before it serves, unless all that it asks first are starting as well, and no
- * longer than {@link #MAX_START_DELAY}, since the others may have failed.
+ * know. An entry that starts waits for them before it serves, unless all that it asks first are starting as well, and
+ * no longer than {@link #MAX_START_DELAY}, since the others may have failed.
  */
 final class StateInquiry {
     /** An answer takes some milliseconds, or a round more if the service was restored a moment ago. */
--- a/src/main/java/org/yuccagw/core/peers/FleetShares.java
+++ b/src/main/java/org/yuccagw/core/peers/FleetShares.java
@@ -19,8 +19,8 @@
  * its own start, or after a pause. Two rules keep the sum of all shares at one:
  *
  * <ol>
- *   <li>An entry that isn't seen any more keeps its share for {@link #RETENTION}, since it may be on the other side of a
- *       partition and continue to use it.
+ *   <li>An entry that isn't seen any more keeps its share for {@link #RETENTION}, since it may be on the other side of
+ *       a partition and continue to use it.
  *   <li>A share that has grown may be used only after it has been held for the period in which the limit is counted.
  *       What its previous owner used is no longer counted then. Before its start an entry held none.
  * </ol>
--- a/src/main/java/org/yuccagw/core/peers/PeersComponent.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersComponent.java
@@ -90,8 +90,8 @@
     /**
      * How long an entry that a roster lists counts as alive without a further roster. When all leads of a domain fail
      * at once, the other entries detect it after {@link #FOLLOW_TIMEOUT}, follow the next ones within one heartbeat
-     * interval and receive their rosters; until then they must not declare each other failed. The only entry of a domain
-     * is listed for this time after its failure, plus one heartbeat interval, since no other lead can withdraw it.
+     * interval and receive their rosters; until then they must not declare each other failed. The only entry of a
+     * domain is listed for this time after its failure, plus one heartbeat interval: no other lead can withdraw it.
      */
     private static final Duration ROSTER_TIME_TO_LIVE = FOLLOW_TIMEOUT.plus(Duration.ofMillis(900));
 
