--- a/src/test/java/org/yuccagw/daemon/RetryBudgetFleetTest.java
+++ b/src/test/java/org/yuccagw/daemon/RetryBudgetFleetTest.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
-import java.util.function.Consumer;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.yuccagw.bench.control.BenchNode;
@@ -38,36 +37,17 @@
 
     /** What happens to the fleet while its entries have retries to place. */
     private enum Disturbance {
-        NONE(test -> {}),
-        CUT_IN_TWO(test -> test.cutFor(Duration.ofSeconds(6), 2)),
-        CUT_IN_TWO_FOR_LONG(test -> test.cutFor(Duration.ofSeconds(30), 2)),
-        EACH_ALONE(test -> test.cutFor(Duration.ofSeconds(7), Integer.MAX_VALUE)),
-        EACH_ALONE_THREE_TIMES(test -> {
-            for (int time = 0; time < 3; time++) {
-                test.cutFor(Duration.ofSeconds(3), Integer.MAX_VALUE);
-                test.run(Duration.ofSeconds(2));
-            }
-        }),
-        HALF_PAUSED(RetryBudgetFleetTest::pauseHalf),
-        ALL_RESTARTED(RetryBudgetFleetTest::restartAll),
-        ALL_RESTARTED_TWICE(test -> {
-            test.restartAll();
-            test.run(Duration.ofSeconds(4));
-            test.restartAll();
-        }),
-        RESTARTED_ONE_AFTER_THE_OTHER(RetryBudgetFleetTest::restartEach),
-        HALF_KILLED_THEN_CUT_IN_TWO(test -> {
-            test.killHalf();
-            test.run(Duration.ofSeconds(3));
-            test.cutFor(Duration.ofSeconds(6), 2);
-        }),
-        FIRST_ENTRIES_KILLED_IN_TURN(RetryBudgetFleetTest::killFirstEntriesInTurn);
-
-        private final Consumer<RetryBudgetFleetTest> action;
-
-        Disturbance(Consumer<RetryBudgetFleetTest> action) {
-            this.action = action;
-        }
+        NONE,
+        CUT_IN_TWO,
+        CUT_IN_TWO_FOR_LONG,
+        EACH_ALONE,
+        EACH_ALONE_THREE_TIMES,
+        HALF_PAUSED,
+        ALL_RESTARTED,
+        ALL_RESTARTED_TWICE,
+        RESTARTED_ONE_AFTER_THE_OTHER,
+        HALF_KILLED_THEN_CUT_IN_TWO,
+        FIRST_ENTRIES_KILLED_IN_TURN
     }
 
     @DataProvider
@@ -93,7 +73,7 @@
     public void noWindowHoldsMoreRetriesThanTheFleetMaySend(int entries, Disturbance disturbance) {
         start(entries);
         run(QUIET_TIME);
-        disturbance.action.accept(this);
+        disturb(disturbance);
         run(QUIET_TIME);
         double use = greatestUse(0);
         assertTrue(use <= 1, "at most " + use + " of the budget in one window");
@@ -181,6 +161,36 @@
         });
     }
 
+    private void disturb(Disturbance disturbance) {
+        switch (disturbance) {
+            case NONE -> run(QUIET_TIME);
+            case CUT_IN_TWO -> cutFor(Duration.ofSeconds(6), 2);
+            case CUT_IN_TWO_FOR_LONG -> cutFor(Duration.ofSeconds(30), 2);
+            case EACH_ALONE -> cutFor(Duration.ofSeconds(7), nodes.size());
+            case EACH_ALONE_THREE_TIMES -> {
+                for (int time = 0; time < 3; time++) {
+                    cutFor(Duration.ofSeconds(3), nodes.size());
+                    run(Duration.ofSeconds(2));
+                }
+            }
+            case HALF_PAUSED -> pauseHalf();
+            case ALL_RESTARTED -> restartAll();
+            case ALL_RESTARTED_TWICE -> {
+                restartAll();
+                run(Duration.ofSeconds(4));
+                restartAll();
+            }
+            case RESTARTED_ONE_AFTER_THE_OTHER -> restartEach();
+            case HALF_KILLED_THEN_CUT_IN_TWO -> {
+                killHalf();
+                run(Duration.ofSeconds(3));
+                cutFor(Duration.ofSeconds(6), 2);
+            }
+            case FIRST_ENTRIES_KILLED_IN_TURN -> killFirstEntriesInTurn();
+            default -> throw new AssertionError(disturbance);
+        }
+    }
+
     private void run(Duration duration) {
         fleet.bench.runFor(duration);
     }
@@ -259,7 +269,7 @@
         return firstAtOrAfter(sortedMillis, begin + WINDOW.toMillis()) - firstAtOrAfter(sortedMillis, begin);
     }
 
-    private static int firstAtOrAfter(List<Long> sortedMillis, long millis) {
+    private static long firstAtOrAfter(List<Long> sortedMillis, long millis) {
         int low = 0;
         int high = sortedMillis.size();
         while (low < high) {
