Ask an entry again once it has been sent the state of the present era

An entry that started just after a restoration asked others that had not noticed it yet; each was asked once and answered with a question of its own, so at 66 and 95 entries the start waited for its limit of 250 ms and, at 95 entries in four domains, served by the copy for up to 60 ms.

--- a/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
+++ b/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
@@ -401,6 +401,9 @@
             context.send(from, new FollowMessage.ChangesRequest(revision));
         } else if (everConfirmed && (inquiry.isStarted() || isOutdated(request))) {
             context.send(from, answerTo(request));
+            if (KeyValueRevision.isOfEarlierEra(request.afterRevision(), revision)) {
+                inquiry.askAgain(from);
+            }
         } else {
             context.send(from, new FollowMessage.StillStarting());
         }
--- a/src/main/java/org/yuccagw/core/follow/StateInquiry.java
+++ b/src/main/java/org/yuccagw/core/follow/StateInquiry.java
@@ -105,6 +105,17 @@
         }
     }
 
+    /** Asks an entry that has just been sent the state of the present era, and can tell now what it knows better. */
+    void askAgain(EntryId entry) {
+        if (running) {
+            ask(entry);
+        }
+    }
+
+    private void ask(EntryId entry) {
+        context.send(entry, new FollowMessage.ChangesRequest(revision.getAsLong()));
+    }
+
     private void askRound() {
         endIfAnswered();
         if (context.nowNanos() - beganNanos >= MAX_DURATION.toNanos()) {
@@ -117,7 +128,7 @@
         unanswered.removeAll(answered);
         for (int asked = 0; asked < ASKED_PER_ROUND && !unanswered.isEmpty(); asked++) {
             EntryId entry = unanswered.remove(context.random().nextInt(unanswered.size()));
-            context.send(entry, new FollowMessage.ChangesRequest(revision.getAsLong()));
+            ask(entry);
             if (!started && !firstRoundAsked) {
                 askedFirst.add(entry);
             }
