--- a/src/main/java/org/yuccagw/core/peers/PeerTable.java
+++ b/src/main/java/org/yuccagw/core/peers/PeerTable.java
@@ -14,6 +14,7 @@
 import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.fleet.EntryContact;
 import org.yuccagw.core.id.EntryId;
+import org.yuccagw.core.id.FailureDomain;
 
 /**
  * The other entries that are known, with their contacts and their last reported state, including liveness and
@@ -69,6 +70,19 @@
         return (int) peers.values().stream().filter(Peer::isAlive).count();
     }
 
+    /** Returns whether more than half of the known entries of the own failure domain, including this one, are alive. */
+    boolean isMajorityAlive(FailureDomain ownDomain) {
+        int known = 1;
+        int alive = 1;
+        for (Peer peer : peers.values()) {
+            if (peer.contact().domain().equals(ownDomain)) {
+                known++;
+                alive += peer.isAlive() ? 1 : 0;
+            }
+        }
+        return alive * 2 > known;
+    }
+
     /**
      * Adds or updates the entry with this contact; empty if the contact is that of an earlier incarnation or of this
      * entry itself.
--- a/src/main/java/org/yuccagw/core/peers/PeersComponent.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersComponent.java
@@ -242,22 +242,9 @@
         return entries;
     }
 
-    /** Returns whether more than half of the known entries of the own failure domain, including this one, are alive. */
-    private boolean isMajorityOfOwnDomainAlive() {
-        int known = 1;
-        int alive = 1;
-        for (Peer peer : peers.all()) {
-            if (peer.contact().domain().equals(ownDomain)) {
-                known++;
-                alive += peer.isAlive() ? 1 : 0;
-            }
-        }
-        return alive * 2 > known;
-    }
-
     /** Returns whether this entry is a lead of its failure domain and isn't partitioned from most of its entries. */
     public boolean isConnectedLead() {
-        return topology.ownLeads().contains(context.self().entry()) && isMajorityOfOwnDomainAlive();
+        return topology.ownLeads().contains(context.self().entry()) && peers.isMajorityAlive(ownDomain);
     }
 
     /** Returns this entry's share of the limits that hold for the whole fleet. */
