--- a/src/main/java/org/yuccagw/bench/control/InMemoryKeyValue.java
+++ b/src/main/java/org/yuccagw/bench/control/InMemoryKeyValue.java
@@ -79,6 +79,10 @@
         down = isDown;
     }
 
+    public boolean isDown() {
+        return down;
+    }
+
     /** Time from a call to its answer; beyond the client's timeout the answer is lost, the effect is not. */
     public void setLatency(Duration both) {
         latency = both;
