--- a/src/main/java/org/yuccagw/platform/KeyValueClient.java
+++ b/src/main/java/org/yuccagw/platform/KeyValueClient.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
@@ -20,6 +19,7 @@
 import org.yuccagw.core.port.KeyValueCall;
 import org.yuccagw.core.port.KeyValueCall.LeaseHandle;
 import org.yuccagw.core.port.KeyValueRevision;
+import org.yuccagw.core.port.KeyValueTimeouts;
 
 /**
  * HTTP client of the key-value service. Each call is answered exactly once and never throws.
@@ -35,12 +35,6 @@
     /** The service grants about 2,000 calls a second to all entries together; an idle entry makes a few. */
     public static final int MAX_CALLS_PER_SECOND = 200;
 
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(700);
-
-    /** The service answers within 4 ms, or within some hundred milliseconds while it is slow. */
-    private static final Duration READ_TIMEOUT = Duration.ofMillis(1500);
-
-    private static final Duration WATCH_TIMEOUT_MARGIN = Duration.ofMillis(700);
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int GONE = 410;
@@ -126,11 +120,9 @@
             return;
         }
         sentCalls.increment();
-        Duration readTimeout =
-                call instanceof KeyValueCall.Watch watch ? watch.maxWait().plus(WATCH_TIMEOUT_MARGIN) : READ_TIMEOUT;
         try {
             httpClient.stream(
-                    request.withTimeouts(CONNECT_TIMEOUT, readTimeout),
+                    request.withTimeouts(KeyValueTimeouts.CONNECT, KeyValueTimeouts.silence(call)),
                     httpClient.worker().getIoThread(ThreadLocalRandom.current().nextInt()),
                     ResponseCollector.of(
                             response -> answer.accept(readResponse(call, response)),
