Execute each effect of the control core, whatever becomes of the others

What callers may see: an entry that follows the key-value service no longer, though both are well, or a component that waits for ever. Cause: the effects of one step were executed in a row, and an exception of one, such as a reply to a caller, dropped the rest. A call that was dropped is never answered, so the watch that it was ends for good; only other entries bring changes then. Change: an effect that throws is logged and counted, the others are executed; a call that can't be sent is answered as lost.

--- a/src/main/java/org/yuccagw/adapters/control/ControlRunner.java
+++ b/src/main/java/org/yuccagw/adapters/control/ControlRunner.java
@@ -18,6 +18,7 @@
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.control.ControlInput;
 import org.yuccagw.core.control.ControlSnapshot;
+import org.yuccagw.core.port.KeyValueAnswer;
 
 /**
  * Runs the control thread: a Disruptor ring with one handler, which passes events to the control core and executes the
@@ -124,35 +125,57 @@
         try {
             execute(core.handle(event, System.nanoTime(), System.currentTimeMillis()));
         } catch (RuntimeException e) {
-            failures.increment();
-            log.get()
-                    .error(
-                            "handling of the control event {} failed",
-                            event.getClass().getSimpleName(),
-                            e);
+            recordFailure("handling of the control event " + event.getClass().getSimpleName(), e);
         }
     }
 
+    private void recordFailure(String step, RuntimeException e) {
+        failures.increment();
+        log.get().error("{} failed", step, e);
+    }
+
     private void drainSelfOfferedEvents() {
         for (ControlEvent event = selfOfferedEvents.poll(); event != null; event = selfOfferedEvents.poll()) {
             handleSafely(event);
         }
     }
 
+    /**
+     * Executes each effect, whatever becomes of the others. A call that was never sent would leave its component
+     * waiting for ever, for example the one that follows the key-value service.
+     */
     private void execute(List<Effect> effects) {
         for (Effect effect : effects) {
-            if (effect instanceof Effect.Call call) {
-                keyValue.submit(call.call(), answer -> offer(new ControlCore.CallAnswered(call.number(), answer)));
-            } else if (effect instanceof Effect.Send send) {
-                peers.send(send.to(), send.message());
-            } else if (effect instanceof Effect.Reply reply) {
-                reply.answer().run();
-            } else if (effect instanceof Effect.Perform perform) {
-                perform(perform.action());
+            try {
+                execute(effect);
+            } catch (RuntimeException e) {
+                recordFailure("the control effect " + effect.getClass().getSimpleName(), e);
             }
         }
     }
 
+    private void execute(Effect effect) {
+        if (effect instanceof Effect.Call call) {
+            submit(call);
+        } else if (effect instanceof Effect.Send send) {
+            peers.send(send.to(), send.message());
+        } else if (effect instanceof Effect.Reply reply) {
+            reply.answer().run();
+        } else if (effect instanceof Effect.Perform perform) {
+            perform(perform.action());
+        }
+    }
+
+    private void submit(Effect.Call call) {
+        try {
+            keyValue.submit(call.call(), answer -> offer(new ControlCore.CallAnswered(call.number(), answer)));
+        } catch (RuntimeException e) {
+            offer(new ControlCore.CallAnswered(
+                    call.number(), new KeyValueAnswer.Lost("the call could not be sent: " + e)));
+            throw e;
+        }
+    }
+
     private void perform(ControlAction action) {
         for (ActionHandler handler : handlers) {
             if (handler.perform(action, this)) {
