Answer an entry that has restarted over a new connection

What callers saw: an entry that starts while the key-value service holds an older copy serves by it, since no other entry's answer reaches it in time (state-received with 0 answers in the users' probes). Cause: an entry sends into its connection to the earlier process of the other one, and finds out by a missing acknowledgement after 2 s if no packet has shown the end of that process, as after a loss of power; or it waits up to 1 s for a connection to the address that the other one has left. Change: messages state the start that sent them already; one from another start closes the connection to the earlier one, and an attempt at an address that changed is given up. The codec test now expects the start beside the message.

--- a/src/main/java/org/yuccagw/adapters/peer/PeerCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/PeerCodec.java
@@ -40,12 +40,19 @@
                 "no codec supports " + message.getClass().getName());
     }
 
+    /**
+     * A message from another entry.
+     *
+     * @param incarnation the start of the sender that sent it
+     */
+    public record Decoded(PeerReceived received, long incarnation) {}
+
     /**
      * Decodes a message.
      *
      * @throws YuccagwException of kind PEER_MESSAGE_INVALID when the bytes are no valid message or the body is unknown
      */
-    public PeerReceived decode(byte[] bytes) throws YuccagwException {
+    public Decoded decode(byte[] bytes) throws YuccagwException {
         Envelope envelope = parse(bytes);
         if (envelope.getFrom().isBlank()) {
             throw ErrorKind.PEER_MESSAGE_INVALID.raise("unknown", "field 'from' is empty");
@@ -54,7 +61,8 @@
             for (BodyCodec codec : codecs) {
                 Optional<PeerMessage> message = codec.decode(envelope);
                 if (message.isPresent()) {
-                    return new PeerReceived(EntryId.of(envelope.getFrom()), message.get());
+                    PeerReceived received = new PeerReceived(EntryId.of(envelope.getFrom()), message.get());
+                    return new Decoded(received, envelope.getIncarnation());
                 }
             }
         } catch (RuntimeException e) {
--- a/src/main/java/org/yuccagw/adapters/peer/PeerLink.java
+++ b/src/main/java/org/yuccagw/adapters/peer/PeerLink.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import java.util.OptionalLong;
 import java.util.function.BiConsumer;
 import org.yuccagw.core.id.NetworkAddress;
 
@@ -24,6 +25,7 @@
     private NetworkAddress address;
     private Channel channel;
     private boolean connecting;
+    private OptionalLong incarnation = OptionalLong.empty();
     private long sentFrames;
     private long unacknowledgedSinceNanos = NONE_UNACKNOWLEDGED;
 
@@ -45,7 +47,7 @@
         if (queued) {
             pendingFrames.add(frame);
         }
-        if (!connecting) {
+        if (!connecting || !to.equals(address)) {
             connecting = true;
             address = to;
             connector.accept(this, to);
@@ -54,11 +56,31 @@
     }
 
     /**
-     * Called when the attempt to connect has ended; sends the queued frames, or drops them if it failed.
+     * Called with the start of the peer that a message states. A connection to an earlier start is closed: if the VM
+     * lost power, or the path was cut, no packet has shown the end of that process.
+     */
+    synchronized void recordIncarnation(long stated) {
+        boolean restarted = incarnation.isPresent() && incarnation.getAsLong() != stated;
+        incarnation = OptionalLong.of(stated);
+        if (restarted && channel != null) {
+            channel.close();
+            channel = null;
+        }
+    }
+
+    /**
+     * Called when the attempt to connect has ended; sends the queued frames, or drops them if it failed. An attempt at
+     * an address that the peer has left since changes nothing.
      *
      * @param newChannel null if the attempt failed
      */
-    synchronized void onConnected(Channel newChannel) {
+    synchronized void onConnected(NetworkAddress to, Channel newChannel) {
+        if (!connecting || !to.equals(address)) {
+            if (newChannel != null) {
+                newChannel.close();
+            }
+            return;
+        }
         connecting = false;
         channel = newChannel;
         sentFrames = 0;
--- a/src/main/java/org/yuccagw/adapters/peer/PeerTransport.java
+++ b/src/main/java/org/yuccagw/adapters/peer/PeerTransport.java
@@ -145,8 +145,7 @@
             return;
         }
         byte[] bytes = encode(message);
-        PeerLink link = links.computeIfAbsent(to, entry -> new PeerLink(this::connect));
-        if (link.send(address.get(), bytes)) {
+        if (linkTo(to).send(address.get(), bytes)) {
             sentBytes.add(bytes.length + LENGTH_FIELD_BYTES);
         } else {
             droppedMessages.increment();
@@ -193,7 +192,7 @@
                 .handler(initializer(security.client(), () -> new AcknowledgementReceiver(link)))
                 .connect(address.host(), address.port())
                 .addListener(future -> link.onConnected(
-                        future.isSuccess() ? ((io.netty.channel.ChannelFuture) future).channel() : null));
+                        address, future.isSuccess() ? ((io.netty.channel.ChannelFuture) future).channel() : null));
     }
 
     private ChannelInitializer<SocketChannel> initializer(
@@ -211,6 +210,17 @@
         };
     }
 
+    /** Passes a message on; a sender that has restarted is sent the next frame over a new connection. */
+    private void receive(PeerCodec.Decoded message) {
+        PeerLink link = linkTo(message.received().from());
+        link.recordIncarnation(message.incarnation());
+        receiver.accept(message.received());
+    }
+
+    private PeerLink linkTo(EntryId entry) {
+        return links.computeIfAbsent(entry, to -> new PeerLink(this::connect));
+    }
+
     /**
      * Receives the frames of another entry and acknowledges them with their total count.
      *
@@ -229,7 +239,7 @@
             frame.readBytes(bytes);
             receivedBytes.add(bytes.length + LENGTH_FIELD_BYTES);
             try {
-                receiver.accept(codec.decode(bytes));
+                receive(codec.decode(bytes));
             } catch (YuccagwException e) {
                 log.get().warn("dropped a message from a peer: {}", e.getMessage());
             }
--- a/src/test/java/org/yuccagw/adapters/peer/ControlCodecsTest.java
+++ b/src/test/java/org/yuccagw/adapters/peer/ControlCodecsTest.java
@@ -37,7 +37,9 @@
 
     @Test(dataProvider = "messages")
     public void decodesWhatItEncoded(PeerMessage message) throws YuccagwException {
-        assertEquals(codec.decode(codec.encode(SELF, message)), new PeerReceived(SELF.entry(), message));
+        assertEquals(
+                codec.decode(codec.encode(SELF, message)),
+                new PeerCodec.Decoded(new PeerReceived(SELF.entry(), message), SELF.incarnation()));
     }
 
     @Test
@@ -45,11 +47,13 @@
         byte[] document = {0, -1, 7};
         CatalogueUpdate.FullDocument whole = (CatalogueUpdate.FullDocument)
                 codec.decode(codec.encode(SELF, new CatalogueUpdate.FullDocument(3, document)))
+                        .received()
                         .message();
         assertEquals(whole.revision(), 3);
         assertEquals(whole.document(), document);
         CatalogueUpdate.Delta delta =
                 (CatalogueUpdate.Delta) codec.decode(codec.encode(SELF, new CatalogueUpdate.Delta(4, 3, document)))
+                        .received()
                         .message();
         assertEquals(delta.baseRevision(), 3);
         assertEquals(delta.change(), document);
