Send all keys to an entry that asks for changes since before one's own first list

Cause: an entry that starts reads a list of all keys, which doesn't show removals. To another entry that asked for the changes since an earlier revision it sent what it had, without those removals, and stated the revision of its list; the other one raised its revision past a removal that it never received. No watch, list or peer brings it again. Change: removals before the first list count as unknown, so such an entry sends all keys.

--- a/src/main/java/org/yuccagw/core/follow/FollowedKeys.java
+++ b/src/main/java/org/yuccagw/core/follow/FollowedKeys.java
@@ -32,7 +32,9 @@
     private final KeyValueRecordCodec codec;
     private final ControlContext context;
     private final TreeMap<String, KeyState> keys = new TreeMap<>();
-    private long deletedRemovalRevision = KeyValueRevision.NONE;
+    /** Removals up to this revision may be missing here. */
+    private long unknownRemovalsUpTo = KeyValueRevision.NONE;
+
     private int retainedRemovals;
 
     private FollowedKeys(KeyValueRecordCodec codec, ControlContext context) {
@@ -82,6 +84,9 @@
 
     /** Applies a list of all keys: a key that isn't in it counts as removed, unless a newer write of it is known. */
     void applyList(List<Item> items, long listRevision, Arrival arrival) {
+        if (arrival.initial()) {
+            unknownRemovalsUpTo = Math.max(unknownRemovalsUpTo, listRevision);
+        }
         apply(items, arrival);
         Set<String> listed = new HashSet<>();
         items.forEach(item -> listed.add(item.key()));
@@ -129,9 +134,9 @@
         return keys.values().stream().filter(included).map(KeyState::item).collect(ImmutableList.toImmutableList());
     }
 
-    /** Returns whether all removals after the revision are still known. */
+    /** Returns whether all removals after the revision are known: a list of all keys doesn't show those before it. */
     boolean retainRemovalsAfter(long revision) {
-        return revision >= deletedRemovalRevision;
+        return revision >= unknownRemovalsUpTo;
     }
 
     /** Deletes old removals, which are retained for peers that lag behind. */
@@ -144,8 +149,7 @@
         keys.values().removeIf(state -> {
             boolean expired = state.isRemoved() && (overLimit || state.receivedNanos() - cutoffNanos < 0);
             if (expired) {
-                deletedRemovalRevision =
-                        Math.max(deletedRemovalRevision, state.item().revision());
+                unknownRemovalsUpTo = Math.max(unknownRemovalsUpTo, state.item().revision());
                 retainedRemovals--;
             }
             return expired;
