Count the answers to a start's inquiry by what they cover, and no silence for an answer

What callers saw: 404 for an acknowledged route, one time or for as long as the key-value service holds the older copy, from an entry that was killed and started in the gap. Cause: a start ended after two answers, whoever gave them, or after 250 ms without any (state-received reason=timeout answers=0), and with no answer where no other entry was known. Entries that have themselves just started counted as much as those that ran before, and answers were sent to the address or the process that the entry had before. Class: an answer counts whoever gives it, and the absence of an answer counts as knowledge. What was inherited is passed on. An entry introduces itself by its address before it asks. An unrequested change from a lead is no answer any more.

--- a/src/main/java/org/yuccagw/adapters/peer/FollowCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/FollowCodec.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import java.util.Optional;
+import org.yuccagw.core.follow.CopyCoverage;
 import org.yuccagw.core.follow.FollowMessage;
 import org.yuccagw.core.placing.BreakReported;
 import org.yuccagw.core.placing.RejectionLimitReported;
@@ -68,6 +69,10 @@
                 .setWhole(reply.whole())
                 .setConfirmedAgeMillis(reply.confirmedAgeMillis())
                 .setLapsesUpToRevision(reply.lapsesUpToRevision());
+        reply.coverage()
+                .ifPresent(coverage -> wire.setCoverage(PeerProtocol.CopyCoverage.newBuilder()
+                        .addAllEarlierEras(coverage.earlierEras())
+                        .setPresentEraMillis(coverage.presentEraMillis())));
         for (Item item : reply.items()) {
             wire.addItems(KeyItem.newBuilder()
                     .setKey(item.key())
@@ -108,6 +113,16 @@
                 wire.getItemsList().stream()
                         .map(item -> new Item(
                                 item.getKey(), item.getValue().toByteArray(), item.getRevision(), item.getRemoved()))
-                        .collect(ImmutableList.toImmutableList())));
+                        .collect(ImmutableList.toImmutableList()),
+                decodeCoverage(wire)));
+    }
+
+    private static Optional<CopyCoverage> decodeCoverage(PeerProtocol.FollowMessage wire) {
+        if (!wire.hasCoverage()) {
+            return Optional.empty();
+        }
+        PeerProtocol.CopyCoverage coverage = wire.getCoverage();
+        return Optional.of(
+                new CopyCoverage(ImmutableList.copyOf(coverage.getEarlierErasList()), coverage.getPresentEraMillis()));
     }
 }
--- a/src/main/java/org/yuccagw/adapters/peer/StatusCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/StatusCodec.java
@@ -11,6 +11,7 @@
 import org.yuccagw.core.id.ServiceName;
 import org.yuccagw.core.pacing.RecentPrefill;
 import org.yuccagw.core.peers.DomainDigest;
+import org.yuccagw.core.peers.EntryIntroduction;
 import org.yuccagw.core.peers.PeerStatus;
 import org.yuccagw.core.peers.Roster;
 import org.yuccagw.core.peers.RosterRequest;
@@ -41,6 +42,10 @@
             envelope.setLoadNews(encode(update.load()));
             return true;
         }
+        if (message instanceof EntryIntroduction introduction) {
+            envelope.setIntroduction(encode(introduction.contact()));
+            return true;
+        }
         if (message instanceof RosterRequest request) {
             envelope.setRosterAsk(
                     RosterAskMessage.newBuilder().setDomain(request.domain().value()));
@@ -150,6 +155,9 @@
         if (envelope.hasLoadNews()) {
             return Optional.of(new LoadUpdate(decode(envelope.getLoadNews())));
         }
+        if (envelope.hasIntroduction()) {
+            return Optional.of(new EntryIntroduction(decode(envelope.getIntroduction())));
+        }
         if (envelope.hasRosterAsk()) {
             return Optional.of(
                     new RosterRequest(FailureDomain.of(envelope.getRosterAsk().getDomain())));
--- a/src/main/java/org/yuccagw/core/follow/FollowMessage.java
+++ b/src/main/java/org/yuccagw/core/follow/FollowMessage.java
@@ -1,6 +1,7 @@
 package org.yuccagw.core.follow;
 
 import com.google.common.collect.ImmutableList;
+import java.util.Optional;
 import org.yuccagw.core.port.KeyValueAnswer.Item;
 import org.yuccagw.core.port.PeerMessage;
 
@@ -23,6 +24,7 @@
      * @param confirmedAgeMillis time since the sender's copy was confirmed
      * @param lapsesUpToRevision up to which revision removals may be lapses of leases, since the sender received them
      *     with the first answer after an outage; 0 if there are none
+     * @param coverage what the items cover; empty if they aren't the answer to a request
      */
     record Changes(
             boolean whole,
@@ -30,6 +32,7 @@
             long revision,
             long confirmedAgeMillis,
             long lapsesUpToRevision,
-            ImmutableList<Item> items)
+            ImmutableList<Item> items,
+            Optional<CopyCoverage> coverage)
             implements FollowMessage {}
 }
--- a/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
+++ b/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
@@ -3,8 +3,8 @@
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.function.Supplier;
 import org.yuccagw.core.control.ControlComponent;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
@@ -109,6 +109,7 @@
     private final WatchRole watchRole;
     private final StateInquiry inquiry;
     private final ServiceAvailability service = new ServiceAvailability();
+    private final CoverageRecord coverage = new CoverageRecord();
     private FollowedKeys keys;
     private ControlContext context;
     private long startedNanos;
@@ -120,21 +121,27 @@
     private boolean goneSinceLastWatch;
     private boolean peerRequestPending;
 
-    private KeyValueFollowComponent(
-            KeyValueRecordCodec codec, WatchRole watchRole, Supplier<List<EntryId>> otherEntries) {
+    private KeyValueFollowComponent(KeyValueRecordCodec codec, WatchRole watchRole, OtherEntries others) {
         this.codec = codec;
         this.watchRole = watchRole;
-        this.inquiry = StateInquiry.of(otherEntries, this::revision, () -> context.raise(new Started()));
+        this.inquiry = StateInquiry.of(others, this::revision, () -> context.raise(new Started()));
     }
 
-    /**
-     * Creates a component with an empty copy.
-     *
-     * @param otherEntries returns the other entries that are known
-     */
-    public static KeyValueFollowComponent of(
-            KeyValueRecordCodec codec, WatchRole watchRole, Supplier<List<EntryId>> otherEntries) {
-        return new KeyValueFollowComponent(codec, watchRole, otherEntries);
+    /** Creates a component with an empty copy. */
+    public static KeyValueFollowComponent of(KeyValueRecordCodec codec, WatchRole watchRole, OtherEntries others) {
+        return new KeyValueFollowComponent(codec, watchRole, others);
+    }
+
+    /** The other entries, which may know better than the key-value service. */
+    public interface OtherEntries {
+        /** Returns the other entries that are known. */
+        List<EntryId> known();
+
+        /** Returns whether there are addresses of entries that haven't been heard yet. */
+        boolean hasUnheardSeeds();
+
+        /** Sends an entry the address at which this one can be answered. */
+        void introduceTo(EntryId entry);
     }
 
     /** Raised once, when the copy also includes what other entries know better, or these didn't answer in time. */
@@ -196,6 +203,7 @@
         startedNanos = context.nowNanos();
         keys = FollowedKeys.of(codec, context);
         service.start(context);
+        coverage.start(context);
         inquiry.start(context);
         list();
     }
@@ -309,6 +317,7 @@
         if (revision == NO_REVISION || !KeyValueRevision.isOfEarlierEra(revision, newRevision)) {
             return false;
         }
+        coverage.recordRestoration(revision);
         context.perform(Decision.of("key-value-service-restored")
                 .with("era", KeyValueRevision.era(newRevision))
                 .with("revision", KeyValueRevision.number(newRevision))
@@ -350,7 +359,8 @@
             watchOrRely();
         } else {
             confirm(sentNanos);
-            watchRole.sendToFollowers(changesMessage(false, previousRevision, ImmutableList.copyOf(found.items())));
+            watchRole.sendToFollowers(
+                    changesMessage(false, previousRevision, ImmutableList.copyOf(found.items()), Optional.empty()));
             context.after(coalescingDelay(), this::watchOrRely);
         }
     }
@@ -446,7 +456,10 @@
             }
             advanceTo(changes.revision());
         }
-        inquiry.recordAnswer(from);
+        changes.coverage().ifPresent(covered -> {
+            coverage.inherit(covered);
+            inquiry.recordAnswer(from, covered);
+        });
         onLeadConfirmation(
                 changes.revision(),
                 context.nowNanos()
@@ -468,13 +481,14 @@
         boolean whole = isOutdated(request) || !keys.retainRemovalsAfter(request.afterRevision());
         ImmutableList<Item> items =
                 whole ? keys.all() : keys.changedAfterAndRetained(request.afterRevision(), revision);
-        return changesMessage(whole, request.afterRevision(), items);
+        return changesMessage(whole, request.afterRevision(), items, Optional.of(coverage.coverage(revision)));
     }
 
-    private FollowMessage.Changes changesMessage(boolean whole, long afterRevision, ImmutableList<Item> items) {
+    private FollowMessage.Changes changesMessage(
+            boolean whole, long afterRevision, ImmutableList<Item> items, Optional<CopyCoverage> covered) {
         long ageMillis = (context.nowNanos() - confirmedNanos) / 1_000_000;
         long lapsesUpTo = service.lapsesUpToRevision(REREGISTRATION_GRACE);
-        return new FollowMessage.Changes(whole, afterRevision, revision, ageMillis, lapsesUpTo, items);
+        return new FollowMessage.Changes(whole, afterRevision, revision, ageMillis, lapsesUpTo, items, covered);
     }
 
     // ---- Applying changes
--- a/src/main/java/org/yuccagw/core/follow/StateInquiry.java
+++ b/src/main/java/org/yuccagw/core/follow/StateInquiry.java
@@ -2,12 +2,13 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlContext.Timer;
 import org.yuccagw.core.control.Decision;
@@ -20,41 +21,67 @@
  * <p>A service that was restored holds older copies of keys until their writers write them again. Entries that ran
  * before retain the newer states; an entry that has just started, or that was cut off meanwhile, has only the copy.
  *
- * <p>A few entries are asked at a time, others in the next round, until {@link #SUFFICIENT_ANSWERS} have told what they
- * know. An entry that starts waits for them before it serves, unless all that it asks first are starting as well, and
- * no longer than {@link #MAX_START_DELAY}, since the others may have failed.
+ * <p>Some entries are asked at a time, others in the next round. Each answer states what it covers (see {@link
+ * CopyCoverage}). An entry that starts doesn't serve until the first of:
+ *
+ * <ol>
+ *   <li>All other entries have answered, or said that they are starting as well.
+ *   <li>All that were asked first have responded, and none covers the time before the last restoration: the fleet has
+ *       started as a whole, or no entry is left that knows it.
+ *   <li>{@link #SUFFICIENT_ANSWERS} answers cover the time before the last restoration, none of those received covers
+ *       more of it, and those asked with them had a round's time to answer.
+ *   <li>Some have answered, and {@link #ANSWER_WAIT} has passed, in which every entry that can be reached answers.
+ *   <li>None has answered, some are starting as well, and {@link #STARTING_WAIT} has passed.
+ *   <li>None has responded within {@link #MAX_START_DELAY}: the others may have failed.
+ * </ol>
+ *
+ * <p>In the last three cases this entry goes on asking those that haven't responded while it serves.
  */
 final class StateInquiry {
-    /** An answer takes some milliseconds, or a round more if the service was restored a moment ago. */
-    static final Duration MAX_START_DELAY = Duration.ofMillis(250);
+    /** Longer than it takes to open a connection to an entry that runs. */
+    static final Duration MAX_START_DELAY = Duration.ofMillis(1500);
+
+    static final Duration ANSWER_WAIT = Duration.ofMillis(300);
+
+    static final Duration STARTING_WAIT = ANSWER_WAIT.multipliedBy(2);
+
+    /** How long an entry that knows of no other one waits for some to become known. */
+    static final Duration LONE_START_DELAY = Duration.ofMillis(250);
+
+    /** The same if its settings name addresses at which it has heard nobody yet; two heartbeats and some delay. */
+    static final Duration SEEDED_START_DELAY = Duration.ofMillis(700);
 
     /** By then, the entries that the service lists are known to this entry's other components. */
     private static final Duration FIRST_ROUND_DELAY = Duration.ofMillis(2);
 
     private static final Duration ROUND = Duration.ofMillis(60);
 
+    /** Interval of the rounds of an entry that already serves and asks those that may have failed. */
+    private static final Duration LATE_ROUND = Duration.ofMillis(500);
+
     /** By the end of this time, entries that can be reached have answered. */
     private static final Duration MAX_DURATION = Duration.ofSeconds(5);
 
-    private static final int ASKED_PER_ROUND = 3;
+    private static final int ASKED_PER_ROUND = 10;
     private static final int SUFFICIENT_ANSWERS = 2;
 
-    private final Supplier<List<EntryId>> others;
+    private final KeyValueFollowComponent.OtherEntries fleet;
     private final LongSupplier revision;
     private final Runnable onStarted;
-    private final Set<EntryId> answered = new HashSet<>();
-    /** Entries that were asked in the first round of the first inquiry and haven't answered at all. */
+    private final Map<EntryId, CopyCoverage> answers = new HashMap<>();
+    private final Set<EntryId> asked = new HashSet<>();
+    private final Set<EntryId> starting = new HashSet<>();
     private final Set<EntryId> askedFirst = new HashSet<>();
 
     private ControlContext context;
     private Optional<Timer> nextRound = Optional.empty();
     private boolean running;
-    private boolean firstRoundAsked;
     private boolean started;
     private long beganNanos;
+    private long lastRoundNanos;
 
-    private StateInquiry(Supplier<List<EntryId>> others, LongSupplier revision, Runnable onStarted) {
-        this.others = others;
+    private StateInquiry(KeyValueFollowComponent.OtherEntries fleet, LongSupplier revision, Runnable onStarted) {
+        this.fleet = fleet;
         this.revision = revision;
         this.onStarted = onStarted;
     }
@@ -62,12 +89,12 @@
     /**
      * Creates an inquiry that hasn't begun.
      *
-     * @param others returns the other entries that are known
+     * @param fleet the entries that may be asked
      * @param revision returns the revision that this entry's copy includes
      * @param onStarted called once, when the first inquiry was answered or has taken too long
      */
-    static StateInquiry of(Supplier<List<EntryId>> others, LongSupplier revision, Runnable onStarted) {
-        return new StateInquiry(others, revision, onStarted);
+    static StateInquiry of(KeyValueFollowComponent.OtherEntries fleet, LongSupplier revision, Runnable onStarted) {
+        return new StateInquiry(fleet, revision, onStarted);
     }
 
     void start(ControlContext startContext) {
@@ -81,27 +108,33 @@
 
     /** Begins an inquiry, or begins again the one that is running. */
     void begin() {
-        answered.clear();
+        answers.clear();
+        asked.clear();
+        starting.clear();
+        askedFirst.clear();
         beganNanos = context.nowNanos();
-        if (!started) {
-            context.after(MAX_START_DELAY, () -> finishStart("timeout"));
-        }
         running = true;
         scheduleRound(FIRST_ROUND_DELAY);
     }
 
-    /** Records that an entry has sent what it knows, as of the era of this entry's copy. */
-    void recordAnswer(EntryId from) {
-        if (running) {
-            answered.add(from);
-            endIfAnswered();
+    /**
+     * Records that an entry has sent what it knows, as of the era of this entry's copy.
+     *
+     * @param coverage what the answer covers
+     */
+    void recordAnswer(EntryId from, CopyCoverage coverage) {
+        if (running && asked.contains(from)) {
+            answers.put(from, coverage);
+            starting.remove(from);
+            evaluate();
         }
     }
 
     /** Records that an entry is starting as well. */
     void recordStarting(EntryId from) {
-        if (askedFirst.remove(from) && askedFirst.isEmpty()) {
-            finishStart("others starting");
+        if (running && asked.contains(from) && !answers.containsKey(from)) {
+            starting.add(from);
+            evaluate();
         }
     }
 
@@ -113,28 +146,41 @@
     }
 
     private void ask(EntryId entry) {
+        asked.add(entry);
         context.send(entry, new FollowMessage.ChangesRequest(revision.getAsLong()));
     }
 
     private void askRound() {
-        endIfAnswered();
-        if (context.nowNanos() - beganNanos >= MAX_DURATION.toNanos()) {
+        evaluate();
+        if (elapsed(beganNanos).compareTo(MAX_DURATION) >= 0) {
             running = false;
         }
         if (!running) {
             return;
         }
-        List<EntryId> unanswered = new ArrayList<>(others.get());
-        unanswered.removeAll(answered);
-        for (int asked = 0; asked < ASKED_PER_ROUND && !unanswered.isEmpty(); asked++) {
+        lastRoundNanos = context.nowNanos();
+        List<EntryId> unanswered = unanswered();
+        for (int count = 0; count < ASKED_PER_ROUND && !unanswered.isEmpty(); count++) {
             EntryId entry = unanswered.remove(context.random().nextInt(unanswered.size()));
-            ask(entry);
-            if (!started && !firstRoundAsked) {
-                askedFirst.add(entry);
+            if (!started) {
+                fleet.introduceTo(entry);
             }
+            ask(entry);
         }
-        firstRoundAsked = true;
-        scheduleRound(ROUND);
+        if (askedFirst.isEmpty()) {
+            askedFirst.addAll(asked);
+        }
+        boolean late = started && elapsed(beganNanos).compareTo(MAX_START_DELAY) >= 0;
+        scheduleRound(late ? LATE_ROUND : ROUND);
+    }
+
+    /** Returns the entries to ask: those that were not asked yet, or all others if there are none. */
+    private List<EntryId> unanswered() {
+        List<EntryId> unanswered = new ArrayList<>(fleet.known());
+        unanswered.removeAll(answers.keySet());
+        List<EntryId> notAsked = new ArrayList<>(unanswered);
+        notAsked.removeAll(asked);
+        return notAsked.isEmpty() ? unanswered : notAsked;
     }
 
     private void scheduleRound(Duration delay) {
@@ -142,14 +188,73 @@
         nextRound = Optional.of(context.after(delay, this::askRound));
     }
 
-    private void endIfAnswered() {
-        int sufficient = Math.min(SUFFICIENT_ANSWERS, others.get().size());
-        if (answered.size() >= sufficient) {
-            running = false;
-            finishStart("answered");
+    private void evaluate() {
+        if (!running) {
+            return;
+        }
+        Duration asking = elapsed(beganNanos);
+        if (haveAllResponded()) {
+            end(answers.isEmpty() ? "others starting" : "answered");
+        } else if (haveFirstResponded() && coveringAnswers() == 0) {
+            end(answers.isEmpty() ? "others starting" : "nothing before");
+        } else if (coveringAnswers() >= SUFFICIENT_ANSWERS && isRoundOver()) {
+            end("answered");
+        } else if (!answers.isEmpty() && asking.compareTo(ANSWER_WAIT) >= 0) {
+            finishStart("answered by some");
+        } else if (!starting.isEmpty() && asking.compareTo(STARTING_WAIT) >= 0) {
+            finishStart("others starting");
+        } else if (fleet.known().isEmpty() && asking.compareTo(loneDelay()) >= 0) {
+            finishStart("no others");
+        } else if (asking.compareTo(MAX_START_DELAY) >= 0) {
+            finishStart("timeout");
         }
     }
 
+    private Duration loneDelay() {
+        return fleet.hasUnheardSeeds() ? SEEDED_START_DELAY : LONE_START_DELAY;
+    }
+
+    private boolean haveAllResponded() {
+        List<EntryId> known = fleet.known();
+        return !known.isEmpty() && known.stream().allMatch(this::hasResponded);
+    }
+
+    private boolean haveFirstResponded() {
+        return !askedFirst.isEmpty() && askedFirst.stream().allMatch(this::hasResponded);
+    }
+
+    private boolean hasResponded(EntryId entry) {
+        return answers.containsKey(entry) || starting.contains(entry);
+    }
+
+    /** Returns whether all that were asked in this round have responded or had the time for it. */
+    private boolean isRoundOver() {
+        boolean responded = asked.stream().allMatch(this::hasResponded);
+        return responded || elapsed(lastRoundNanos).compareTo(ROUND) >= 0;
+    }
+
+    /** Returns the number of answers that cover the time before the last restoration as far as any answer does. */
+    private long coveringAnswers() {
+        long present = revision.getAsLong();
+        long newest = answers.values().stream()
+                .mapToLong(coverage -> coverage.lastOfEraBefore(present))
+                .max()
+                .orElse(KeyValueRevision.NONE);
+        return answers.values().stream()
+                .filter(coverage -> coverage.isCorrected()
+                        || (newest != KeyValueRevision.NONE && coverage.lastOfEraBefore(present) == newest))
+                .count();
+    }
+
+    private Duration elapsed(long sinceNanos) {
+        return Duration.ofNanos(context.nowNanos() - sinceNanos);
+    }
+
+    private void end(String reason) {
+        running = false;
+        finishStart(reason);
+    }
+
     private void finishStart(String reason) {
         if (started) {
             return;
@@ -157,7 +262,8 @@
         started = true;
         context.perform(Decision.of("state-received")
                 .with("reason", reason)
-                .with("answers", answered.size())
+                .with("answers", answers.size())
+                .with("covering", coveringAnswers())
                 .with("era", KeyValueRevision.era(revision.getAsLong()))
                 .with("revision", KeyValueRevision.number(revision.getAsLong())));
         onStarted.run();
--- a/src/main/java/org/yuccagw/core/peers/PeersComponent.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersComponent.java
@@ -209,11 +209,14 @@
         return 1 + peers.aliveCount();
     }
 
-    /** Returns the known other entries, and the names that stand for seeds at which no entry is known yet. */
-    public List<EntryId> otherEntries() {
-        List<EntryId> entries = new ArrayList<>(peers.ids());
-        entries.addAll(heartbeats.seedAddresses().keySet());
-        return entries;
+    /** Returns the known other entries. */
+    public List<EntryId> knownEntries() {
+        return List.copyOf(peers.ids());
+    }
+
+    /** Returns whether the settings name addresses of entries that haven't been heard yet. */
+    public boolean hasUnheardSeeds() {
+        return !heartbeats.seedAddresses().isEmpty();
     }
 
     /** Returns the number of known entries, including this one and those that failed recently. */
@@ -262,6 +265,11 @@
         return messenger;
     }
 
+    /** Sends another entry the address of this one. */
+    public void introduceTo(EntryId entry) {
+        context.send(entry, new EntryIntroduction(ownContact()));
+    }
+
     /** Sends this entry's status immediately, for changes that others should receive before the next heartbeat. */
     public void sendStatusNow() {
         messenger.sendToAllLeads(status());
@@ -432,6 +440,8 @@
             recordHeartbeat(status).ifPresent(peer -> onStatus(status.contact().entry(), peer));
         } else if (received.message() instanceof DomainDigest digest) {
             recordHeartbeat(digest.status()).ifPresent(peer -> onDigest(digest, peer));
+        } else if (received.message() instanceof EntryIntroduction introduction) {
+            peers.update(introduction.contact());
         } else if (received.message() instanceof RosterRequest request) {
             rosters.forgetSent(received.from(), request.domain());
             schedulePush();
--- a/src/main/java/org/yuccagw/daemon/GatewayComponents.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayComponents.java
@@ -77,7 +77,7 @@
     private GatewayComponents(GatewaySettings settings, KeyValueRecordCodec codec) {
         self = settings.entry();
         ownDomain = settings.domain();
-        follow = KeyValueFollowComponent.of(codec, watchRole(settings), this::otherEntries);
+        follow = KeyValueFollowComponent.of(codec, watchRole(settings), new OtherEntries());
         configuration = ConfigurationComponent.create();
         peers = PeersComponent.of(this, settings.seeds());
         origins = StreamOriginsComponent.of(peers.topology()::allLeadContacts, follow::confirmedNanos);
@@ -191,8 +191,22 @@
                 SuspectCodec.create()));
     }
 
-    private List<EntryId> otherEntries() {
-        return peers.otherEntries();
+    /** The entries that this one asks after its start. */
+    private final class OtherEntries implements KeyValueFollowComponent.OtherEntries {
+        @Override
+        public List<EntryId> known() {
+            return peers.knownEntries();
+        }
+
+        @Override
+        public boolean hasUnheardSeeds() {
+            return peers.hasUnheardSeeds();
+        }
+
+        @Override
+        public void introduceTo(EntryId entry) {
+            peers.introduceTo(entry);
+        }
     }
 
     private Work workOf(long ticket) {
--- a/src/test/java/org/yuccagw/adapters/peer/StatusCodecTest.java
+++ b/src/test/java/org/yuccagw/adapters/peer/StatusCodecTest.java
@@ -10,6 +10,7 @@
 import org.yuccagw.core.error.YuccagwException;
 import org.yuccagw.core.fleet.EntryContact;
 import org.yuccagw.core.fleet.ModelWeights;
+import org.yuccagw.core.follow.CopyCoverage;
 import org.yuccagw.core.follow.FollowMessage;
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EndpointIncarnation;
@@ -19,6 +20,7 @@
 import org.yuccagw.core.id.ServiceName;
 import org.yuccagw.core.pacing.RecentPrefill;
 import org.yuccagw.core.peers.DomainDigest;
+import org.yuccagw.core.peers.EntryIntroduction;
 import org.yuccagw.core.peers.PeerStatus;
 import org.yuccagw.core.peers.Roster;
 import org.yuccagw.core.peers.RosterRequest;
@@ -54,10 +56,15 @@
             {new RejectionLimitReported(ENGINE, 5, true)},
             {new DomainDigest(status, OptionalLong.of(250), rosters(status.contact()))},
             {new DomainDigest(status, OptionalLong.empty(), ImmutableList.of())},
+            {new EntryIntroduction(status.contact())},
             {new RosterRequest(FailureDomain.of("a"))},
             {new FollowMessage.ChangesRequest(7)},
             {new FollowMessage.StillStarting()},
-            {new FollowMessage.Changes(false, 7, 9, 40, 8, ImmutableList.of())}
+            {new FollowMessage.Changes(false, 7, 9, 40, 8, ImmutableList.of(), Optional.empty())},
+            {
+                new FollowMessage.Changes(
+                        true, 0, 9, 40, 0, ImmutableList.of(), Optional.of(new CopyCoverage(ImmutableList.of(3L), 70)))
+            }
         };
     }
 
--- a/src/test/java/org/yuccagw/process/SoakEntry.java
+++ b/src/test/java/org/yuccagw/process/SoakEntry.java
@@ -120,6 +120,16 @@
         process.kill();
     }
 
+    /** Starts the entry again under its addresses, without waiting until it is ready. */
+    void startAgain() throws IOException {
+        launch();
+    }
+
+    /** Suspends the process for good: it holds its connections and sends nothing more. */
+    void suspend() throws IOException, InterruptedException {
+        process.suspend();
+    }
+
     /** Returns whether the entry was neither started nor signalled from a while before the call to its end. */
     boolean wasInTouch(SoakCall call) {
         long from = call.sentNanos() - CONTACT.toNanos();
