Deny no route and no key by a configuration that can't be confirmed

What callers saw: 404 for a route, or 401 for a key, that was added while the entry didn't hear the key-value service; such an answer is never sent again. Cause: an entry denied by its copy of the configuration, however old its confirmation. Change: if the copy hasn't been confirmed for 2 s, the strictest limit on the delay of a change, the answer is 503 as not run with a time to return, whichever way the copy became old. The line turned-away tells the revision, the age of the confirmation and what the copy waits for, which the record of the incident lacks.

--- a/src/main/java/org/yuccagw/adapters/serving/ServingServer.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingServer.java
@@ -1,6 +1,8 @@
 package org.yuccagw.adapters.serving;
 
 import com.google.common.collect.Comparators;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import io.undertow.Undertow;
@@ -53,6 +55,13 @@
     /** Callers reuse connections that were idle for up to four fifths of the configured idle timeout. */
     private static final int IDLE_TIMEOUT_MILLIS = 75_000;
 
+    /** The strictest limit on the delay of a change: an older copy may lack a route or key that is in force. */
+    private static final Duration MAX_DENIAL_AGE = Duration.ofSeconds(2);
+
+    /** Errors that state what the configuration doesn't contain. */
+    private static final ImmutableSet<ErrorKind> DENIALS =
+            Sets.immutableEnumSet(ErrorKind.UNKNOWN_ROUTE, ErrorKind.MISSING_KEY, ErrorKind.WRONG_KEY);
+
     private static final Duration NOT_READY_RETRY_DELAY = Duration.ofMillis(300);
     private static final String METRICS_PATH = "/metrics";
 
@@ -137,7 +146,7 @@
             if (error.kind() == ErrorKind.MALFORMED_HEAD) {
                 exchange.setPersistent(false);
             }
-            ServingRun.sendError(exchange, services.protocol(), error);
+            ServingRun.sendError(exchange, services.protocol(), withheldIfUnconfirmed(error));
         }
     }
 
@@ -237,18 +246,34 @@
                 .orElseThrow(() ->
                         ErrorKind.NOT_READY.raise("has no configuration yet").withRetryAfter(NOT_READY_RETRY_DELAY));
         if (services.maxUnconfirmedKeyAge().isPresent()) {
-            FollowSnapshot follow =
-                    services.snapshot().get().find(FollowSnapshot.class).orElse(FollowSnapshot.none());
-            long ageNanos = System.nanoTime() - follow.confirmedNanos();
+            long ageNanos = System.nanoTime() - followSnapshot().confirmedNanos();
             if (ageNanos > services.maxUnconfirmedKeyAge().get().toNanos()) {
-                throw ErrorKind.NOT_READY
-                        .raise("could not confirm its configuration")
-                        .withRetryAfter(NOT_READY_RETRY_DELAY);
+                throw unconfirmed();
             }
         }
         return deployment;
     }
 
+    private static YuccagwException unconfirmed() {
+        return ErrorKind.NOT_READY.raise("could not confirm its configuration").withRetryAfter(NOT_READY_RETRY_DELAY);
+    }
+
+    /**
+     * Returns the error for the caller: a route or key that is missing here may be in force if this entry's copy of the
+     * configuration hasn't been confirmed for a while, and another entry may know it.
+     */
+    private YuccagwException withheldIfUnconfirmed(YuccagwException error) {
+        boolean confirmed = followSnapshot()
+                .age(System.nanoTime())
+                .filter(age -> age.compareTo(MAX_DENIAL_AGE) <= 0)
+                .isPresent();
+        return DENIALS.contains(error.kind()) && !confirmed ? unconfirmed() : error;
+    }
+
+    private FollowSnapshot followSnapshot() {
+        return services.snapshot().get().find(FollowSnapshot.class).orElse(FollowSnapshot.none());
+    }
+
     private static Optional<WorkspaceAccess> workspaceOf(Deployment deployment, Route route, CallerHead head)
             throws YuccagwException {
         if (!deployment.keysRequired() || route.open()) {
@@ -274,12 +299,22 @@
                 .find(Deployment.class)
                 .map(Deployment::version)
                 .orElse(0L);
+        FollowSnapshot follow = followSnapshot();
         services.decisions()
                 .write(Decision.of("turned-away")
                         .with("path", exchange.getRequestURI())
                         .with("reason", error.kind().code())
                         .with("detail", error.getMessage())
-                        .with("configuration", version));
+                        .with("configuration", version)
+                        .with("revision", follow.revision())
+                        .with("confirmed_ms", confirmedMillis(follow))
+                        .with("awaiting", follow.activity()));
+    }
+
+    private static String confirmedMillis(FollowSnapshot follow) {
+        return follow.age(System.nanoTime())
+                .map(age -> Long.toString(age.toMillis()))
+                .orElse("never");
     }
 
     // Readiness and directory.
--- a/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
+++ b/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
@@ -118,6 +118,7 @@
     private boolean everConfirmed;
     private long leadConfirmedNanos;
     private boolean everLeadConfirmed;
+    private FollowSnapshot.Activity activity = FollowSnapshot.Activity.LIST;
     private boolean goneSinceLastWatch;
     private boolean peerRequestPending;
 
@@ -221,7 +222,7 @@
 
     @Override
     public void contribute(ControlSnapshot.Builder snapshot) {
-        snapshot.put(FollowSnapshot.class, new FollowSnapshot(revision, confirmedNanos, everConfirmed));
+        snapshot.put(FollowSnapshot.class, new FollowSnapshot(revision, confirmedNanos, everConfirmed, activity));
     }
 
     /** Returns whether the copy has been confirmed and the last call to the key-value service didn't fail. */
@@ -242,6 +243,7 @@
     // ---- Key-value service
 
     private void list() {
+        activity = FollowSnapshot.Activity.LIST;
         long sentNanos = context.nowNanos();
         context.call(new KeyValueCall.ReadPrefix(codec.followedPrefix()), answer -> {
             if (answer instanceof KeyValueAnswer.Found found) {
@@ -253,7 +255,7 @@
                 watchOrRely();
             } else {
                 service.recordFailure("list", answer);
-                context.after(service.nextRetryDelay(), this::list);
+                pause(service.nextRetryDelay(), this::list);
             }
         });
     }
@@ -261,6 +263,7 @@
     /** Starts the next watch, or postpones it while the newest confirmation from a lead is recent enough. */
     private void watchOrRely() {
         if (isConfirmedByLeads()) {
+            activity = FollowSnapshot.Activity.LEAD;
             long remainingNanos = leadConfirmedNanos + CONFIRMATION_MAX_AGE.toNanos() - context.nowNanos();
             context.after(Duration.ofNanos(remainingNanos), this::watchOrRely);
         } else {
@@ -275,6 +278,7 @@
     }
 
     private void watch() {
+        activity = FollowSnapshot.Activity.WATCH;
         long sentNanos = context.nowNanos();
         Duration wait = watchWait();
         context.call(new KeyValueCall.Watch(codec.followedPrefix(), revision, wait), answer -> {
@@ -284,11 +288,16 @@
                 onHistoryGone();
             } else {
                 service.recordFailure("watch", answer);
-                context.after(service.nextRetryDelay(), this::watchOrRely);
+                pause(service.nextRetryDelay(), this::watchOrRely);
             }
         });
     }
 
+    private void pause(Duration delay, Runnable next) {
+        activity = FollowSnapshot.Activity.PAUSE;
+        context.after(delay, next);
+    }
+
     /**
      * Lists the keys again, after a random delay: the service discards its history for all entries at once. An entry to
      * which another one has sent all keys of the present era meanwhile needs no list.
@@ -299,7 +308,7 @@
                 .with("revision", KeyValueRevision.number(revision)));
         long staleRevision = revision;
         Duration delay = Duration.ofMillis(context.random().nextLong(MAX_RELIST_DELAY.toMillis()));
-        context.after(goneSinceLastWatch ? delay.plus(MAX_RELIST_DELAY) : delay, () -> {
+        pause(goneSinceLastWatch ? delay.plus(MAX_RELIST_DELAY) : delay, () -> {
             if (KeyValueRevision.isOfEarlierEra(staleRevision, revision)) {
                 watchOrRely();
             } else {
@@ -361,7 +370,7 @@
             confirm(sentNanos);
             watchRole.sendToFollowers(
                     changesMessage(false, previousRevision, ImmutableList.copyOf(found.items()), Optional.empty()));
-            context.after(coalescingDelay(), this::watchOrRely);
+            pause(coalescingDelay(), this::watchOrRely);
         }
     }
 
