Go on asking after a start, and move the responses to an inquiry to a class of their own

An entry whose restored copy lists few others served when these had responded, and asked nobody who became known later. It goes on asking those that haven't answered or are new, each 0.5 s, for 5 s, until two answers cover the time before the restoration or ten have come. WatchRole and OtherEntries have files of their own.

--- a/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
+++ b/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
@@ -133,61 +133,9 @@
         return new KeyValueFollowComponent(codec, watchRole, others);
     }
 
-    /** The other entries, which may know better than the key-value service. */
-    public interface OtherEntries {
-        /** Returns the other entries that are known. */
-        List<EntryId> known();
-
-        /** Returns whether there are addresses of entries that haven't been heard yet. */
-        boolean hasUnheardSeeds();
-
-        /** Sends an entry the address at which this one can be answered. */
-        void introduceTo(EntryId entry);
-    }
-
     /** Raised once, when the copy also includes what other entries know better, or these didn't answer in time. */
     public record Started() implements ControlEvent {}
 
-    /** Determines whether this entry watches itself, and whether it forwards changes to followers. */
-    public interface WatchRole {
-        /** Returns whether this entry may rely on confirmations from leads instead of watching. */
-        boolean reliesOnLeads();
-
-        /** Returns whether this entry takes requests. */
-        boolean isServing();
-
-        /** Returns whether other entries rely on this one. */
-        boolean hasFollowers();
-
-        /** Sends changes to the entries that rely on this one. */
-        void sendToFollowers(FollowMessage.Changes changes);
-
-        /** Returns the role of an entry in a fleet in which every entry watches. */
-        static WatchRole alwaysWatching() {
-            return new WatchRole() {
-                @Override
-                public boolean reliesOnLeads() {
-                    return false;
-                }
-
-                @Override
-                public boolean isServing() {
-                    return true;
-                }
-
-                @Override
-                public boolean hasFollowers() {
-                    return false;
-                }
-
-                @Override
-                public void sendToFollowers(FollowMessage.Changes changes) {
-                    // No entry relies on this one.
-                }
-            };
-        }
-    }
-
     /** Raised when another entry reported its revision. */
     public record PeerRevisionReported(EntryId entry, long revision) implements ControlEvent {}
 
--- a/src/main/java/org/yuccagw/core/follow/StateInquiry.java
+++ b/src/main/java/org/yuccagw/core/follow/StateInquiry.java
@@ -1,13 +1,8 @@
 package org.yuccagw.core.follow;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.LongSupplier;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlContext.Timer;
@@ -35,7 +30,8 @@
  *   <li>None has responded within {@link #MAX_START_DELAY}: the others may have failed.
  * </ol>
  *
- * <p>In the last three cases this entry goes on asking those that haven't responded while it serves.
+ * <p>While it serves, it goes on asking entries that haven't answered or have become known since, until case 3 applies,
+ * as many have answered as are asked at a time, or {@link #MAX_DURATION} has passed.
  */
 final class StateInquiry {
     /** Longer than it takes to open a connection to an entry that runs. */
@@ -56,7 +52,7 @@
 
     private static final Duration ROUND = Duration.ofMillis(60);
 
-    /** Interval of the rounds of an entry that already serves and asks those that may have failed. */
+    /** Interval of the later rounds of an entry that already serves. */
     private static final Duration LATE_ROUND = Duration.ofMillis(500);
 
     /** By the end of this time, entries that can be reached have answered. */
@@ -65,13 +61,10 @@
     private static final int ASKED_PER_ROUND = 10;
     private static final int SUFFICIENT_ANSWERS = 2;
 
-    private final KeyValueFollowComponent.OtherEntries fleet;
+    private final OtherEntries fleet;
     private final LongSupplier revision;
     private final Runnable onStarted;
-    private final Map<EntryId, CopyCoverage> answers = new HashMap<>();
-    private final Set<EntryId> asked = new HashSet<>();
-    private final Set<EntryId> starting = new HashSet<>();
-    private final Set<EntryId> askedFirst = new HashSet<>();
+    private final InquiryResponses responses = new InquiryResponses();
 
     private ControlContext context;
     private Optional<Timer> nextRound = Optional.empty();
@@ -80,7 +73,7 @@
     private long beganNanos;
     private long lastRoundNanos;
 
-    private StateInquiry(KeyValueFollowComponent.OtherEntries fleet, LongSupplier revision, Runnable onStarted) {
+    private StateInquiry(OtherEntries fleet, LongSupplier revision, Runnable onStarted) {
         this.fleet = fleet;
         this.revision = revision;
         this.onStarted = onStarted;
@@ -93,7 +86,7 @@
      * @param revision returns the revision that this entry's copy includes
      * @param onStarted called once, when the first inquiry was answered or has taken too long
      */
-    static StateInquiry of(KeyValueFollowComponent.OtherEntries fleet, LongSupplier revision, Runnable onStarted) {
+    static StateInquiry of(OtherEntries fleet, LongSupplier revision, Runnable onStarted) {
         return new StateInquiry(fleet, revision, onStarted);
     }
 
@@ -108,10 +101,7 @@
 
     /** Begins an inquiry, or begins again the one that is running. */
     void begin() {
-        answers.clear();
-        asked.clear();
-        starting.clear();
-        askedFirst.clear();
+        responses.clear();
         beganNanos = context.nowNanos();
         running = true;
         scheduleRound(FIRST_ROUND_DELAY);
@@ -123,19 +113,14 @@
      * @param coverage what the answer covers
      */
     void recordAnswer(EntryId from, CopyCoverage coverage) {
-        if (running && asked.contains(from)) {
-            answers.put(from, coverage);
-            starting.remove(from);
-            evaluate();
-        }
+        responses.recordAnswer(from, coverage);
+        evaluate();
     }
 
     /** Records that an entry is starting as well. */
     void recordStarting(EntryId from) {
-        if (running && asked.contains(from) && !answers.containsKey(from)) {
-            starting.add(from);
-            evaluate();
-        }
+        responses.recordStarting(from);
+        evaluate();
     }
 
     /** Asks an entry that has just been sent the state of the present era, and can tell now what it knows better. */
@@ -146,7 +131,7 @@
     }
 
     private void ask(EntryId entry) {
-        asked.add(entry);
+        responses.recordAsked(entry);
         context.send(entry, new FollowMessage.ChangesRequest(revision.getAsLong()));
     }
 
@@ -159,7 +144,7 @@
             return;
         }
         lastRoundNanos = context.nowNanos();
-        List<EntryId> unanswered = unanswered();
+        List<EntryId> unanswered = responses.toAsk(fleet.known());
         for (int count = 0; count < ASKED_PER_ROUND && !unanswered.isEmpty(); count++) {
             EntryId entry = unanswered.remove(context.random().nextInt(unanswered.size()));
             if (!started) {
@@ -167,22 +152,11 @@
             }
             ask(entry);
         }
-        if (askedFirst.isEmpty()) {
-            askedFirst.addAll(asked);
-        }
-        boolean late = started && elapsed(beganNanos).compareTo(MAX_START_DELAY) >= 0;
+        responses.endFirstRound();
+        boolean late = started && elapsed(beganNanos).compareTo(ANSWER_WAIT) >= 0;
         scheduleRound(late ? LATE_ROUND : ROUND);
     }
 
-    /** Returns the entries to ask: those that were not asked yet, or all others if there are none. */
-    private List<EntryId> unanswered() {
-        List<EntryId> unanswered = new ArrayList<>(fleet.known());
-        unanswered.removeAll(answers.keySet());
-        List<EntryId> notAsked = new ArrayList<>(unanswered);
-        notAsked.removeAll(asked);
-        return notAsked.isEmpty() ? unanswered : notAsked;
-    }
-
     private void scheduleRound(Duration delay) {
         nextRound.ifPresent(Timer::cancel);
         nextRound = Optional.of(context.after(delay, this::askRound));
@@ -192,77 +166,59 @@
         if (!running) {
             return;
         }
-        Duration asking = elapsed(beganNanos);
-        if (haveAllResponded()) {
-            end(answers.isEmpty() ? "others starting" : "answered");
-        } else if (haveFirstResponded() && coveringAnswers() == 0) {
-            end(answers.isEmpty() ? "others starting" : "nothing before");
-        } else if (coveringAnswers() >= SUFFICIENT_ANSWERS && isRoundOver()) {
-            end("answered");
-        } else if (!answers.isEmpty() && asking.compareTo(ANSWER_WAIT) >= 0) {
-            finishStart("answered by some");
-        } else if (!starting.isEmpty() && asking.compareTo(STARTING_WAIT) >= 0) {
-            finishStart("others starting");
-        } else if (fleet.known().isEmpty() && asking.compareTo(loneDelay()) >= 0) {
-            finishStart("no others");
-        } else if (asking.compareTo(MAX_START_DELAY) >= 0) {
-            finishStart("timeout");
+        if (!started) {
+            startReason().ifPresent(this::finishStart);
+        }
+        if (started && (isCovered() || responses.answerCount() >= ASKED_PER_ROUND)) {
+            running = false;
         }
     }
 
-    private Duration loneDelay() {
-        return fleet.hasUnheardSeeds() ? SEEDED_START_DELAY : LONE_START_DELAY;
-    }
-
-    private boolean haveAllResponded() {
-        List<EntryId> known = fleet.known();
-        return !known.isEmpty() && known.stream().allMatch(this::hasResponded);
+    /** Returns why this entry may serve now; empty if it may not. */
+    private Optional<String> startReason() {
+        Duration asking = elapsed(beganNanos);
+        if (responses.includeAll(fleet.known())) {
+            return Optional.of(responses.includeAnswer() ? "answered" : "others starting");
+        } else if (responses.includeFirstRound() && coveringAnswers() == 0) {
+            return Optional.of(responses.includeAnswer() ? "nothing before" : "others starting");
+        } else if (isCovered()) {
+            return Optional.of("answered");
+        } else if (responses.includeAnswer() && asking.compareTo(ANSWER_WAIT) >= 0) {
+            return Optional.of("answered by some");
+        } else if (responses.includeStartingEntry() && asking.compareTo(STARTING_WAIT) >= 0) {
+            return Optional.of("others starting");
+        } else if (fleet.known().isEmpty() && asking.compareTo(loneDelay()) >= 0) {
+            return Optional.of("no others");
+        }
+        return asking.compareTo(MAX_START_DELAY) >= 0 ? Optional.of("timeout") : Optional.empty();
     }
 
-    private boolean haveFirstResponded() {
-        return !askedFirst.isEmpty() && askedFirst.stream().allMatch(this::hasResponded);
+    private boolean isCovered() {
+        return coveringAnswers() >= SUFFICIENT_ANSWERS && isRoundOver();
     }
 
-    private boolean hasResponded(EntryId entry) {
-        return answers.containsKey(entry) || starting.contains(entry);
+    private Duration loneDelay() {
+        return fleet.hasUnheardSeeds() ? SEEDED_START_DELAY : LONE_START_DELAY;
     }
 
     /** Returns whether all that were asked in this round have responded or had the time for it. */
     private boolean isRoundOver() {
-        boolean responded = asked.stream().allMatch(this::hasResponded);
-        return responded || elapsed(lastRoundNanos).compareTo(ROUND) >= 0;
+        return responses.includeAllAsked() || elapsed(lastRoundNanos).compareTo(ROUND) >= 0;
     }
 
-    /** Returns the number of answers that cover the time before the last restoration as far as any answer does. */
     private long coveringAnswers() {
-        long present = revision.getAsLong();
-        long newest = answers.values().stream()
-                .mapToLong(coverage -> coverage.lastOfEraBefore(present))
-                .max()
-                .orElse(KeyValueRevision.NONE);
-        return answers.values().stream()
-                .filter(coverage -> coverage.isCorrected()
-                        || (newest != KeyValueRevision.NONE && coverage.lastOfEraBefore(present) == newest))
-                .count();
+        return responses.coveringAnswers(revision.getAsLong());
     }
 
     private Duration elapsed(long sinceNanos) {
         return Duration.ofNanos(context.nowNanos() - sinceNanos);
     }
 
-    private void end(String reason) {
-        running = false;
-        finishStart(reason);
-    }
-
     private void finishStart(String reason) {
-        if (started) {
-            return;
-        }
         started = true;
         context.perform(Decision.of("state-received")
                 .with("reason", reason)
-                .with("answers", answers.size())
+                .with("answers", responses.answerCount())
                 .with("covering", coveringAnswers())
                 .with("era", KeyValueRevision.era(revision.getAsLong()))
                 .with("revision", KeyValueRevision.number(revision.getAsLong())));
--- a/src/main/java/org/yuccagw/daemon/GatewayComponents.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayComponents.java
@@ -26,6 +26,8 @@
 import org.yuccagw.core.follow.KeyValueFollowComponent;
 import org.yuccagw.core.follow.KeyValueRecordCodec;
 import org.yuccagw.core.follow.NamedWeightsComponent;
+import org.yuccagw.core.follow.OtherEntries;
+import org.yuccagw.core.follow.WatchRole;
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
@@ -77,7 +79,7 @@
     private GatewayComponents(GatewaySettings settings, KeyValueRecordCodec codec) {
         self = settings.entry();
         ownDomain = settings.domain();
-        follow = KeyValueFollowComponent.of(codec, watchRole(settings), new OtherEntries());
+        follow = KeyValueFollowComponent.of(codec, watchRole(settings), new AskedEntries());
         configuration = ConfigurationComponent.create();
         peers = PeersComponent.of(this, settings.seeds());
         origins = StreamOriginsComponent.of(peers.topology()::allLeadContacts, follow::confirmedNanos);
@@ -143,9 +145,9 @@
                 SuspectPartCheck.of(suspects));
     }
 
-    private KeyValueFollowComponent.WatchRole watchRole(GatewaySettings settings) {
+    private WatchRole watchRole(GatewaySettings settings) {
         return settings.bounds().unconfirmedKeyTimeout().isPresent()
-                ? KeyValueFollowComponent.WatchRole.alwaysWatching()
+                ? WatchRole.alwaysWatching()
                 : new GatewayWatchRole();
     }
 
@@ -192,7 +194,7 @@
     }
 
     /** The entries that this one asks after its start. */
-    private final class OtherEntries implements KeyValueFollowComponent.OtherEntries {
+    private final class AskedEntries implements OtherEntries {
         @Override
         public List<EntryId> known() {
             return peers.knownEntries();
@@ -233,7 +235,7 @@
     }
 
     /** The role of this entry in following the key-value service. */
-    private final class GatewayWatchRole implements KeyValueFollowComponent.WatchRole {
+    private final class GatewayWatchRole implements WatchRole {
         @Override
         public boolean reliesOnLeads() {
             return !peers.topology().isMeshed() && !peers.topology().isFirstLead();
--- a/src/test/java/org/yuccagw/daemon/StartAfterRestorationTest.java
+++ b/src/test/java/org/yuccagw/daemon/StartAfterRestorationTest.java
@@ -29,6 +29,8 @@
 
     private static final Duration RECOVERY_LIMIT = Duration.ofSeconds(12);
 
+    private static final int FIRST_SEED = 5;
+
     private VirtualFleet fleet;
     private List<BenchNode> nodes;
 
@@ -133,6 +135,44 @@
         assertTrue(!fleet.isUsable(cutOff, "plain-1"));
     }
 
+    @DataProvider
+    public static Object[][] sizesAndSeeds() {
+        List<Object[]> cases = new ArrayList<>();
+        for (int size : new int[] {8, 23, 66}) {
+            for (int seed = 1; seed <= 5; seed++) {
+                cases.add(new Object[] {size, seed});
+            }
+        }
+        return cases.toArray(new Object[0][]);
+    }
+
+    // Guards against a started entry that is satisfied with the answers of entries which know no more than the copy.
+    @Test(dataProvider = "sizesAndSeeds")
+    public void aStartedEntryPrefersAnswersThatCoverTheTimeBeforeTheRestoration(int entries, int seed) {
+        start(entries, seed);
+        InMemoryKeyValue.Copy copy = fleet.bench.keyValue().copy();
+        fleet.configure(2);
+        fleet.bench.runFor(COPY_AGE);
+        int unaware = entries * 2 / 3;
+        nodes.subList(0, unaware).forEach(BenchNode::kill);
+        fleet.bench.keyValue().restore(copy);
+        for (int one = 0; one < unaware; one++) {
+            for (int other = unaware; other < entries; other++) {
+                fleet.bench.cut(nodes.get(one), nodes.get(other));
+            }
+        }
+        for (int index = 1; index < unaware; index++) {
+            nodes.set(index, startEntry(index));
+        }
+        fleet.bench.runFor(Duration.ofSeconds(2));
+        fleet.bench.healNetwork();
+        BenchNode started = startEntry(0);
+        while (!isServing(started)) {
+            fleet.bench.runFor(STEP);
+        }
+        assertEquals(VirtualFleet.configurationOf(started), 2);
+    }
+
     // Guards against starts that wait for others which don't answer, or which start as well.
     @Test(dataProvider = "sizes")
     public void aStartWaitsOnlyBrieflyForOthers(int entries) {
@@ -168,7 +208,11 @@
     }
 
     private void start(int entries) {
-        fleet = new VirtualFleet();
+        start(entries, FIRST_SEED);
+    }
+
+    private void start(int entries, int seed) {
+        fleet = new VirtualFleet(seed);
         startAll(entries);
         fleet.configure(1);
         for (int index = 0; index < 3; index++) {
--- a/src/test/java/org/yuccagw/daemon/VirtualFleet.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualFleet.java
@@ -69,7 +69,9 @@
     private static final long RESTART_INTERVAL_MILLIS = 1_000;
     private static final NetworkAddress UNUSED_ADDRESS = NetworkAddress.of("127.0.0.1", 9);
 
-    final ControlBench bench = ControlBench.of(5);
+    private static final long USUAL_SEED = 5;
+
+    final ControlBench bench;
     final List<Order> orders = new ArrayList<>();
     final List<StateQuery> stateQueries = new ArrayList<>();
     final Map<EndpointId, Long> weights = new LinkedHashMap<>();
@@ -91,6 +93,11 @@
     record StateQuery(EntryId from, EndpointIncarnation engine, long atNanos) {}
 
     VirtualFleet() {
+        this(USUAL_SEED);
+    }
+
+    VirtualFleet(long seed) {
+        bench = ControlBench.of(seed);
         bench.onAction(this::handleAction);
     }
 
