--- a/src/main/java/org/yuccagw/core/follow/StateInquiry.java
+++ b/src/main/java/org/yuccagw/core/follow/StateInquiry.java
@@ -35,17 +35,19 @@
  */
 final class StateInquiry {
     /** Longer than it takes to open a connection to an entry that runs. */
-    static final Duration MAX_START_DELAY = Duration.ofMillis(1500);
+    private static final Duration MAX_START_DELAY = Duration.ofMillis(1500);
 
-    static final Duration ANSWER_WAIT = Duration.ofMillis(300);
+    /** An entry that runs answers within some milliseconds, or some tens on a busy VM. */
+    private static final Duration ANSWER_WAIT = Duration.ofMillis(300);
 
-    static final Duration STARTING_WAIT = ANSWER_WAIT.multipliedBy(2);
+    /** Twice as long, since no entry has yet said anything that can be relied on. */
+    private static final Duration STARTING_WAIT = ANSWER_WAIT.multipliedBy(2);
 
     /** How long an entry that knows of no other one waits for some to become known. */
-    static final Duration LONE_START_DELAY = Duration.ofMillis(250);
+    private static final Duration LONE_START_DELAY = Duration.ofMillis(250);
 
     /** The same if its settings name addresses at which it has heard nobody yet; two heartbeats and some delay. */
-    static final Duration SEEDED_START_DELAY = Duration.ofMillis(700);
+    private static final Duration SEEDED_START_DELAY = Duration.ofMillis(700);
 
     /** By then, the entries that the service lists are known to this entry's other components. */
     private static final Duration FIRST_ROUND_DELAY = Duration.ofMillis(2);
@@ -61,7 +63,7 @@
     private static final int ASKED_PER_ROUND = 10;
     private static final int SUFFICIENT_ANSWERS = 2;
 
-    private final OtherEntries fleet;
+    private final OtherEntries others;
     private final LongSupplier revision;
     private final Runnable onStarted;
     private final InquiryResponses responses = new InquiryResponses();
@@ -73,8 +75,8 @@
     private long beganNanos;
     private long lastRoundNanos;
 
-    private StateInquiry(OtherEntries fleet, LongSupplier revision, Runnable onStarted) {
-        this.fleet = fleet;
+    private StateInquiry(OtherEntries others, LongSupplier revision, Runnable onStarted) {
+        this.others = others;
         this.revision = revision;
         this.onStarted = onStarted;
     }
@@ -82,12 +84,12 @@
     /**
      * Creates an inquiry that hasn't begun.
      *
-     * @param fleet the entries that may be asked
+     * @param others the entries that may be asked
      * @param revision returns the revision that this entry's copy includes
      * @param onStarted called once, when the first inquiry was answered or has taken too long
      */
-    static StateInquiry of(OtherEntries fleet, LongSupplier revision, Runnable onStarted) {
-        return new StateInquiry(fleet, revision, onStarted);
+    static StateInquiry of(OtherEntries others, LongSupplier revision, Runnable onStarted) {
+        return new StateInquiry(others, revision, onStarted);
     }
 
     void start(ControlContext startContext) {
@@ -144,11 +146,11 @@
             return;
         }
         lastRoundNanos = context.nowNanos();
-        List<EntryId> unanswered = responses.toAsk(fleet.known());
+        List<EntryId> unanswered = responses.toAsk(others.known());
         for (int count = 0; count < ASKED_PER_ROUND && !unanswered.isEmpty(); count++) {
             EntryId entry = unanswered.remove(context.random().nextInt(unanswered.size()));
             if (!started) {
-                fleet.introduceTo(entry);
+                others.introduceTo(entry);
             }
             ask(entry);
         }
@@ -177,7 +179,7 @@
     /** Returns why this entry may serve now; empty if it may not. */
     private Optional<String> startReason() {
         Duration asking = elapsed(beganNanos);
-        if (responses.includeAll(fleet.known())) {
+        if (responses.includeAll(others.known())) {
             return Optional.of(responses.includeAnswer() ? "answered" : "others starting");
         } else if (responses.includeFirstRound() && coveringAnswers() == 0) {
             return Optional.of(responses.includeAnswer() ? "nothing before" : "others starting");
@@ -187,7 +189,7 @@
             return Optional.of("answered by some");
         } else if (responses.includeStartingEntry() && asking.compareTo(STARTING_WAIT) >= 0) {
             return Optional.of("others starting");
-        } else if (fleet.known().isEmpty() && asking.compareTo(loneDelay()) >= 0) {
+        } else if (others.known().isEmpty() && asking.compareTo(loneDelay()) >= 0) {
             return Optional.of("no others");
         }
         return asking.compareTo(MAX_START_DELAY) >= 0 ? Optional.of("timeout") : Optional.empty();
@@ -198,7 +200,7 @@
     }
 
     private Duration loneDelay() {
-        return fleet.hasUnheardSeeds() ? SEEDED_START_DELAY : LONE_START_DELAY;
+        return others.hasUnheardSeeds() ? SEEDED_START_DELAY : LONE_START_DELAY;
     }
 
     /** Returns whether all that were asked in this round have responded or had the time for it. */
