Count the time of the present era from the first copy, not from the start of the process

An entry that started while the key-value service was away for over 20 s, and then received an older copy, told others that it had known the present era for as long as it ran, so that its answers counted as covering the time before the restoration.

--- a/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
+++ b/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
@@ -152,7 +152,6 @@
         startedNanos = context.nowNanos();
         keys = FollowedKeys.of(codec, context);
         service.start(context);
-        coverage.start(context);
         inquiry.start(context);
         list();
     }
@@ -274,7 +273,7 @@
         if (revision == NO_REVISION || !KeyValueRevision.isOfEarlierEra(revision, newRevision)) {
             return false;
         }
-        coverage.recordRestoration(revision);
+        coverage.recordRestoration(revision, context.nowNanos());
         context.perform(Decision.of("key-value-service-restored")
                 .with("era", KeyValueRevision.era(newRevision))
                 .with("revision", KeyValueRevision.number(newRevision))
@@ -414,7 +413,7 @@
             advanceTo(changes.revision());
         }
         changes.coverage().ifPresent(covered -> {
-            coverage.inherit(covered);
+            coverage.inherit(covered, context.nowNanos());
             inquiry.recordAnswer(from, covered);
         });
         onLeadConfirmation(
@@ -438,7 +437,8 @@
         boolean whole = isOutdated(request) || !keys.retainRemovalsAfter(request.afterRevision());
         ImmutableList<Item> items =
                 whole ? keys.all() : keys.changedAfterAndRetained(request.afterRevision(), revision);
-        return changesMessage(whole, request.afterRevision(), items, Optional.of(coverage.coverage(revision)));
+        return changesMessage(
+                whole, request.afterRevision(), items, Optional.of(coverage.coverage(revision, context.nowNanos())));
     }
 
     private FollowMessage.Changes changesMessage(
@@ -455,6 +455,7 @@
         keys.applyList(items, listRevision, arrival(lapsesUpToRevision, listRevision));
         advanceTo(listRevision);
         if (first) {
+            coverage.recordFirstCopy(context.nowNanos());
             inquiry.begin();
         }
     }
