Let an entry that starts wait for a holder that may not have noticed a restoration

What could happen: two entries order weights within the separation (3 s), 2.4 s apart in the test. Cause: an entry that starts doesn't know that the present era has just begun, and claims the duty at once if the copy lacks a claim, while the holder of the earlier era, cut off from the service and the others, believes in its lease for up to 1.8 s. Change: it waits for the time to live of a lease, unless each other entry that is known has responded and so knows the present era.

--- a/src/main/java/org/yuccagw/core/duty/DutyComponent.java
+++ b/src/main/java/org/yuccagw/core/duty/DutyComponent.java
@@ -11,6 +11,7 @@
 import org.yuccagw.core.control.ControlEvent;
 import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.control.KeyValueRestored;
+import org.yuccagw.core.follow.KeyValueFollowComponent;
 import org.yuccagw.core.follow.KeyValueRecord;
 import org.yuccagw.core.follow.KeyValueRecordCodec;
 import org.yuccagw.core.follow.KeyValueRecordRemoved;
@@ -66,6 +67,7 @@
     private boolean cutOff;
     private long claimNanos;
     private long era;
+    private boolean mayClaim;
     private long claimsAllowedFromNanos;
     private long fencingNumber;
     private long actionsAllowedFromNanos;
@@ -130,6 +132,8 @@
                 stepDown("key removed");
             }
             scheduleAttempt();
+        } else if (event instanceof KeyValueFollowComponent.Started started) {
+            onStarted(started.allResponded());
         } else if (event instanceof KeyValueRestored restored) {
             onRestored(restored.era());
         } else if (event instanceof CutOffChanged changed) {
@@ -146,15 +150,28 @@
     }
 
     /**
-     * Ends this entry's claim, and makes it wait until any holder of an earlier era has stopped: a restored service may
-     * lack the holder's claim, while the holder still believes in its lease.
+     * Makes this entry wait until any holder of an earlier era has stopped: a restored service may lack the holder's
+     * claim, while the holder still believes in its lease.
      */
+    private void waitForEarlierHolders() {
+        claimsAllowedFromNanos = context.nowNanos() + LEASE_TIMES.timeToLive().toNanos();
+    }
+
+    /** Permits claims after a start: at once if no entry is known that may not have noticed a restoration. */
+    private void onStarted(boolean allResponded) {
+        mayClaim = true;
+        if (!allResponded) {
+            waitForEarlierHolders();
+        }
+    }
+
+    /** Ends this entry's claim, and makes it wait. */
     private void onRestored(long restoredEra) {
         if (restoredEra <= era) {
             return;
         }
         era = restoredEra;
-        claimsAllowedFromNanos = context.nowNanos() + LEASE_TIMES.timeToLive().toNanos();
+        waitForEarlierHolders();
         if (holding || claiming) {
             stepDown("the key-value service was restored");
         }
@@ -191,7 +208,7 @@
     }
 
     private void scheduleAttempt() {
-        if (stopping || cutOff || attemptScheduled || !reachable.getAsBoolean()) {
+        if (!mayClaim || stopping || cutOff || attemptScheduled || !reachable.getAsBoolean()) {
             return;
         }
         attemptScheduled = true;
--- a/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
+++ b/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
@@ -125,7 +125,8 @@
     private KeyValueFollowComponent(KeyValueRecordCodec codec, WatchRole watchRole, OtherEntries others) {
         this.codec = codec;
         this.watchRole = watchRole;
-        this.inquiry = StateInquiry.of(others, this::revision, () -> context.raise(new Started()));
+        this.inquiry =
+                StateInquiry.of(others, this::revision, allResponded -> context.raise(new Started(allResponded)));
     }
 
     /** Creates a component with an empty copy. */
@@ -133,8 +134,12 @@
         return new KeyValueFollowComponent(codec, watchRole, others);
     }
 
-    /** Raised once, when the copy also includes what other entries know better, or these didn't answer in time. */
-    public record Started() implements ControlEvent {}
+    /**
+     * Raised once, when the copy also includes what other entries know better, or these didn't answer in time.
+     *
+     * @param allResponded whether each other entry that is known has responded, and so knows the present era
+     */
+    public record Started(boolean allResponded) implements ControlEvent {}
 
     /** Raised when another entry reported its revision. */
     public record PeerRevisionReported(EntryId entry, long revision) implements ControlEvent {}
--- a/src/main/java/org/yuccagw/core/follow/StateInquiry.java
+++ b/src/main/java/org/yuccagw/core/follow/StateInquiry.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlContext.Timer;
@@ -65,7 +66,7 @@
 
     private final OtherEntries others;
     private final LongSupplier revision;
-    private final Runnable onStarted;
+    private final Consumer<Boolean> onStarted;
     private final InquiryResponses responses = new InquiryResponses();
 
     private ControlContext context;
@@ -75,7 +76,7 @@
     private long beganNanos;
     private long lastRoundNanos;
 
-    private StateInquiry(OtherEntries others, LongSupplier revision, Runnable onStarted) {
+    private StateInquiry(OtherEntries others, LongSupplier revision, Consumer<Boolean> onStarted) {
         this.others = others;
         this.revision = revision;
         this.onStarted = onStarted;
@@ -86,9 +87,10 @@
      *
      * @param others the entries that may be asked
      * @param revision returns the revision that this entry's copy includes
-     * @param onStarted called once, when the first inquiry was answered or has taken too long
+     * @param onStarted called once, when the first inquiry was answered or has taken too long, with whether all have
+     *     responded
      */
-    static StateInquiry of(OtherEntries others, LongSupplier revision, Runnable onStarted) {
+    static StateInquiry of(OtherEntries others, LongSupplier revision, Consumer<Boolean> onStarted) {
         return new StateInquiry(others, revision, onStarted);
     }
 
@@ -224,6 +226,6 @@
                 .with("covering", coveringAnswers())
                 .with("era", KeyValueRevision.era(revision.getAsLong()))
                 .with("revision", KeyValueRevision.number(revision.getAsLong())));
-        onStarted.run();
+        onStarted.accept(responses.includeAll(others.known()));
     }
 }
--- a/src/test/java/org/yuccagw/daemon/RestoredKeyValueTest.java
+++ b/src/test/java/org/yuccagw/daemon/RestoredKeyValueTest.java
@@ -17,6 +17,7 @@
 
 /** The key-value service is restored from an older copy: revisions go back, and are granted again for other writes. */
 public class RestoredKeyValueTest {
+    private static final String DUTY_KEY = "yuccagw/duty/weights";
     private static final int[] FLEET_SIZES = {3, 8, 23, 66, 95};
     private static final List<Duration> ABSENCES =
             List.of(Duration.ZERO, Duration.ofMillis(300), Duration.ofSeconds(3));
@@ -193,6 +194,38 @@
         play.assertOneHolderAtATime();
     }
 
+    @DataProvider
+    public static Object[][] smallSizes() {
+        return new Object[][] {{3}, {8}};
+    }
+
+    // Guards against an entry that starts and orders while the holder hasn't noticed the restoration.
+    @Test(dataProvider = "smallSizes")
+    public void anEntryThatStartsWaitsForAHolderWhoseClaimTheCopyLacks(int entries) {
+        Play play = Play.start(entries);
+        play.killHolder();
+        InMemoryKeyValue keyValue = play.fleet.bench.keyValue();
+        assertTrue(play.fleet.bench.runUntil(() -> keyValue.peek(DUTY_KEY).isEmpty(), Duration.ofSeconds(5)));
+        InMemoryKeyValue.Copy copy = keyValue.copy();
+        play.fleet.dropOrders();
+        play.fleet.nameWeights(2);
+        assertTrue(play.fleet.bench.runUntil(() -> !play.fleet.orders.isEmpty(), Duration.ofSeconds(12)));
+        EntryId holder = play.fleet.orders.get(0).from();
+        BenchNode unaware = play.nodes.stream()
+                .filter(node -> node.entry().equals(holder))
+                .findFirst()
+                .orElseThrow();
+        play.fleet.bench.cutFromAll(unaware);
+        keyValue.cutOff(holder);
+        keyValue.restore(copy);
+        play.fleet.nameWeights(2);
+        play.startEntries(entries, entries + 1);
+        play.fleet.bench.cut(unaware, play.nodes.get(entries));
+        play.fleet.bench.runFor(Duration.ofSeconds(12));
+        assertTrue(play.fleet.orders.stream().anyMatch(order -> !order.from().equals(holder)));
+        play.assertOneHolderAtATime();
+    }
+
     // Guards against a loop of calls while the revisions are behind.
     @Test(dataProvider = "restorations")
     public void callsStayWithinTheRatesAfterARestoration(int entries, Duration away, Progress progress) {
@@ -320,8 +353,7 @@
         private void killHolder() {
             fleet.nameWeights(1);
             fleet.bench.runFor(Duration.ofSeconds(1));
-            String claim = new String(
-                    fleet.bench.keyValue().peek("yuccagw/duty/weights").orElseThrow(), StandardCharsets.UTF_8);
+            String claim = new String(fleet.bench.keyValue().peek(DUTY_KEY).orElseThrow(), StandardCharsets.UTF_8);
             nodes.stream()
                     .filter(node -> claim.contains('"' + node.entry().value() + '"'))
                     .forEach(BenchNode::kill);
