Send a status to each entry that is listed and not heard yet, in place of those not known yet

A fault of: an entry that starts introduces itself, so it was known when it was listed, and the others of a mesh sent it nothing before their next heartbeat, up to 0.3 s later. NewEntryTest: red on (the new entry lists itself alone 30 ms after it serves).

--- a/src/main/java/org/yuccagw/core/peers/PeersComponent.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersComponent.java
@@ -498,10 +498,9 @@
     // ---- Registrations
 
     private void onEntryListed(EntryContact contact) {
-        boolean isNew = peers.find(contact.entry()).isEmpty();
         peers.update(contact).ifPresent(peer -> {
             peer.setListed(true);
-            if (isNew && ready && topology.isMeshed()) {
+            if (!peer.isAlive() && ready && topology.isMeshed()) {
                 context.send(contact.entry(), status());
             }
         });
