--- a/src/main/java/org/yuccagw/core/peers/FleetShares.java
+++ b/src/main/java/org/yuccagw/core/peers/FleetShares.java
@@ -46,8 +46,8 @@
 
     private record Sighting(FailureDomain domain, long nanos) {}
 
-    /** A share that was held from one time to another. */
-    private record Held(double share, long sinceNanos, long untilNanos) {}
+    /** A share that was held until a time. */
+    private record Held(double share, long untilNanos) {}
 
     void start(ControlContext startContext) {
         context = startContext;
@@ -110,10 +110,8 @@
         Held last = history.peekLast();
         if (last != null && last.share() == share) {
             history.removeLast();
-            history.addLast(new Held(share, last.sinceNanos(), now));
-        } else {
-            history.addLast(new Held(share, now, now));
         }
+        history.addLast(new Held(share, now));
         history.removeIf(held -> now - held.untilNanos() > RETENTION.toNanos());
     }
 }
--- a/src/main/java/org/yuccagw/core/peers/PeersComponent.java
+++ b/src/main/java/org/yuccagw/core/peers/PeersComponent.java
@@ -1,12 +1,10 @@
 package org.yuccagw.core.peers;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.yuccagw.core.control.ControlComponent;
 import org.yuccagw.core.control.ControlContext;
 import org.yuccagw.core.control.ControlEvent;
@@ -18,7 +16,6 @@
 import org.yuccagw.core.follow.KeyValueRecord;
 import org.yuccagw.core.follow.KeyValueRecordRemoved;
 import org.yuccagw.core.follow.KeyValueRecordUpdated;
-import org.yuccagw.core.id.EndpointIncarnation;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.NetworkAddress;
@@ -115,27 +112,6 @@
     private boolean failureCheckScheduled;
     private Optional<PeersSnapshot> snapshot = Optional.empty();
 
-    /** Supplies the state of the other components of this entry for its own heartbeat. */
-    public interface LocalState {
-        /** Returns why this entry can't serve; empty if it can. */
-        String reasonNotReady(long nowNanos);
-
-        /** Returns the revision of the key-value service up to which this entry's copy is complete. */
-        long revision();
-
-        /** Returns the monotonic time at which the key-value service last confirmed the copy; empty if it never did. */
-        OptionalLong confirmedNanos();
-
-        ImmutableList<PeerStatus.Load> loads();
-
-        ImmutableList<EndpointIncarnation> loading();
-
-        ImmutableList<PeerStatus.Weights> weights();
-
-        /** Returns the prompts that wait at this entry and can still start in time. */
-        ImmutableList<PeerStatus.Queued> queued();
-    }
-
     /** Raised when another entry sent its status. */
     public record PeerStatusReceived(EntryId entry, PeerStatus status) implements ControlEvent {}
 
--- a/src/main/java/org/yuccagw/daemon/GatewayComponents.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayComponents.java
@@ -34,6 +34,7 @@
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.notice.NoticesComponent;
 import org.yuccagw.core.origin.StreamOriginsComponent;
+import org.yuccagw.core.peers.LocalState;
 import org.yuccagw.core.peers.PeerStatus;
 import org.yuccagw.core.peers.PeersComponent;
 import org.yuccagw.core.peers.RegistrationComponent;
@@ -61,7 +62,7 @@
  * <p>Components depend on each other in cycles, which this class resolves: heartbeats carry the loads of endpoints,
  * placement needs the number of entries, and a change of the outstanding orders triggers a heartbeat.
  */
-final class GatewayComponents implements PeersComponent.LocalState {
+final class GatewayComponents implements LocalState {
     private static final String WEIGHT_ORDERS_DUTY = "weights";
 
     private final EntryId self;
--- a/src/test/java/org/yuccagw/core/peers/SeedsTest.java
+++ b/src/test/java/org/yuccagw/core/peers/SeedsTest.java
@@ -17,7 +17,7 @@
 import org.yuccagw.core.id.NetworkAddress;
 
 public class SeedsTest {
-    private static final PeersComponent.LocalState EMPTY_STATE = new PeersComponent.LocalState() {
+    private static final LocalState EMPTY_STATE = new LocalState() {
         @Override
         public String reasonNotReady(long nowNanos) {
             return "";
