Bound the nesting of documents of other processes, and read them in one way

Cause: JsonText.read descends once per level, and some 450 levels overflow a stack of 256 KB. PlatformRecords.decode caught IOException and IllegalArgumentException, so the StackOverflowError ended the control thread. Evidence: the logs of ten entries of ForeignValueProcessTest show it, through the Disruptor's FatalExceptionHandler. Not only broken documents do it: 900 closed arrays are valid JSON, within the library's own limit of 1,000.

Change: BoundedJson makes all parsers of what other processes write, with 100 levels at most; an architecture test finds others. UntrustedInput turns whatever a reader throws into an IOException, for values and for answers of the key-value service, engines and stores; a call whose response can't be handled fails at once. PositionedParser no longer fails on limits, which have no position (NullPointerException for a catalogue with a number of 1,001 digits, found by the new test).

--- a/src/main/java/org/yuccagw/adapters/admin/AdminServer.java
+++ b/src/main/java/org/yuccagw/adapters/admin/AdminServer.java
@@ -16,6 +16,7 @@
 import javax.net.ssl.SSLContext;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.adapters.http.ErrorAnswers;
 import org.yuccagw.adapters.settings.EntrySettings;
 import org.yuccagw.adapters.telemetry.Metrics;
@@ -36,7 +37,7 @@
  */
 public final class AdminServer {
     private static final Logger log = LogManager.getLogger(AdminServer.class);
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final ObjectMapper MAPPER = BoundedJson.mapper();
     private static final String METRICS_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
     private static final int MAX_BODY_BYTES = 2 * 1024 * 1024;
     private static final int MAX_HEADER_BYTES = 16 * 1024;
--- a/src/main/java/org/yuccagw/adapters/admin/CatalogueHandlers.java
+++ b/src/main/java/org/yuccagw/adapters/admin/CatalogueHandlers.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.adapters.settings.CatalogueJson;
 import org.yuccagw.core.catalogue.AcceptedEdit;
 import org.yuccagw.core.catalogue.Catalogue;
@@ -25,7 +26,7 @@
  * the edit is rejected as a conflict and nothing changes.
  */
 final class CatalogueHandlers {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final ObjectMapper MAPPER = BoundedJson.mapper();
     private static final String JSON = "application/json";
 
     private final Supplier<ControlSnapshot> snapshots;
--- a/src/main/java/org/yuccagw/adapters/admin/SnapshotViews.java
+++ b/src/main/java/org/yuccagw/adapters/admin/SnapshotViews.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Locale;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.core.admission.AdmissionSnapshot;
 import org.yuccagw.core.cache.StoresRequested;
 import org.yuccagw.core.catalogue.Catalogue;
@@ -21,7 +22,7 @@
 
 /** Converts the contents of a snapshot to JSON documents for operators, without side effects. */
 final class SnapshotViews {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final ObjectMapper MAPPER = BoundedJson.mapper();
     /** The reason before the membership component has contributed to a snapshot. */
     private static final String NOT_STARTED = "has not joined the other entries yet";
 
--- a/src/main/java/org/yuccagw/adapters/cache/CacheJson.java
+++ b/src/main/java/org/yuccagw/adapters/cache/CacheJson.java
@@ -12,6 +12,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.core.cache.BlockKey;
 import org.yuccagw.core.cache.EngineCacheUpdate;
 import org.yuccagw.core.cache.ReplicaIndex;
@@ -24,7 +25,7 @@
 
 /** Converts between the core's types for cache blocks and the JSON that engines and stores exchange. */
 final class CacheJson {
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ObjectMapper JSON = BoundedJson.mapper();
     private static final double MILLIS_PER_SECOND = 1e3;
 
     private CacheJson() {}
--- a/src/main/java/org/yuccagw/adapters/caller/CallerServer.java
+++ b/src/main/java/org/yuccagw/adapters/caller/CallerServer.java
@@ -16,6 +16,7 @@
 import org.yuccagw.adapters.engine.CompletionBody;
 import org.yuccagw.adapters.engine.PlainRequest;
 import org.yuccagw.adapters.http.BodyReader;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.adapters.http.ErrorAnswers;
 import org.yuccagw.adapters.telemetry.TraceParent;
 import org.yuccagw.adapters.telemetry.Traces;
@@ -52,7 +53,7 @@
  * that names the correction, and the request is certain not to have run.
  */
 public final class CallerServer {
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ObjectMapper JSON = BoundedJson.mapper();
     private static final int MAX_HEADER_BYTES = 64 * 1024;
     private static final int PARSE_TIMEOUT_MILLIS = 10_000;
     private static final int IDLE_TIMEOUT_MILLIS = 120_000;
--- a/src/main/java/org/yuccagw/adapters/caller/CompletionFormat.java
+++ b/src/main/java/org/yuccagw/adapters/caller/CompletionFormat.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.core.request.Usage;
 
 /**
@@ -16,7 +17,7 @@
  * @param chat whether answers have the format of a chat completion
  */
 record CompletionFormat(String id, String model, boolean chat) {
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ObjectMapper JSON = BoundedJson.mapper();
     private static final int EVENT_OVERHEAD_CHARS = 192;
     static final String END_EVENT = "data: [DONE]\n\n";
 
--- a/src/main/java/org/yuccagw/adapters/caller/DirectoryAnswer.java
+++ b/src/main/java/org/yuccagw/adapters/caller/DirectoryAnswer.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Comparator;
 import java.util.List;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.core.membership.DirectorySnapshot;
 import org.yuccagw.core.membership.EntryStatus;
 
@@ -15,7 +16,7 @@
  * come last instead of being omitted, because a suspicion may be wrong. Leaving and dead entries are omitted.
  */
 final class DirectoryAnswer {
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ObjectMapper JSON = BoundedJson.mapper();
 
     private DirectoryAnswer() {}
 
--- a/src/main/java/org/yuccagw/adapters/endpoint/OrderSender.java
+++ b/src/main/java/org/yuccagw/adapters/endpoint/OrderSender.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.LongSupplier;
 import org.xnio.XnioIoThread;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.adapters.http.HttpRequest;
 import org.yuccagw.adapters.http.HttpResponse;
@@ -35,7 +36,7 @@
     private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(2);
     private static final int CONFLICT_STATUS = 409;
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ObjectMapper JSON = BoundedJson.mapper();
 
     private final HttpClient httpClient;
     private final LongSupplier monotonicNanos;
--- a/src/main/java/org/yuccagw/adapters/endpoint/PlatformPoller.java
+++ b/src/main/java/org/yuccagw/adapters/endpoint/PlatformPoller.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.adapters.http.HttpRequest;
 import org.yuccagw.adapters.http.HttpResponse;
@@ -41,7 +42,7 @@
     private static final Logger log = LogManager.getLogger(PlatformPoller.class);
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
     private static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(1);
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ObjectMapper JSON = BoundedJson.mapper();
 
     private final HttpClient httpClient;
     private final NetworkAddress listAddress;
--- a/src/main/java/org/yuccagw/adapters/engine/CompletionBody.java
+++ b/src/main/java/org/yuccagw/adapters/engine/CompletionBody.java
@@ -17,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.regex.Pattern;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.core.cache.BlockChain;
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
@@ -27,7 +28,7 @@
  * that yuccagw doesn't interpret are forwarded unchanged.
  */
 public final class CompletionBody {
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ObjectMapper JSON = BoundedJson.mapper();
     private static final int DEFAULT_MAX_TOKENS = 256;
     private static final int MAX_TOKENS_LIMIT = 1_000_000;
     private static final String MAX_TOKENS_FIELD = "max_tokens";
--- a/src/main/java/org/yuccagw/adapters/engine/EngineResponseListener.java
+++ b/src/main/java/org/yuccagw/adapters/engine/EngineResponseListener.java
@@ -9,6 +9,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.adapters.http.HttpResponseListener;
 import org.yuccagw.adapters.http.SseParser;
 import org.yuccagw.core.id.SoftwareVersion;
@@ -25,7 +26,7 @@
  * normal close, is treated as broken, so a truncated answer is never taken for a complete one.
  */
 public final class EngineResponseListener implements HttpResponseListener {
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ObjectMapper JSON = BoundedJson.mapper();
     private static final String END_MARK = "[DONE]";
     private static final String USAGE_FIELD = "\"usage\"";
     private static final int MAX_ERROR_BYTES = 64 * 1024;
--- a/src/main/java/org/yuccagw/adapters/http/HttpCall.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpCall.java
@@ -250,6 +250,8 @@
             fail(false, e);
         } catch (UncheckedIOException e) {
             fail(false, e.getCause());
+        } catch (RuntimeException | VirtualMachineError e) {
+            fail(false, new IOException("the response of " + request.address() + " can't be handled: " + e, e));
         }
     }
 
--- a/src/main/java/org/yuccagw/adapters/http/JsonText.java
+++ b/src/main/java/org/yuccagw/adapters/http/JsonText.java
@@ -19,7 +19,7 @@
  * of the start of an entry until callers can connect.
  */
 public final class JsonText {
-    private static final JsonFactory FACTORY = new JsonFactory();
+    private static final JsonFactory FACTORY = BoundedJson.factory();
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
     private JsonText() {}
--- a/src/main/java/org/yuccagw/adapters/settings/CatalogueJson.java
+++ b/src/main/java/org/yuccagw/adapters/settings/CatalogueJson.java
@@ -8,6 +8,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.core.catalogue.Catalogue;
 import org.yuccagw.core.catalogue.CatalogueCodec;
 import org.yuccagw.core.error.ErrorKind;
@@ -18,7 +19,7 @@
  * give equal bytes, with names in alphabetical order and without omitted fields.
  */
 public final class CatalogueJson implements CatalogueCodec {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final ObjectMapper MAPPER = BoundedJson.mapper();
 
     private final ObjectWriter compact = MAPPER.writer();
     private final ObjectWriter readable = MAPPER.writer(readablePrinter());
--- a/src/main/java/org/yuccagw/adapters/settings/PositionedParser.java
+++ b/src/main/java/org/yuccagw/adapters/settings/PositionedParser.java
@@ -14,6 +14,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.adapters.settings.PositionedValue.Field;
 import org.yuccagw.adapters.settings.PositionedValue.Position;
 import org.yuccagw.core.error.ErrorKind;
@@ -21,8 +22,9 @@
 
 /** Parses JSON with comments into values with their positions. Rejects an object that contains a field twice. */
 final class PositionedParser {
-    private static final JsonFactory FACTORY =
-            JsonFactory.builder().enable(JsonReadFeature.ALLOW_JAVA_COMMENTS).build();
+    private static final JsonFactory FACTORY = BoundedJson.factoryBuilder()
+            .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+            .build();
 
     private final JsonParser parser;
     private final ErrorKind kind;
@@ -43,14 +45,19 @@
         try (JsonParser parser = FACTORY.createParser(text)) {
             return new PositionedParser(parser, kind).readDocument();
         } catch (JsonProcessingException e) {
-            JsonLocation at = e.getLocation();
-            throw kind.raiseFrom(
-                    e, "line " + at.getLineNr() + ", column " + at.getColumnNr() + ": " + e.getOriginalMessage());
+            throw kind.raiseFrom(e, describe(e.getLocation()) + ": " + e.getOriginalMessage());
         } catch (IOException e) {
             throw kind.raiseFrom(e, "the document can't be read: " + e.getMessage());
         }
     }
 
+    /** Returns the position of an error; one of a limit of the parser has none. */
+    private static String describe(JsonLocation location) {
+        return location == null
+                ? "the document"
+                : "line " + location.getLineNr() + ", column " + location.getColumnNr();
+    }
+
     private static String decode(byte[] document, ErrorKind kind) throws YuccagwException {
         try {
             return StandardCharsets.UTF_8
--- a/src/main/java/org/yuccagw/cli/AdminClient.java
+++ b/src/main/java/org/yuccagw/cli/AdminClient.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import javax.net.ssl.SSLContext;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.adapters.http.HttpRequest;
 import org.yuccagw.adapters.http.HttpResponse;
@@ -18,7 +19,7 @@
  * its own exit code.
  */
 final class AdminClient implements AutoCloseable {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final ObjectMapper MAPPER = BoundedJson.mapper();
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(3);
     private static final Duration READ_TIMEOUT = Duration.ofSeconds(20);
 
--- a/src/main/java/org/yuccagw/cli/ReportText.java
+++ b/src/main/java/org/yuccagw/cli/ReportText.java
@@ -4,12 +4,13 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.bench.ExperimentReport;
 import org.yuccagw.bench.ExperimentReport.Table;
 
 /** Formats the report of an experiment as text or as JSON. */
 final class ReportText {
-    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final ObjectMapper MAPPER = BoundedJson.mapper();
 
     private ReportText() {}
 
--- a/src/main/java/org/yuccagw/client/ClientCall.java
+++ b/src/main/java/org/yuccagw/client/ClientCall.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.xnio.XnioIoThread;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.adapters.http.HttpRequest;
 import org.yuccagw.adapters.http.HttpResponseListener;
@@ -49,7 +50,7 @@
  * </ol>
  */
 final class ClientCall {
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ObjectMapper JSON = BoundedJson.mapper();
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final String END_MARKER = "[DONE]";
     private static final int STATUS_OK = 200;
--- a/src/main/java/org/yuccagw/client/CompletionRequest.java
+++ b/src/main/java/org/yuccagw/client/CompletionRequest.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Optional;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.core.id.IdempotencyKey;
 
 /**
@@ -13,7 +14,7 @@
  *     again after a crash of its own process
  */
 public record CompletionRequest(String model, String prompt, int maxTokens, Optional<IdempotencyKey> idempotencyKey) {
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ObjectMapper JSON = BoundedJson.mapper();
     private static final int DEFAULT_MAX_TOKENS = 256;
 
     public static CompletionRequest of(String model, String prompt) {
--- a/src/main/java/org/yuccagw/client/Directory.java
+++ b/src/main/java/org/yuccagw/client/Directory.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.adapters.http.HttpClient;
 import org.yuccagw.adapters.http.HttpRequest;
 import org.yuccagw.adapters.http.HttpResponse;
@@ -22,7 +23,7 @@
  * requests, and an entry that doesn't is detected when a connection to it fails.
  */
 final class Directory {
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ObjectMapper JSON = BoundedJson.mapper();
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(2);
 
--- a/src/main/java/org/yuccagw/platform/EngineClient.java
+++ b/src/main/java/org/yuccagw/platform/EngineClient.java
@@ -9,6 +9,7 @@
 import org.yuccagw.adapters.http.HttpRequest;
 import org.yuccagw.adapters.http.HttpResponse;
 import org.yuccagw.adapters.http.JsonText;
+import org.yuccagw.adapters.http.UntrustedInput;
 import org.yuccagw.core.control.ActionHandler;
 import org.yuccagw.core.control.ControlAction;
 import org.yuccagw.core.control.ControlInput;
@@ -72,8 +73,8 @@
             return Optional.empty();
         }
         try {
-            return Optional.of(EndpointReader.readState(JsonText.read(answer.body())));
-        } catch (IOException | IllegalArgumentException ignored) {
+            return Optional.of(UntrustedInput.read(() -> EndpointReader.readState(JsonText.read(answer.body()))));
+        } catch (IOException ignored) {
             // The answer is not an engine's report. The state stays unknown, which is logged, and is requested again.
             return Optional.empty();
         }
--- a/src/main/java/org/yuccagw/platform/KeyValueClient.java
+++ b/src/main/java/org/yuccagw/platform/KeyValueClient.java
@@ -13,6 +13,7 @@
 import org.yuccagw.adapters.http.HttpResponseListener;
 import org.yuccagw.adapters.http.JsonText;
 import org.yuccagw.adapters.http.ResponseCollector;
+import org.yuccagw.adapters.http.UntrustedInput;
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.core.port.KeyValueAnswer;
 import org.yuccagw.core.port.KeyValueAnswer.Item;
@@ -135,9 +136,8 @@
     private KeyValueAnswer readResponse(KeyValueCall call, HttpResponse response) {
         KeyValueAnswer read;
         try {
-            long era = readEra(response);
-            read = new KeyValueAnswer.InEra(era, readAnswer(call, era, response.status(), response.body()));
-        } catch (IOException | IllegalArgumentException e) {
+            read = UntrustedInput.read(() -> readInEra(call, response));
+        } catch (IOException e) {
             read = new KeyValueAnswer.Lost("the key-value service's answer can't be read: " + e.getMessage());
         }
         if (isLost(read) || response.status() == SERVICE_UNAVAILABLE) {
@@ -148,6 +148,11 @@
         return read;
     }
 
+    private static KeyValueAnswer readInEra(KeyValueCall call, HttpResponse response) throws IOException {
+        long era = readEra(response);
+        return new KeyValueAnswer.InEra(era, readAnswer(call, era, response.status(), response.body()));
+    }
+
     private static boolean isLost(KeyValueAnswer answer) {
         return answer instanceof KeyValueAnswer.Lost
                 || (answer instanceof KeyValueAnswer.InEra inEra && inEra.answer() instanceof KeyValueAnswer.Lost);
--- a/src/main/java/org/yuccagw/platform/PlatformRecords.java
+++ b/src/main/java/org/yuccagw/platform/PlatformRecords.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.yuccagw.adapters.http.JsonText;
+import org.yuccagw.adapters.http.UntrustedInput;
 import org.yuccagw.core.control.EntryIdentity;
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
@@ -43,8 +44,8 @@
     @Override
     public Optional<KeyValueRecord> decode(String key, byte[] value) throws YuccagwException {
         try {
-            return readRecord(key, value);
-        } catch (IOException | IllegalArgumentException e) {
+            return UntrustedInput.read(() -> readRecord(key, value));
+        } catch (IOException e) {
             throw ErrorKind.STATE_UNREADABLE.raiseFrom(e, key, e.getMessage());
         }
     }
--- a/src/main/java/org/yuccagw/platform/StoreClient.java
+++ b/src/main/java/org/yuccagw/platform/StoreClient.java
@@ -11,6 +11,7 @@
 import org.yuccagw.adapters.http.HttpRequest;
 import org.yuccagw.adapters.http.HttpResponse;
 import org.yuccagw.adapters.http.JsonText;
+import org.yuccagw.adapters.http.UntrustedInput;
 import org.yuccagw.core.control.ActionHandler;
 import org.yuccagw.core.control.ControlAction;
 import org.yuccagw.core.control.ControlInput;
@@ -77,17 +78,20 @@
             return Optional.empty();
         }
         try {
-            JsonNode body = JsonText.read(answer.body());
-            return Optional.of(new StoreAnswer.Contents(
-                    body.required("bootEpoch").asLong(),
-                    readStoredParts(body.path("held")),
-                    readPartialParts(body.path("partial"))));
-        } catch (IOException | IllegalArgumentException unreadable) {
+            return Optional.of(UntrustedInput.read(() -> parseContents(JsonText.read(answer.body()))));
+        } catch (IOException unreadable) {
             // Treated like a missing answer, which the caller logs before it retries.
             return Optional.empty();
         }
     }
 
+    private static StoreAnswer.Contents parseContents(JsonNode body) {
+        return new StoreAnswer.Contents(
+                body.required("bootEpoch").asLong(),
+                readStoredParts(body.path("held")),
+                readPartialParts(body.path("partial")));
+    }
+
     private void freeParts(StoreCall.FreeParts call, ControlInput input) {
         ObjectNode body = JsonText.object().put("bootEpoch", call.epoch());
         ArrayNode parts = body.putArray("parts");
@@ -122,23 +126,27 @@
             return new StoreAnswer.Unanswered(store, "status " + answer.status());
         }
         try {
-            JsonNode body = JsonText.read(answer.body());
-            long epoch = body.required("bootEpoch").asLong();
-            long next = body.required("nextToken").asLong();
-            return call instanceof StoreCall.ListParts
-                    ? new StoreAnswer.Listed(store, epoch, next, readStoredParts(body.path("held")))
-                    : new StoreAnswer.Changes(
-                            store,
-                            epoch,
-                            next,
-                            body.path("lost").asBoolean(false),
-                            body.path("clock_ms").asLong(0),
-                            readChanges(body.path("events")));
-        } catch (IOException | IllegalArgumentException e) {
+            return UntrustedInput.read(() -> parseAnswer(call, JsonText.read(answer.body())));
+        } catch (IOException e) {
             return new StoreAnswer.Unanswered(store, "unreadable: " + e.getMessage());
         }
     }
 
+    private static StoreAnswer parseAnswer(StoreCall call, JsonNode body) {
+        StoreId store = call.store().id();
+        long epoch = body.required("bootEpoch").asLong();
+        long next = body.required("nextToken").asLong();
+        return call instanceof StoreCall.ListParts
+                ? new StoreAnswer.Listed(store, epoch, next, readStoredParts(body.path("held")))
+                : new StoreAnswer.Changes(
+                        store,
+                        epoch,
+                        next,
+                        body.path("lost").asBoolean(false),
+                        body.path("clock_ms").asLong(0),
+                        readChanges(body.path("events")));
+    }
+
     /** Reads events, each of which is an array: [number, + or -, salt, part, stored tokens, model]. */
     private static ImmutableList<Change> readChanges(JsonNode events) {
         ImmutableList.Builder<Change> changes = ImmutableList.builder();
--- a/src/test/java/org/yuccagw/architecture/LayersTest.java
+++ b/src/test/java/org/yuccagw/architecture/LayersTest.java
@@ -3,11 +3,14 @@
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
+import org.yuccagw.adapters.http.BoundedJson;
 
 public class LayersTest {
     private static final String CORE = "org.yuccagw.core..";
@@ -128,4 +131,26 @@
                 .callMethod(Math.class, "random")
                 .check(classes);
     }
+
+    // Guards against a parser without a limit of nesting, whose documents can overflow the stack of their reader.
+    @Test
+    public void whatReadsOtherProcessesDocumentsUsesBoundedParsers() {
+        noClasses()
+                .that()
+                .resideInAnyPackage(
+                        "org.yuccagw.adapters..",
+                        "org.yuccagw.platform..",
+                        "org.yuccagw.client..",
+                        "org.yuccagw.daemon..",
+                        "org.yuccagw.cli..")
+                .and()
+                .doNotHaveSimpleName(BoundedJson.class.getSimpleName())
+                .should()
+                .callConstructor(ObjectMapper.class)
+                .orShould()
+                .callConstructor(JsonFactory.class)
+                .orShould()
+                .callMethod(JsonFactory.class, "builder")
+                .check(classes);
+    }
 }
--- a/src/test/java/org/yuccagw/process/JvmProcess.java
+++ b/src/test/java/org/yuccagw/process/JvmProcess.java
@@ -8,10 +8,14 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** A separate JVM with the class path of this one. Its output goes to a file below {@code target/processes}. */
 final class JvmProcess {
     private static final Path DIRECTORY = Path.of("target", "processes");
+    private static final Path DEPLOY_FILE = Path.of("deploy", "system.toml");
+    private static final Pattern STACK_SIZE = Pattern.compile("^run = .*(-Xss\\w+)", Pattern.MULTILINE);
     private static final String[] OPTIONS = {
         "-XX:-UsePerfData", "-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto"
     };
@@ -33,6 +37,7 @@
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(Arrays.asList(OPTIONS));
+        command.add(stackSize());
         command.add("-cp");
         command.add(System.getProperty("java.class.path"));
         command.add(main.getName());
@@ -45,6 +50,15 @@
         return new JvmProcess(started, outputFile);
     }
 
+    /** Returns the option of the deploy file that sets the size of stacks. */
+    static String stackSize() throws IOException {
+        Matcher matcher = STACK_SIZE.matcher(Files.readString(DEPLOY_FILE));
+        if (!matcher.find()) {
+            throw new IOException(DEPLOY_FILE + " sets no stack size");
+        }
+        return matcher.group(1);
+    }
+
     /**
      * Returns the first line of output so far that starts with the given text, or an empty string if there is none
      * yet.
