Let a key without a name end no following of the key-value service

Callers saw: the same as with a value that can't be read. An entry that lists the key "servers/" serves by what it knew before, after a restart by nothing, and /readyz says what it said before.

Cause: PlatformRecords.subject made an EndpointId of the empty name while an unreadable value was handled. The IllegalArgumentException ended the answer to the list, and no further list or watch followed. Evidence: "EndpointId must not be blank" in the logs of both entries of ForeignValueProcessTest, whose row "a key without a name" was red before. Such a key names nothing now.

--- a/src/main/java/org/yuccagw/platform/PlatformRecords.java
+++ b/src/main/java/org/yuccagw/platform/PlatformRecords.java
@@ -83,6 +83,15 @@
 
     @Override
     public KeyValueRecord.Subject subject(String key) {
+        try {
+            return readSubject(key);
+        } catch (IllegalArgumentException noName) {
+            // Another writer's key, such as a prefix alone, names nothing.
+            return new KeyValueRecord.Subject.OtherSubject(key);
+        }
+    }
+
+    private static KeyValueRecord.Subject readSubject(String key) {
         if (key.startsWith(PlatformNames.ENDPOINT_KEYS)) {
             return new KeyValueRecord.Subject.EndpointSubject(
                     EndpointId.of(key.substring(PlatformNames.ENDPOINT_KEYS.length())));
--- a/src/test/java/org/yuccagw/process/ForeignValueProcessTest.java
+++ b/src/test/java/org/yuccagw/process/ForeignValueProcessTest.java
@@ -43,6 +43,7 @@
             {"closed arrays", other, text(nested(DEEP))},
             {"closed objects", other, text("{\"a\":".repeat(DEEP) + "1" + "}".repeat(DEEP))},
             {"open objects", other, text("{\"a\":".repeat(MANY * 1_000))},
+            {"a key without a name", PlatformDocuments.endpointKey(""), text("other")},
             {"closed arrays as a configuration", PlatformDocuments.CONFIGURATION, text(nested(DEEP))},
             {"a megabyte", other, text("\"" + "a".repeat(MEGABYTE - 2) + "\"")}
         };
