Keep the control thread running whatever a component throws, and refuse while it doesn't

An exception of one component kept the event from those after it, which left them behind for good.

Cause: ControlRunner caught RuntimeException only, and the Disruptor's default handler ends its thread. ControlCore passed on the first exception.

Change: each component, timer and answer is isolated; failures are logged and counted (yuccagw_control_failures). What escapes nevertheless is recorded, and the thread goes on. If the thread has ended, couldn't start, or one batch takes over 3 s, the entry isn't ready, names no entries, and refuses requests as not run.

Weighed: to end the process instead. A value in the key-value service is there again after each start, so that would be a crash loop of all entries.

--- a/src/main/java/org/yuccagw/adapters/admin/AdminServer.java
+++ b/src/main/java/org/yuccagw/adapters/admin/AdminServer.java
@@ -183,7 +183,7 @@
 
     private void readiness(HttpServerExchange exchange) {
         ControlSnapshot snapshot = snapshots.get();
-        if (!SnapshotViews.isReady(snapshot)) {
+        if (!SnapshotViews.isReady(snapshot) || !input.isProgressing()) {
             exchange.setStatusCode(STATUS_UNAVAILABLE);
         }
         exchange.getResponseHeaders().put(io.undertow.util.Headers.CONTENT_TYPE, "application/json");
--- a/src/main/java/org/yuccagw/adapters/control/ControlRunner.java
+++ b/src/main/java/org/yuccagw/adapters/control/ControlRunner.java
@@ -2,6 +2,7 @@
 
 import com.google.common.base.Suppliers;
 import com.lmax.disruptor.EventHandler;
+import com.lmax.disruptor.ExceptionHandler;
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
 import java.util.ArrayDeque;
@@ -32,8 +33,9 @@
  * immediately, goes to a separate queue. Waiting for a free slot of the ring would be a deadlock, because only this
  * thread empties the ring.
  *
- * <p>If a component throws, only the effects of that event are lost: the failure is logged and counted, and the thread
- * continues with the next event.
+ * <p>Whatever a component throws, an {@link Error} too, is logged and counted, the other components handle the event,
+ * and the thread continues with the next one. If it doesn't, since it has ended or one batch doesn't end, {@link
+ * #isProgressing} says so.
  */
 public final class ControlRunner implements ControlInput {
     /** Resolved on first use, because loading the logging library would delay every start. */
@@ -41,6 +43,10 @@
 
     private static final int RING_SLOTS = 16 * 1024;
     private static final long STOP_TIMEOUT_SECONDS = 10;
+    /** Far above what any batch takes, also while the processor is shared with many others. */
+    private static final long MAX_BATCH_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+    private static final long IDLE = 0;
     private static final ControlCore.Tick TICK = new ControlCore.Tick();
 
     private final ControlCore core;
@@ -53,6 +59,7 @@
     private final LongAdder failures = new LongAdder();
 
     private volatile Thread controlThread;
+    private volatile long batchStartNanos = IDLE;
     private volatile ControlSnapshot snapshot = ControlSnapshot.empty();
 
     private ControlRunner(ControlCore core, KeyValuePort keyValue, PeerPort peers, List<ActionHandler> handlers) {
@@ -66,7 +73,9 @@
                 this::createControlThread,
                 ProducerType.MULTI,
                 TimerWaitStrategy.of(core::nextTimerNanos));
+        disruptor.setDefaultExceptionHandler(new FailureRecorder());
         disruptor.handleEventsWith(new CoreEventHandler());
+        core.isolateFailures(this::recordFailure);
     }
 
     /** Creates the runner; events that are offered before {@link #start} wait in the ring. */
@@ -103,12 +112,22 @@
         return snapshot;
     }
 
+    /** Returns whether the control thread runs and its present batch, if any, began a short time ago. */
+    @Override
+    public boolean isProgressing() {
+        Thread thread = controlThread;
+        long startNanos = batchStartNanos;
+        return thread != null
+                && thread.isAlive()
+                && (startNanos == IDLE || System.nanoTime() - startNanos < MAX_BATCH_NANOS);
+    }
+
     /** Returns the number of events handled since the start. */
     public long eventCount() {
         return events.sum();
     }
 
-    /** Returns the number of events since the start whose handling threw an exception. */
+    /** Returns the number of failures since the start, of components, effects and snapshots. */
     public long failureCount() {
         return failures.sum();
     }
@@ -124,14 +143,19 @@
         events.increment();
         try {
             execute(core.handle(event, System.nanoTime(), System.currentTimeMillis()));
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             recordFailure("handling of the control event " + event.getClass().getSimpleName(), e);
         }
     }
 
-    private void recordFailure(String step, RuntimeException e) {
+    private void recordFailure(String step, Throwable failure) {
         failures.increment();
-        log.get().error("{} failed", step, e);
+        try {
+            log.get().error("{} failed", step, failure);
+        } catch (RuntimeException | Error notLogged) {
+            // An exhausted heap fails the log line as well.
+            failures.increment();
+        }
     }
 
     private void drainSelfOfferedEvents() {
@@ -148,7 +172,7 @@
         for (Effect effect : effects) {
             try {
                 execute(effect);
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 recordFailure("the control effect " + effect.getClass().getSimpleName(), e);
             }
         }
@@ -189,32 +213,68 @@
     private final class CoreEventHandler implements EventHandler<Slot> {
         @Override
         public void onStart() {
+            beginBatch();
             execute(core.start(System.nanoTime(), System.currentTimeMillis()));
             drainSelfOfferedEvents();
             snapshot = core.snapshot();
+            batchStartNanos = IDLE;
         }
 
         @Override
         public void onEvent(Slot slot, long sequence, boolean endOfBatch) {
+            beginBatch();
             ControlEvent event = slot.event;
             slot.event = null;
             handleSafely(event);
             drainSelfOfferedEvents();
             if (endOfBatch) {
                 snapshot = core.snapshot();
+                batchStartNanos = IDLE;
             }
         }
 
         @Override
         public void onTimeout(long sequence) {
             if (core.nextTimerNanos() <= System.nanoTime()) {
+                beginBatch();
                 handleSafely(TICK);
                 drainSelfOfferedEvents();
                 snapshot = core.snapshot();
+                batchStartNanos = IDLE;
+            }
+        }
+
+        private void beginBatch() {
+            if (batchStartNanos == IDLE) {
+                long nowNanos = System.nanoTime();
+                batchStartNanos = nowNanos == IDLE ? IDLE + 1 : nowNanos;
             }
         }
     }
 
+    /**
+     * Records what escapes the handler, after which the Disruptor goes on with the next event. A core that can't be
+     * started handles none: the thread ends.
+     */
+    private final class FailureRecorder implements ExceptionHandler<Slot> {
+        @Override
+        public void handleEventException(Throwable failure, long sequence, Slot slot) {
+            batchStartNanos = IDLE;
+            recordFailure("a batch of control events", failure);
+        }
+
+        @Override
+        public void handleOnStartException(Throwable failure) {
+            recordFailure("the start of the control core", failure);
+            disruptor.halt();
+        }
+
+        @Override
+        public void handleOnShutdownException(Throwable failure) {
+            recordFailure("the end of the control core", failure);
+        }
+    }
+
     private static final class Slot {
         private ControlEvent event;
     }
--- a/src/main/java/org/yuccagw/adapters/serving/ServingServer.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingServer.java
@@ -240,6 +240,9 @@
      * @throws YuccagwException of kind NOT_READY
      */
     private Deployment requireConfirmedDeployment() throws YuccagwException {
+        if (!services.control().isProgressing()) {
+            throw ErrorKind.NOT_READY.raise("can't place requests").withRetryAfter(NOT_READY_RETRY_DELAY);
+        }
         Deployment deployment = services.snapshot()
                 .get()
                 .find(Deployment.class)
@@ -329,6 +332,7 @@
         PeersSnapshot peersSnapshot = peersSnapshot();
         boolean ready = services.protocol().isReadinessPath(exchange.getRequestURI())
                 && peersSnapshot.ready()
+                && services.control().isProgressing()
                 && !closingConnections;
         exchange.setStatusCode(ready ? 200 : 503);
         exchange.endExchange();
@@ -347,7 +351,7 @@
                 domain == null ? Optional.empty() : Optional.of(FailureDomain.of(domain.getFirst())),
                 regions,
                 ThreadLocalRandom.current().nextInt()));
-        if (directoryEntries.isEmpty()) {
+        if (directoryEntries.isEmpty() || !services.control().isProgressing()) {
             exchange.setStatusCode(503);
             exchange.endExchange();
             return;
--- a/src/main/java/org/yuccagw/core/control/ControlCore.java
+++ b/src/main/java/org/yuccagw/core/control/ControlCore.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.control;
 
+import com.google.common.base.Throwables;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -25,6 +26,7 @@
  *   <li>Time never goes backwards: a time before the last one counts as the last one.
  *   <li>Due timers run before the event that arrives with that time, ordered by due time, then by creation.
  *   <li>A continuation of a key-value call runs at most once; a second answer to the same call is ignored.
+ *   <li>With {@link #isolateFailures}, whatever one component throws, the others handle the event.
  * </ul>
  *
  * <p>Example: at time 0 a component schedules {@code after(1 s, A)}; the event E arrives at 1.5 s. The core runs A,
@@ -41,6 +43,7 @@
     private final KeyValueEras eras = KeyValueEras.of(
             this::send, task -> context.after(Duration.ZERO, task), era -> raised.add(new KeyValueRestored(era)));
 
+    private FailureHandler failureHandler = ControlCore::rethrow;
     private List<Effect> effects = new ArrayList<>();
     private ControlSnapshot snapshot = ControlSnapshot.empty();
     private long nowNanos;
@@ -59,6 +62,38 @@
         return new ControlCore(self, random, components);
     }
 
+    /** Handles what a component throws. */
+    @FunctionalInterface
+    public interface FailureHandler {
+        /**
+         * Called on the thread that runs the core.
+         *
+         * @param step what the component was doing
+         */
+        void handle(String step, Throwable failure);
+    }
+
+    /**
+     * Passes failures of components to a handler from now on, in place of throwing them. An event reaches all other
+     * components although one fails at it, and the effects of the step are returned.
+     */
+    public void isolateFailures(FailureHandler handler) {
+        failureHandler = handler;
+    }
+
+    private static void rethrow(String step, Throwable failure) {
+        Throwables.throwIfUnchecked(failure);
+        throw new IllegalStateException(step + " failed", failure);
+    }
+
+    private void runSafely(String step, Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException | Error failure) {
+            failureHandler.handle(step, failure);
+        }
+    }
+
     /** An effect that the core requests from its environment; effects are returned in order. */
     public sealed interface Effect {
         record Call(long number, KeyValueCall call) implements Effect {}
@@ -115,7 +150,7 @@
         if (changed) {
             ControlSnapshot.Builder builder = snapshot.toBuilder();
             for (ControlComponent component : components) {
-                component.contribute(builder);
+                runSafely("a snapshot", () -> component.contribute(builder));
             }
             snapshot = builder.build();
             changed = false;
@@ -132,7 +167,7 @@
         for (ScheduledTask next = timers.peek(); next != null && next.dueNanos <= nowNanos; next = timers.peek()) {
             timers.poll();
             if (!next.cancelled) {
-                next.task.run();
+                runSafely("a timer", next.task);
                 changed = true;
                 drainRaised();
             }
@@ -153,12 +188,23 @@
         if (event instanceof CallAnswered answered) {
             Consumer<KeyValueAnswer> continuation = continuations.remove(answered.number());
             if (continuation != null) {
-                continuation.accept(answered.answer());
+                runSafely("an answer of the key-value service", () -> continuation.accept(answered.answer()));
             }
             return;
         }
         for (ControlComponent component : components) {
+            handleSafely(component, event);
+        }
+    }
+
+    private void handleSafely(ControlComponent component, ControlEvent event) {
+        try {
             component.handle(event, context);
+        } catch (RuntimeException | Error failure) {
+            failureHandler.handle(
+                    component.getClass().getSimpleName() + " with "
+                            + event.getClass().getSimpleName(),
+                    failure);
         }
     }
 
--- a/src/main/java/org/yuccagw/core/control/ControlInput.java
+++ b/src/main/java/org/yuccagw/core/control/ControlInput.java
@@ -4,4 +4,9 @@
 @FunctionalInterface
 public interface ControlInput {
     void offer(ControlEvent event);
+
+    /** Returns whether events are handled at present; an entry whose core handles none can't serve. */
+    default boolean isProgressing() {
+        return true;
+    }
 }
