Take no version for a stream's because it is the only one seen for a while

Callers saw: after all entries were killed at once, some streams that they took up went on at another software version than the one that had begun them, with nothing in the answer to show it (ORDER).

Cause: an entry that knows nothing of a stream went on at the only version that it had seen for the route's timeout plus 2 s, or for the longest time limit of callers that it had learnt. The latter is forgotten at the end of all entries, and callers choose their time limits themselves, so a stream may be older than the route's timeout.

Change: the only version counts if it was the only one for 60 s, after which no origin of a stream is kept. StreamVersionFleetTest.aStreamThatNoEntryKnowsGoesOnIfItsServiceHadOneVersionAllTheTime asked for that version 10 s after the start; it rested on the shorter time. It asks for a refusal then, and for the version 60 s later.

--- a/src/main/java/org/yuccagw/core/origin/OriginRecords.java
+++ b/src/main/java/org/yuccagw/core/origin/OriginRecords.java
@@ -22,7 +22,6 @@
     private static final int MAX_RECORDS = 20_000;
 
     private final Map<RequestId, KnownOrigin> records = new LinkedHashMap<>();
-    private Duration longestRetention = Duration.ZERO;
 
     /** One start of an entry. */
     private record EntryStart(EntryId entry, long incarnation) {
@@ -66,7 +65,6 @@
     KnownOrigin put(StreamOrigin origin, Duration retention, long nowNanos) {
         KnownOrigin record = records.computeIfAbsent(origin.request(), request -> new KnownOrigin(origin));
         Duration bounded = Comparators.min(retention, MAX_RETENTION);
-        longestRetention = Comparators.max(longestRetention, bounded);
         long untilNanos = nowNanos + bounded.toNanos();
         record.untilNanos = Math.max(record.untilNanos, untilNanos);
         removeOldest();
@@ -89,11 +87,6 @@
         return records.values();
     }
 
-    /** Returns the longest time for which any origin has been kept. */
-    Duration longestRetention() {
-        return longestRetention;
-    }
-
     int size() {
         return records.size();
     }
--- a/src/main/java/org/yuccagw/core/origin/StreamOriginsComponent.java
+++ b/src/main/java/org/yuccagw/core/origin/StreamOriginsComponent.java
@@ -26,7 +26,8 @@
  * origin tell it to the entries that are selected now. All origins expire.
  *
  * <p>If too many entries are lost at once, nobody knows a stream any more. Then it may go on only if this entry, or one
- * that it asks, has seen no other version of the service for longer than the stream can last.
+ * that it asks, has seen no other version of the service for {@link OriginRecords#MAX_RETENTION}. Nothing shorter bounds the
+ * age of a stream: callers choose their time limits, and an entry that has just started hasn't seen any.
  *
  * <p>Example: entry 1 forwards the first event of request r from an endpoint of version v1.2 and tells entries 3, 5 and
  * 8. Entries 1 and 5 are killed. The caller sends r2 to entry 2 and names r. Entry 2 asks 3, 8 and two more, and r2 is
@@ -105,7 +106,7 @@
     }
 
     private Optional<StreamOrigin> onlyPossibleOrigin(StreamQuery query) {
-        Duration maxAge = Comparators.max(query.maxAge().plus(RETURN_MARGIN), records.longestRetention());
+        Duration maxAge = Comparators.max(query.maxAge().plus(RETURN_MARGIN), OriginRecords.MAX_RETENTION);
         return query.onlyService()
                 .flatMap(service -> listedSoftware
                         .onlyVersionOf(service, maxAge, confirmedNanos.get(), context.nowNanos())
--- a/src/test/java/org/yuccagw/daemon/StreamVersionFleetTest.java
+++ b/src/test/java/org/yuccagw/daemon/StreamVersionFleetTest.java
@@ -35,6 +35,7 @@
     private static final int STREAMS = 60;
     private static final int DOMAINS = 3;
     private static final Duration STREAM_TIME = Duration.ofSeconds(5);
+    private static final Duration LONGEST_STREAM = Duration.ofSeconds(60);
     private static final Duration RECORDS_TOLD = Duration.ofMillis(20);
     private static final Duration DECISION_TIMEOUT = Duration.ofSeconds(3);
 
@@ -113,6 +114,9 @@
     @Test(dataProvider = "sizes")
     public void aStreamThatNoEntryKnowsGoesOnIfItsServiceHadOneVersionAllTheTime(int entries) {
         start(entries, "v1");
+        PlacementDecision early = takeUp(RequestId.of("unknown"), nodes.get(0));
+        assertTrue(early instanceof PlacementDecision.Refused, early.toString());
+        fleet.bench.runFor(LONGEST_STREAM);
         PlacementDecision decision = takeUp(RequestId.of("unknown"), nodes.get(0));
         assertTrue(decision instanceof PlacementDecision.Placed, decision.toString());
     }
