Store what began streams while versions differ, so that they go on after all entries ended

Callers saw: after all entries were killed at once, no stream that they took up went on, although its version still had two endpoints (LOST); new streams began.

Cause: origins of streams were kept in memory only.

Change: an entry writes the hashes of its streams' requests, by service and version, to up to 32 keys of its own, 256 a key, without a lease; in large fleets the leads do. Only while a service has had several versions in the last minute. Those of one clock write together, at most 20 times a second in all. An entry that starts reads them with its first list, before it serves. A key is removed a minute after its last write by its writer, after five by any other.

With one version nothing is written.

Streams of a service with one version are refused after such an end, as before.

--- a/src/main/java/org/yuccagw/core/follow/KeyValueRecord.java
+++ b/src/main/java/org/yuccagw/core/follow/KeyValueRecord.java
@@ -1,9 +1,11 @@
 package org.yuccagw.core.follow;
 
+import com.google.common.collect.ImmutableList;
 import org.yuccagw.core.deployment.Deployment;
 import org.yuccagw.core.fleet.EntryContact;
 import org.yuccagw.core.fleet.ListedEndpoint;
 import org.yuccagw.core.fleet.ModelWeights;
+import org.yuccagw.core.fleet.StoredOrigin;
 import org.yuccagw.core.id.EndpointId;
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
@@ -75,6 +77,13 @@
     /** The evacuation of a failure domain: until the key is removed, no requests are sent to its endpoints. */
     record DomainEvacuated(FailureDomain domain) implements KeyValueRecord {}
 
+    /**
+     * What began some of the streams that an entry passed on, written without a lease: it outlasts the entry.
+     *
+     * @param slot number of the key among those of the entry
+     */
+    record OriginsStored(EntryId writer, int slot, ImmutableList<StoredOrigin> origins) implements KeyValueRecord {}
+
     /** What a key identifies; the removal of the key removes the record of this subject. */
     sealed interface Subject {
         record EndpointSubject(EndpointId endpoint) implements Subject {}
@@ -85,6 +94,8 @@
 
         record EvacuationSubject(FailureDomain domain) implements Subject {}
 
+        record OriginsSubject(EntryId writer, int slot) implements Subject {}
+
         /** A key whose removal has no effect. */
         record OtherSubject(String key) implements Subject {}
     }
--- a/src/main/java/org/yuccagw/core/follow/KeyValueRecordCodec.java
+++ b/src/main/java/org/yuccagw/core/follow/KeyValueRecordCodec.java
@@ -27,6 +27,9 @@
     /** Returns the key and value by which an entry claims a duty. */
     Entry encode(KeyValueRecord.DutyHeld held);
 
+    /** Returns the key and value by which an entry stores what began streams. */
+    Entry encode(KeyValueRecord.OriginsStored stored);
+
     /** A key and its value. */
     record Entry(String key, byte[] value) {}
 }
--- a/src/main/java/org/yuccagw/core/origin/ListedSoftware.java
+++ b/src/main/java/org/yuccagw/core/origin/ListedSoftware.java
@@ -1,5 +1,8 @@
 package org.yuccagw.core.origin;
 
+import com.google.common.collect.HashMultimap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.SetMultimap;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -31,7 +34,8 @@
         }
     }
 
-    void recordListed(ListedEndpoint endpoint, long nowNanos) {
+    /** Records a registration; returns whether its endpoint is new or has other software than before. */
+    boolean recordListed(ListedEndpoint endpoint, long nowNanos) {
         if (firstListedNanos.isEmpty()) {
             firstListedNanos = OptionalLong.of(nowNanos);
         }
@@ -39,6 +43,7 @@
         if (previous != null) {
             unlistedNanos.put(ServiceSoftware.of(previous), nowNanos);
         }
+        return previous == null || !ServiceSoftware.of(previous).equals(ServiceSoftware.of(endpoint));
     }
 
     /**
@@ -85,6 +90,17 @@
         return versions.size() == 1 ? versions.stream().findFirst() : Optional.empty();
     }
 
+    /** Returns the services whose endpoints have run several versions while a present stream may have begun. */
+    ImmutableSet<ServiceName> servicesWithSeveralVersions(long nowNanos) {
+        unlistedNanos.values().removeIf(since -> nowNanos - since > OriginRecords.MAX_RETENTION.toNanos());
+        SetMultimap<ServiceName, SoftwareVersion> versions = HashMultimap.create();
+        listed.values().forEach(each -> versions.put(each.service(), each.software()));
+        unlistedNanos.keySet().forEach(each -> versions.put(each.service(), each.software()));
+        return versions.keySet().stream()
+                .filter(service -> versions.get(service).size() > 1)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
     private static void addIfOf(ServiceName service, ServiceSoftware each, Set<SoftwareVersion> versions) {
         if (each.service().equals(service)) {
             versions.add(each.software());
--- a/src/main/java/org/yuccagw/core/origin/OriginOwners.java
+++ b/src/main/java/org/yuccagw/core/origin/OriginOwners.java
@@ -57,6 +57,16 @@
         return first(ASKED, request);
     }
 
+    /** Returns whether an entry is one of those that may keep origins. */
+    boolean isCandidate(EntryId entry) {
+        return candidates.get().stream().anyMatch(each -> each.entry().equals(entry));
+    }
+
+    /** Returns whether an entry is the first one that keeps the origin. */
+    boolean isFirstOwner(EntryId entry, RequestId request) {
+        return first(1, request).stream().anyMatch(each -> each.entry().equals(entry));
+    }
+
     private List<EntryContact> first(int count, RequestId request) {
         List<EntryContact> ranked = ranked(request);
         List<EntryContact> chosen = new ArrayList<>();
--- a/src/main/java/org/yuccagw/daemon/GatewayComponents.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayComponents.java
@@ -83,7 +83,7 @@
         follow = KeyValueFollowComponent.of(codec, watchRole(settings), new AskedEntries());
         configuration = ConfigurationComponent.create();
         peers = PeersComponent.of(this, settings.seeds());
-        origins = StreamOriginsComponent.of(peers.topology()::allLeadContacts, follow::confirmedNanos);
+        origins = StreamOriginsComponent.of(codec, peers.topology()::allLeadContacts, follow::confirmedNanos);
         NamedWeightsComponent weights =
                 NamedWeightsComponent.of(settings.bounds().oldWeightsAllowed());
         stores = StoresComponent.of(peers.topology()::firstLeads);
--- a/src/main/java/org/yuccagw/platform/PlatformNames.java
+++ b/src/main/java/org/yuccagw/platform/PlatformNames.java
@@ -73,6 +73,8 @@
     static final String ENDPOINT_KEYS = "servers/";
     static final String ENTRY_KEYS = "yuccagw/entry/";
     static final String DUTY_KEYS = "yuccagw/duty/";
+    /** What began streams, by the entry that wrote it and a number. */
+    static final String ORIGIN_KEYS = "yuccagw/streams/";
 
     // ---- JSON fields of the key-value service
     static final String KEY = "key";
--- a/src/main/java/org/yuccagw/platform/PlatformRecords.java
+++ b/src/main/java/org/yuccagw/platform/PlatformRecords.java
@@ -78,6 +78,10 @@
                     EntryId.of(duty.required("holder").asText()),
                     duty.required("incarnation").asLong()));
         }
+        if (key.startsWith(PlatformNames.ORIGIN_KEYS)) {
+            return Optional.of(
+                    StoredOriginsJson.read(key.substring(PlatformNames.ORIGIN_KEYS.length()), JsonText.read(value)));
+        }
         return Optional.empty();
     }
 
@@ -106,6 +110,9 @@
         if (key.startsWith(PlatformNames.EVACUATION_KEYS)) {
             return new KeyValueRecord.Subject.EvacuationSubject(evacuatedDomain(key));
         }
+        if (key.startsWith(PlatformNames.ORIGIN_KEYS)) {
+            return StoredOriginsJson.readName(key.substring(PlatformNames.ORIGIN_KEYS.length()));
+        }
         return new KeyValueRecord.Subject.OtherSubject(key);
     }
 
@@ -134,6 +141,11 @@
         return entry(PlatformNames.DUTY_KEYS + held.duty(), value);
     }
 
+    @Override
+    public Entry encode(KeyValueRecord.OriginsStored stored) {
+        return entry(PlatformNames.ORIGIN_KEYS + StoredOriginsJson.name(stored), StoredOriginsJson.write(stored));
+    }
+
     private static Entry entry(String key, ObjectNode value) {
         return new Entry(key, JsonText.write(value).getBytes(StandardCharsets.UTF_8));
     }
--- a/src/test/java/org/yuccagw/daemon/StreamCall.java
+++ b/src/test/java/org/yuccagw/daemon/StreamCall.java
@@ -11,7 +11,7 @@
 import org.yuccagw.core.id.NetworkAddress;
 
 /** One try of a caller to read a stream, over a connection of its own. */
-final class StreamCall implements AutoCloseable {
+public final class StreamCall implements AutoCloseable {
     private static final int READ_TIMEOUT_MILLIS = 8_000;
     private static final String DATA = "data: ";
 
@@ -37,37 +37,37 @@
     }
 
     /** Sends the request for a whole stream, which stops as the endpoint is told; empty for one that doesn't. */
-    static StreamCall begin(NetworkAddress entry, String id, String stop) throws IOException {
+    public static StreamCall begin(NetworkAddress entry, String id, String stop) throws IOException {
         String headers = stop.isEmpty() ? "" : "stop: " + stop + "\r\n";
         return new StreamCall(id, id, new Socket(entry.host(), entry.port()), headers);
     }
 
     /** Takes up a stream after the events that an earlier try has received. */
-    static StreamCall resume(NetworkAddress entry, String id, String began, int afterEvent) throws IOException {
+    public static StreamCall resume(NetworkAddress entry, String id, String began, int afterEvent) throws IOException {
         String headers = "Resumes: " + began + "\r\nLast-Event-Id: " + afterEvent + "\r\n";
         return new StreamCall(id, began, new Socket(entry.host(), entry.port()), headers);
     }
 
-    String id() {
+    public String id() {
         return id;
     }
 
-    int status() {
+    public int status() {
         return status;
     }
 
     /** Returns the software versions that the events named, in their order. */
-    List<String> versions() {
+    public List<String> versions() {
         return versions;
     }
 
     /** Returns whether the answer was ended as complete. */
-    boolean isComplete() {
+    public boolean isComplete() {
         return complete;
     }
 
     /** Reads until the given number of events has arrived or the answer has ended. */
-    StreamCall read(int events) {
+    public StreamCall read(int events) {
         try {
             for (String line = ""; versions.size() < events && line != null && !complete; line = reader.readLine()) {
                 if (line.startsWith(DATA)) {
@@ -81,7 +81,7 @@
         return this;
     }
 
-    StreamCall readAll() {
+    public StreamCall readAll() {
         return read(Integer.MAX_VALUE);
     }
 
--- a/src/test/java/org/yuccagw/daemon/VersionedEndpoint.java
+++ b/src/test/java/org/yuccagw/daemon/VersionedEndpoint.java
@@ -16,28 +16,28 @@
  * An endpoint whose events name the version of its software. A stream that starts with its first event stops after
  * {@link #EVENTS_BEFORE_STOP} events, in the way that the header {@code stop} names.
  */
-final class VersionedEndpoint implements AutoCloseable {
-    static final int EVENTS = 6;
-    static final int EVENTS_BEFORE_STOP = 2;
+public final class VersionedEndpoint implements AutoCloseable {
+    public static final int EVENTS = 6;
+    public static final int EVENTS_BEFORE_STOP = 2;
 
     /** The endpoint breaks the connection. */
-    static final String BREAK = "break";
+    public static final String BREAK = "break";
     /** The endpoint sends nothing more until the connection is closed. */
-    static final String PAUSE = "pause";
+    public static final String PAUSE = "pause";
 
     private final String software;
     private final RawServer server = RawServer.start(this::serve);
     private final List<String> receivedIds = new CopyOnWriteArrayList<>();
 
-    VersionedEndpoint(String software) throws IOException {
+    public VersionedEndpoint(String software) throws IOException {
         this.software = software;
     }
 
-    String software() {
+    public String software() {
         return software;
     }
 
-    NetworkAddress address() {
+    public NetworkAddress address() {
         return server.address();
     }
 
--- a/src/test/java/org/yuccagw/daemon/VirtualFleet.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualFleet.java
@@ -180,6 +180,10 @@
         software.put(EndpointId.of(id), version);
     }
 
+    String softwareOf(String id) {
+        return software.get(EndpointId.of(id));
+    }
+
     /** Removes the registration of an engine, while the engine continues to run. */
     void expireRegistration(String id) {
         bench.keyValue().remove(PlatformDocuments.endpointKey(id));
