Accept no key while a configuration lists no workspace

Cause: Deployment asked for keys only if it had workspaces, and DeploymentReader read an empty list like an absent one. A configuration without the field asks for no keys, as before.

--- a/src/main/java/org/yuccagw/core/deployment/Deployment.java
+++ b/src/main/java/org/yuccagw/core/deployment/Deployment.java
@@ -41,8 +41,9 @@
             List<Route> routes,
             List<BackEndService> services,
             List<CacheStore> stores,
-            List<WorkspaceAccess> workspaces,
+            Optional<List<WorkspaceAccess>> workspaces,
             RequestLimits limits) {
+        List<WorkspaceAccess> known = workspaces.orElse(List.of());
         this.version = version;
         this.routesByHost = byHost(routes);
         this.services = byName(services);
@@ -50,19 +51,24 @@
         this.stores = ImmutableList.copyOf(stores);
         this.routesByName =
                 routes.stream().collect(ImmutableMap.toImmutableMap(Route::name, route -> route, (one, other) -> one));
-        this.workspacesByKey = byKey(workspaces);
-        this.workspacesById = workspaces.stream()
+        this.workspacesByKey = byKey(known);
+        this.workspacesById = known.stream()
                 .collect(ImmutableMap.toImmutableMap(WorkspaceAccess::id, access -> access, (one, other) -> one));
-        this.keysRequired = !workspaces.isEmpty();
+        this.keysRequired = workspaces.isPresent();
         this.limits = limits;
     }
 
+    /**
+     * Creates a configuration.
+     *
+     * @param workspaces those whose keys are accepted, perhaps none; empty if callers need no key
+     */
     public static Deployment of(
             long version,
             List<Route> routes,
             List<BackEndService> services,
             List<CacheStore> stores,
-            List<WorkspaceAccess> workspaces,
+            Optional<List<WorkspaceAccess>> workspaces,
             RequestLimits limits) {
         return new Deployment(version, routes, services, stores, workspaces, limits);
     }
--- a/src/main/java/org/yuccagw/platform/DeploymentReader.java
+++ b/src/main/java/org/yuccagw/platform/DeploymentReader.java
@@ -38,6 +38,8 @@
     private static final int DEFAULT_MAX_INFLIGHT = 4;
     private static final int MILLIS_PER_SECOND = 1_000;
 
+    private static final String WORKSPACES = "tenants";
+
     private DeploymentReader() {}
 
     static Deployment read(JsonNode document) {
@@ -52,14 +54,12 @@
                 services.add(readService(service));
             }
         }
-        List<WorkspaceAccess> workspaces = new ArrayList<>();
-        document.path("tenants").forEach(workspace -> workspaces.add(readWorkspace(workspace)));
         return Deployment.of(
                 document.required("version").asLong(),
                 routes,
                 services,
                 stores,
-                workspaces,
+                readWorkspaces(document),
                 readLimits(document.path("limits")));
     }
 
@@ -138,6 +138,16 @@
                 store.path("first_ms").asDouble(0));
     }
 
+    /** Returns the workspaces; empty only if the field is absent, since an empty list leaves no key that is accepted. */
+    private static Optional<List<WorkspaceAccess>> readWorkspaces(JsonNode document) {
+        if (!document.has(WORKSPACES)) {
+            return Optional.empty();
+        }
+        List<WorkspaceAccess> workspaces = new ArrayList<>();
+        document.path(WORKSPACES).forEach(workspace -> workspaces.add(readWorkspace(workspace)));
+        return Optional.of(workspaces);
+    }
+
     private static WorkspaceAccess readWorkspace(JsonNode workspace) {
         ImmutableSet.Builder<String> keys = ImmutableSet.builder();
         workspace.path("apiKeys").forEach(key -> keys.add(key.asText()));
--- a/src/main/java/org/yuccagw/standins/platform/PlatformDocuments.java
+++ b/src/main/java/org/yuccagw/standins/platform/PlatformDocuments.java
@@ -118,6 +118,12 @@
         return this;
     }
 
+    /** States that keys are required, though no workspace may have been added. */
+    public PlatformDocuments keysRequired() {
+        root.withArray("tenants");
+        return this;
+    }
+
     private ObjectNode last(String list) {
         ArrayNode all = (ArrayNode) root.path(list);
         return (ObjectNode) all.get(all.size() - 1);
--- a/src/test/java/org/yuccagw/core/placing/PrefillPlannerTest.java
+++ b/src/test/java/org/yuccagw/core/placing/PrefillPlannerTest.java
@@ -163,7 +163,7 @@
                 List.of(),
                 List.of(new BackEndService(SERVICE, Optional.of(ENGINE), 100, "", ColdTraits.NEVER_COLD)),
                 List.of(STORE),
-                List.of(),
+                Optional.empty(),
                 new RequestLimits(1, 1, Duration.ofSeconds(1), Duration.ofSeconds(1)));
     }
 }
--- a/src/test/java/org/yuccagw/core/stores/EngineCachesComponentTest.java
+++ b/src/test/java/org/yuccagw/core/stores/EngineCachesComponentTest.java
@@ -172,7 +172,7 @@
                 List.of(new BackEndService(
                         ServiceName.of("engines"), Optional.of(engine), 100, "", ColdTraits.NEVER_COLD)),
                 List.of(),
-                List.of(),
+                Optional.empty(),
                 new RequestLimits(1, 1, Duration.ofSeconds(1), Duration.ofSeconds(1)));
     }
 }
--- a/src/test/java/org/yuccagw/core/stores/RetiredPartsComponentTest.java
+++ b/src/test/java/org/yuccagw/core/stores/RetiredPartsComponentTest.java
@@ -66,7 +66,7 @@
                 List.of(),
                 List.of(),
                 List.of(MANAGED, SELF_EVICTING),
-                List.of(),
+                Optional.empty(),
                 new RequestLimits(1, 1, Duration.ofSeconds(1), Duration.ofSeconds(1)))));
         nameWeights(1);
         bench.runFor(Duration.ofSeconds(1));
--- a/src/test/java/org/yuccagw/core/stores/StoresComponentTest.java
+++ b/src/test/java/org/yuccagw/core/stores/StoresComponentTest.java
@@ -249,7 +249,7 @@
                 List.of(new BackEndService(
                         ServiceName.of("engines"), Optional.of(engine), 100, "", ColdTraits.NEVER_COLD)),
                 List.of(QUICK, LARGE),
-                List.of(),
+                Optional.empty(),
                 new RequestLimits(1, 1, Duration.ofSeconds(1), Duration.ofSeconds(1)));
     }
 
