Handle SIGHUP from the first step of an entry's start

Cause: the handler was installed after the start, so the JVM's default reaction ended the process. Evidence: GatewayProcessTest .anEntryThatIsStartingReadsItsSettingsAgainAfterASighup holds the start at the settings file, a pipe, red on, green now. The handler is installed first; a signal during the start takes effect after it. Where the parent process ignores SIGHUP, the handler follows the start as before, since nothing is lost until then.

--- a/src/main/java/org/yuccagw/cli/GatewayCommand.java
+++ b/src/main/java/org/yuccagw/cli/GatewayCommand.java
@@ -34,6 +34,8 @@
 
     @Override
     public Integer call() throws YuccagwException, InterruptedException {
+        PendingTask reload = PendingTask.create();
+        ProcessSignal.HANG_UP.handleUnlessIgnored(reload::request);
         GatewaySettings settings = GatewaySettingsReader.read(file);
         if (System.getProperty(LOG_LEVEL_PROPERTY) == null) {
             System.setProperty(LOG_LEVEL_PROPERTY, settings.logLevel());
@@ -41,7 +43,8 @@
         SimpleLogging.configure(System.getProperty(LOG_LEVEL_PROPERTY));
         GatewayDaemon daemon = GatewayDaemon.start(settings);
         GracefulExit.onSignal(daemon::stop);
-        ProcessSignal.HANG_UP.handle(() -> reload(daemon));
+        ProcessSignal.HANG_UP.handleIfIgnored(reload::request);
+        reload.runWith(() -> reload(daemon));
         daemon.awaitStopped();
         return ExitCode.OK;
     }
--- a/src/main/java/org/yuccagw/cli/ProcessSignal.java
+++ b/src/main/java/org/yuccagw/cli/ProcessSignal.java
@@ -36,6 +36,13 @@
         install(task);
     }
 
+    /** Runs the task at each signal, unless the parent of this process ignores the signal. Logs nothing then. */
+    void handleUnlessIgnored(Runnable task) {
+        if (!IgnoredSignals.ofThisProcess().contains(number)) {
+            install(task);
+        }
+    }
+
     /**
      * Runs the task at each signal if the parent of this process ignores the signal. Otherwise the JVM handles it, and
      * nothing is changed.
--- a/src/test/java/org/yuccagw/process/GatewayProcessTest.java
+++ b/src/test/java/org/yuccagw/process/GatewayProcessTest.java
@@ -6,6 +6,7 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -149,6 +150,28 @@
         assertEquals(status(settings.get(0).readiness(), SmallDeployment.READINESS), 200);
     }
 
+    // Guards against an entry that a SIGHUP ends because it comes before the entry has started.
+    @Test
+    public void anEntryThatIsStartingReadsItsSettingsAgainAfterASighup() throws Exception {
+        byte[] document = SmallDeployment.settings("entry-3", keyValue.address(), SmallDeployment.freePorts(4));
+        GatewaySettings third = GatewaySettingsReader.parse(document);
+        Path pipe = directory.resolve("entry-3.json");
+        assertEquals(new ProcessBuilder("mkfifo", pipe.toString()).start().waitFor(), 0);
+        launch("entry-3");
+        try (OutputStream opensOnceItIsRead = Files.newOutputStream(pipe)) {
+            new ProcessBuilder("kill", "-HUP", Long.toString(processes.get(2).pid()))
+                    .start()
+                    .waitFor();
+            opensOnceItIsRead.write(document);
+        }
+        await().atMost(TIMEOUT).until(() -> status(third.readiness(), SmallDeployment.READINESS) == 200);
+        try (OutputStream readAgain = Files.newOutputStream(pipe)) {
+            readAgain.write(document);
+        }
+        await().atMost(TIMEOUT)
+                .until(() -> Files.readString(logFileOf("entry-3")).contains("event=\"settings-read\""));
+    }
+
     private void start(String name) throws Exception {
         byte[] document = SmallDeployment.settings(name, keyValue.address(), SmallDeployment.freePorts(4));
         Path file = directory.resolve(name + ".json");
