Count a request as in progress until its whole answer has left the entry

Cause: a request ended when its last byte was queued, up to 256 KiB before the connection took it, and a stop waits only for requests in progress. A caller that reads nothing for 30 s is cut as before, and so is one that hasn't read all at the end of the grace time. Relays count until their exchange is complete already.

--- a/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
@@ -64,6 +64,8 @@
     private final Map<Long, Attempt> attempts = new HashMap<>();
     private long firstByteNanos;
     private boolean readingPaused;
+    private boolean ended;
+    private boolean answerWritten;
 
     private ServingRun(
             ServingServices services,
@@ -84,7 +86,10 @@
         this.disconnectDetector = DisconnectDetector.begin(exchange);
     }
 
-    /** Starts the run of a request whose body was read. It is active until the request has ended. */
+    /**
+     * Starts the run of a request whose body was read. It is active until the request has ended and its caller has taken
+     * the answer or has left, so that a graceful stop waits for callers that read slowly.
+     */
     static void begin(
             ServingServices services,
             HttpServerExchange exchange,
@@ -94,6 +99,10 @@
             ActiveRequests activeRequests) {
         ServingRun run = new ServingRun(services, exchange, head, request, body, activeRequests);
         activeRequests.begin(run);
+        exchange.addExchangeCompleteListener((completed, next) -> {
+            run.onAnswerWritten();
+            next.proceed();
+        });
         run.machine.begin();
     }
 
@@ -307,7 +316,20 @@
         services.metrics()
                 .recordRequestEnd(request.service(), request.route().kind().name(), outcome);
         request.takenUp().ifPresent(began -> recordResumption(outcome));
-        activeRequests.end(this);
+        ended = true;
+        answerWritten |= response.isFinished();
+        endIfDone();
+    }
+
+    private void onAnswerWritten() {
+        answerWritten = true;
+        endIfDone();
+    }
+
+    private void endIfDone() {
+        if (ended && answerWritten) {
+            activeRequests.end(this);
+        }
     }
 
     private void recordResumption(String outcome) {
@@ -365,6 +387,7 @@
     @Override
     public void callerDisconnected() {
         machine.onCallerDisconnected();
+        onAnswerWritten();
     }
 
     /** The connection of one attempt. */
