--- a/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
@@ -87,8 +87,8 @@
     }
 
     /**
-     * Starts the run of a request whose body was read. It is active until the request has ended and its caller has taken
-     * the answer or has left, so that a graceful stop waits for callers that read slowly.
+     * Starts the run of a request whose body was read. It is active until the request has ended and its caller has
+     * taken the answer or has left, so that a graceful stop waits for callers that read slowly.
      */
     static void begin(
             ServingServices services,
--- a/src/main/java/org/yuccagw/core/origin/StreamOriginsComponent.java
+++ b/src/main/java/org/yuccagw/core/origin/StreamOriginsComponent.java
@@ -28,10 +28,10 @@
  * the request selects. An entry that doesn't know a stream asks those. When entries come or go, those that have an
  * origin tell it to the entries that are selected now. All origins expire.
  *
- * <p>If all entries end at once, those that start read the origins from the key-value service; see {@link OriginStorage}.
- * A stream that nobody knows may go on only if this entry, or one that it asks, has seen no other version of the service
- * for {@link OriginRecords#MAX_RETENTION}. Nothing shorter bounds the age of a stream: callers choose their time limits,
- * and an entry that has just started hasn't seen any.
+ * <p>If all entries end at once, those that start read the origins from the key-value service; see {@link
+ * OriginStorage}. A stream that nobody knows may go on only if this entry, or one that it asks, has seen no other
+ * version of the service for {@link OriginRecords#MAX_RETENTION}. Nothing shorter bounds the age of a stream: callers
+ * choose their time limits, and an entry that has just started hasn't seen any.
  *
  * <p>Example: entry 1 forwards the first event of request r from an endpoint of version v1.2 and tells entries 3, 5 and
  * 8. Entries 1 and 5 are killed. The caller sends r2 to entry 2 and names r. Entry 2 asks 3, 8 and two more, and r2 is
--- a/src/main/java/org/yuccagw/platform/DeploymentReader.java
+++ b/src/main/java/org/yuccagw/platform/DeploymentReader.java
@@ -138,7 +138,7 @@
                 store.path("first_ms").asDouble(0));
     }
 
-    /** Returns the workspaces; empty only if the field is absent, since an empty list leaves no key that is accepted. */
+    /** Returns the workspaces; empty only if the field is absent, since an empty list leaves no key in force. */
     private static Optional<List<WorkspaceAccess>> readWorkspaces(JsonNode document) {
         if (!document.has(WORKSPACES)) {
             return Optional.empty();
--- a/src/test/java/org/yuccagw/daemon/SlowCallerTest.java
+++ b/src/test/java/org/yuccagw/daemon/SlowCallerTest.java
@@ -104,7 +104,7 @@
         BufferedReader reader =
                 new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
         for (String line = reader.readLine(); line != null; line = reader.readLine()) {
-            int bytes = Integer.parseInt(line.split(" ")[1].substring(SmallDeployment.PLAIN.length()));
+            int bytes = Integer.parseInt(line.split(" ", 3)[1].substring(SmallDeployment.PLAIN.length()));
             Map<String, String> request = ScriptedEndpoint.readRequest(line, reader);
             OutputStream out = socket.getOutputStream();
             String head = "HTTP/1.1 200 OK\r\nYuccagw-Request-Id: " + request.get("yuccagw-request-id")
