Let SlowCallerTest bear that buffers of connections differ

It failed once beside a build: the buffers of that connection held the whole answer, so that no request was rightly in progress. It asked for one request in progress at one size. Now it tries thirteen sizes around the largest that fits, and stops the entry's I/O thread as soon as none is in progress, after which the whole answer must still arrive.

--- a/src/test/java/org/yuccagw/daemon/SlowCallerTest.java
+++ b/src/test/java/org/yuccagw/daemon/SlowCallerTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -13,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -25,12 +27,15 @@
 public class SlowCallerTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(30);
     private static final int ROUTE_TIMEOUT_MILLIS = 20_000;
-    private static final int FILL_MILLIS = 500;
+    private static final int READ_TIMEOUT_MILLIS = 5_000;
+    private static final int FILL_MILLIS = 300;
     private static final int KILOBYTE = 1024;
     private static final int MAX_BODY_BYTES = 32 * 1024 * KILOBYTE;
 
-    /** Half of what the entry queues, so that the end of the largest body that fits is in the queue. */
-    private static final int RESOLUTION_BYTES = 128 * KILOBYTE;
+    /** A quarter of what the entry queues; the buffers of connections differ by more. */
+    private static final int STEP_BYTES = 64 * KILOBYTE;
+
+    private static final int STEPS = 6;
 
     private RawServer endpoint;
     private DirectServing serving;
@@ -50,21 +55,38 @@
     // Guards against a stop that cuts answers whose last bytes wait in the entry for a caller that reads slowly.
     @Test
     public void aRequestIsInProgressUntilItsWholeAnswerHasLeftTheEntry() throws Exception {
-        int bytes = largestBodyThatFits();
-        long ended = serving.endedRequests();
-        try (Socket caller = send(bytes)) {
+        int fits = largestBodyThatFits();
+        for (int step = -STEPS; step <= STEPS; step++) {
+            long ended = serving.endedRequests();
+            int bytes = fits + step * STEP_BYTES;
+            try (Socket caller = send(bytes)) {
+                TimeUnit.MILLISECONDS.sleep(FILL_MILLIS);
+                if (serving.endedRequests() > ended) {
+                    assertIsWholeThoughTheEntryStandsStillOnceIdle(caller, bytes);
+                }
+            }
             await().atMost(TIMEOUT).until(() -> serving.endedRequests() == ended + 1);
-            assertEquals(serving.requestsInProgress(), 1);
-            assertEquals(readBody(caller, bytes), bytes);
             await().atMost(TIMEOUT).until(() -> serving.requestsInProgress() == 0);
         }
     }
 
+    private void assertIsWholeThoughTheEntryStandsStillOnceIdle(Socket caller, int bytes) throws IOException {
+        CountDownLatch read = new CountDownLatch(1);
+        if (serving.requestsInProgress() == 0) {
+            serving.execute(() -> Uninterruptibles.awaitUninterruptibly(read));
+        }
+        try {
+            assertEquals(readBody(caller, bytes), bytes);
+        } finally {
+            read.countDown();
+        }
+    }
+
     /** Returns the size of the largest body that the entry and the connections hold for a caller that doesn't read. */
     private int largestBodyThatFits() throws Exception {
         int fits = 0;
         int tooLarge = MAX_BODY_BYTES;
-        while (tooLarge - fits > RESOLUTION_BYTES) {
+        while (tooLarge - fits > STEP_BYTES) {
             int middle = (fits + tooLarge) / 2;
             long ended = serving.endedRequests();
             try (Socket caller = send(middle)) {
@@ -91,6 +113,7 @@
     }
 
     private static int readBody(Socket socket, int bytes) throws IOException {
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
         InputStream in = socket.getInputStream();
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
