--- a/src/test/java/org/yuccagw/fuzz/HostileDocumentsTest.java
+++ b/src/test/java/org/yuccagw/fuzz/HostileDocumentsTest.java
@@ -32,7 +32,14 @@
     private static final int MAX_NUMBER_LENGTH = 100_000;
     private static final int PROTOBUF_GROUP_START = 0x0B;
     private static final String[] KEYS = {
-        "op/config", "op/version/model", "op/evacuate/", "servers/x", "servers/", "yuccagw/entry/x", "yuccagw/duty/x"
+        "op/config",
+        "op/version/model",
+        "op/evacuate/",
+        "servers/x",
+        "servers/",
+        "yuccagw/entry/x",
+        "yuccagw/duty/x",
+        "yuccagw/streams/x/1"
     };
 
     /** Reads bytes, or refuses them. */
