Keep one check for abandoned origins, in place of a timer with the value for each write

While versions differ, each write of another entry left a timer of five to six minutes that held the decoded value: at 20 writes a second some 6,000 values of up to 256 origins by arithmetic, tens of megabytes of a heap of 112. Now the last revision of each key is kept, at most 32 for each entry that stores, and one check runs every 30 s while any is known.

--- a/src/main/java/org/yuccagw/core/origin/AbandonedOrigins.java
+++ b/src/main/java/org/yuccagw/core/origin/AbandonedOrigins.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.origin;
 
+import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -19,9 +20,15 @@
     /** Spreads the removals over time, so that one entry removes a key and the others see that. */
     private static final Duration MAX_EXTRA_DELAY = Duration.ofSeconds(60);
 
+    private static final Duration CHECK_INTERVAL = Duration.ofSeconds(30);
+
     private final KeyValueRecordCodec codec;
-    private final Map<OriginsSubject, Long> revisions = new HashMap<>();
+    private final Map<OriginsSubject, Stored> known = new HashMap<>();
     private ControlContext context;
+    private boolean checkScheduled;
+
+    /** The last write of a key, and when it counts as abandoned. */
+    private record Stored(long revision, long abandonedNanos) {}
 
     AbandonedOrigins(KeyValueRecordCodec codec) {
         this.codec = codec;
@@ -32,20 +39,38 @@
     }
 
     void recordWritten(OriginsStored stored, long revision) {
-        OriginsSubject subject = new OriginsSubject(stored.writer(), stored.slot());
-        revisions.put(subject, revision);
-        long extraMillis = context.random().nextLong(MAX_EXTRA_DELAY.toMillis());
-        context.after(ABANDONED_AFTER.plusMillis(extraMillis), () -> removeIfUnchanged(subject, stored, revision));
+        Duration delay = ABANDONED_AFTER.plusMillis(context.random().nextLong(MAX_EXTRA_DELAY.toMillis()));
+        known.put(
+                new OriginsSubject(stored.writer(), stored.slot()),
+                new Stored(revision, context.nowNanos() + delay.toNanos()));
+        scheduleCheck();
     }
 
     void recordRemoved(OriginsSubject subject) {
-        revisions.remove(subject);
+        known.remove(subject);
     }
 
-    private void removeIfUnchanged(OriginsSubject subject, OriginsStored stored, long revision) {
-        if (revisions.getOrDefault(subject, KeyValueCall.ABSENT) == revision) {
-            revisions.remove(subject);
-            context.call(new KeyValueCall.Delete(codec.encode(stored).key(), revision), ignored -> {});
+    private void scheduleCheck() {
+        if (!checkScheduled && !known.isEmpty()) {
+            checkScheduled = true;
+            context.after(CHECK_INTERVAL, this::check);
         }
     }
+
+    private void check() {
+        checkScheduled = false;
+        known.entrySet().removeIf(each -> {
+            boolean abandoned = context.nowNanos() - each.getValue().abandonedNanos() >= 0;
+            if (abandoned) {
+                remove(each.getKey(), each.getValue().revision());
+            }
+            return abandoned;
+        });
+        scheduleCheck();
+    }
+
+    private void remove(OriginsSubject subject, long revision) {
+        OriginsStored named = new OriginsStored(subject.writer(), subject.slot(), ImmutableList.of());
+        context.call(new KeyValueCall.Delete(codec.encode(named).key(), revision), ignored -> {});
+    }
 }
