--- a/src/test/java/org/yuccagw/process/SoakEntry.java
+++ b/src/test/java/org/yuccagw/process/SoakEntry.java
@@ -134,11 +134,16 @@
         launch();
     }
 
-    /** Suspends the process for good: it holds its connections and sends nothing more. */
+    /** Suspends the process: it holds its connections and sends nothing more. */
     void suspend() throws IOException, InterruptedException {
         process.suspend();
     }
 
+    /** Lets a suspended process run again. */
+    void resume() throws IOException, InterruptedException {
+        process.resume();
+    }
+
     /** Returns whether the entry was neither started nor signalled from a while before the call to its end. */
     boolean wasInTouch(SoakCall call) {
         long from = call.sentNanos() - CONTACT.toNanos();
