Let no stream begin on outdated weights at another engine after the limit

A stream whose engine crashed went on at another engine with the weights of its head, however long ago newer ones were named: the check of the limit was passed over for answers in progress.

A stream goes on with its weights while requests may begin on them, and with newer ones after that, at the same version of the software as before. The demanded version of the leg decides whether its head fits. What ran on while its engine loaded newer weights has always been mixed in the same way; the other choice, to break the stream so that its caller takes it up, ends in the same two versions and costs the caller its retry.

--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -34,8 +34,8 @@
  *       stays the current leg until the deadline.
  *   <li>A stream that has begun and can be resumed isn't ended by a refusal: while there is no endpoint for it, one is
  *       requested again and again until the deadline.
- *   <li>A resumed stream continues after the last complete event that was forwarded, with the same weight version and
- *       at the same software version.
+ *   <li>A resumed stream continues after the last complete event that was forwarded, at the same software version and
+ *       with the same weight version, or with a newer one if that one may not be used any more.
  *   <li>A stream is complete only if its last event is, whatever shows the end of the answer.
  * </ul>
  *
@@ -169,11 +169,17 @@
     /** Returns why the answer can't be used; empty if it can. An error doesn't take the place of the current leg. */
     private Optional<LegFailure> failureOf(Leg leg, EndpointAnswerHead head) {
         if (continuation.isAnswerBegun()) {
-            return LegFailure.ofResumed(head, pin.weights());
+            return LegFailure.ofResumed(head, weightsDemandedOf(leg));
         }
         return legs.isReplacement(leg.number()) ? LegFailure.ofReplacement(head) : LegFailure.ofFirst(head);
     }
 
+    /** Returns the weight version with which a leg continues the stream, which may be newer than that of its head. */
+    private OptionalLong weightsDemandedOf(Leg leg) {
+        OptionalLong demanded = leg.placed().version();
+        return demanded.isPresent() ? demanded : pin.weights();
+    }
+
     /** Called when bytes of the answer body were received on a leg. */
     public void onBytes(long ofLeg, ByteBuffer bytes) {
         Optional<Leg> found = legs.current(ofLeg);
@@ -427,6 +433,7 @@
     private void acceptHead(Leg leg, EndpointAnswerHead head) {
         if (continuation.isAnswerBegun()) {
             stopSeeking();
+            pin.recordHead(head);
             silenceWatch.watch(leg);
         } else if (head.isFault() && (isSeekingReplacement() || continuation.mayRetry())) {
             holdError(leg, head);
--- a/src/main/java/org/yuccagw/core/forward/LegFailure.java
+++ b/src/main/java/org/yuccagw/core/forward/LegFailure.java
@@ -30,7 +30,7 @@
     /**
      * Returns why an answer can't continue a stream whose first events were forwarded; empty if it can.
      *
-     * @param version weight version of the events that were forwarded, empty if it is unknown
+     * @param version weight version that was demanded of the endpoint, empty if none was
      */
     static Optional<LegFailure> ofResumed(EndpointAnswerHead head, OptionalLong version) {
         if (!head.isGenuine()) {
--- a/src/main/java/org/yuccagw/core/placing/WeightLimits.java
+++ b/src/main/java/org/yuccagw/core/placing/WeightLimits.java
@@ -22,7 +22,8 @@
 
     /**
      * Returns whether the request may be placed on an engine that runs the version. An answer that has begun goes on
-     * with its own weights. Requests without a prompt may be placed anywhere.
+     * with its own weights, or with newer ones if those may not be used any more. Requests without a prompt may be
+     * placed anywhere.
      */
     boolean permits(PlacementRequest request, OptionalLong version) {
         return request.prompt()
@@ -32,7 +33,12 @@
 
     private boolean permits(PlacementRequest request, String model, long version) {
         OptionalLong begunOn = request.continuation().weights();
-        return begunOn.isPresent() ? version == begunOn.getAsLong() : isUsable(model, version);
+        boolean goesOn = begunOn.isEmpty() || continues(model, begunOn.getAsLong(), version);
+        return goesOn && isUsable(model, version);
+    }
+
+    private boolean continues(String model, long begunOn, long version) {
+        return version == begunOn || (version > begunOn && !isUsable(model, begunOn));
     }
 
     private boolean isUsable(String model, long version) {
