End what hasn't begun in time on outdated weights

The margin when placing is the same for every queue, and nothing bound what had been sent.

A placement states the time within which the request must begin on its weights. A leg without a head by then, less what an engine needs to notice the end of its connection, is ended; a repeatable request goes elsewhere, any other one is answered as perhaps run.

--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -64,6 +64,7 @@
     private final Continuation continuation;
     private final AnswerStatistics statistics;
     private final LegPair legs;
+    private final BeginLimit beginLimit;
 
     private boolean holdingError;
 
@@ -73,6 +74,8 @@
         DEADLINE,
         /** The timeout for the start of the answer to a repeatable request. */
         HEAD,
+        /** The time until which a request must have begun on its weights. */
+        BEGIN,
         /** The timeout for the next event of a resumable stream. */
         GAP,
         /** The time for which a silent leg is kept beside its replacement. */
@@ -93,6 +96,7 @@
         this.inquiry = PlacementInquiry.of(effects, history, pin);
         this.statistics = new AnswerStatistics(effects);
         this.legs = LegPair.of(effects, history, statistics);
+        this.beginLimit = BeginLimit.of(effects, legs);
         this.answerBody = AnswerBody.of(request);
         this.continuation = Continuation.of(history, deadline, answerBody, pin);
     }
@@ -261,6 +265,7 @@
                 legs.current(ofLeg)
                         .filter(silenceWatch::isSilent)
                         .ifPresent(leg -> handleSilence(leg, "the stream paused"));
+            case BEGIN -> endOverdue();
             case OVERLAP -> endOverlap(ofLeg);
             case PLACEMENT -> retryPlacement();
             default -> throw new AssertionError(kind);
@@ -318,6 +323,18 @@
         if (legs.current(leg.number()).isPresent() || holdingError) {
             silenceWatch.watch(leg);
         }
+        beginLimit.watch();
+    }
+
+    /** Ends the legs that would begin too late on outdated weights. */
+    private void endOverdue() {
+        for (Leg leg : beginLimit.overdue()) {
+            history.recordRun(leg);
+            handleLegFailure(leg, End.LEFT, "not begun in time on outdated weights");
+        }
+        if (!isOver()) {
+            beginLimit.watch();
+        }
     }
 
     private void handleRefusal(YuccagwException error) {
--- a/src/main/java/org/yuccagw/core/forward/Leg.java
+++ b/src/main/java/org/yuccagw/core/forward/Leg.java
@@ -15,6 +15,7 @@
     private final long number;
     private final PlacementDecision.Placed placed;
     private final PaceRecorder pace;
+    private final long sentNanos;
     private Optional<EndpointAnswerHead> head = Optional.empty();
     private boolean delivered;
     private boolean silent;
@@ -25,6 +26,7 @@
         this.number = number;
         this.placed = placed;
         this.pace = PaceRecorder.start(nowNanos);
+        this.sentNanos = nowNanos;
         this.progressNanos = nowNanos;
     }
 
@@ -44,6 +46,10 @@
         return placed.endpoint().id();
     }
 
+    long sentNanos() {
+        return sentNanos;
+    }
+
     PaceRecorder pace() {
         return pace;
     }
--- a/src/main/java/org/yuccagw/core/forward/LegPair.java
+++ b/src/main/java/org/yuccagw/core/forward/LegPair.java
@@ -1,6 +1,8 @@
 package org.yuccagw.core.forward;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.yuccagw.core.placing.AttemptEnded;
 import org.yuccagw.core.placing.AttemptEnded.End;
 
@@ -33,6 +35,11 @@
         return replacement;
     }
 
+    /** Returns the legs that are in progress. */
+    List<Leg> inProgress() {
+        return Stream.concat(current.stream(), replacement.stream()).toList();
+    }
+
     /** Returns the leg with the number if it is in progress. */
     Optional<Leg> find(long number) {
         return current(number).or(() -> replacement.filter(leg -> leg.number() == number));
--- a/src/main/java/org/yuccagw/core/placing/Candidates.java
+++ b/src/main/java/org/yuccagw/core/placing/Candidates.java
@@ -295,6 +295,11 @@
                 .orElse(OptionalLong.empty());
     }
 
+    /** Returns the time within which the request must begin on the weights; empty without a limit. */
+    Optional<Duration> beginWithin(PlacementRequest request, OptionalLong version) {
+        return weightLimits.beginWithin(request, version);
+    }
+
     private boolean isIn(PermittedRegions permittedRegions, FailureDomain domain) {
         return permittedRegions.allows(regions.of(domain));
     }
--- a/src/main/java/org/yuccagw/core/placing/PlacementClient.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementClient.java
@@ -419,6 +419,7 @@
                         ticket,
                         endpoint.get(),
                         placed.version(),
+                        weightLimits.beginWithin(delegated.get().request(), placed.version()),
                         placed.salt(),
                         placed.cache(),
                         placed.urgency(),
--- a/src/main/java/org/yuccagw/core/placing/PlacementDecision.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementDecision.java
@@ -1,5 +1,6 @@
 package org.yuccagw.core.placing;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.yuccagw.core.error.YuccagwException;
@@ -12,6 +13,7 @@
      * Send the request to this endpoint, and report the end of the attempt under the ticket.
      *
      * @param version the weight version that the endpoint must run, for prompts
+     * @param beginWithin time within which the request must begin on that version; empty without a limit
      * @param salt identifies the cache that the prompt may share, by the workspaces that share it and the weight
      *     version
      * @param cache the parts that the endpoint fetches from stores and saves to them
@@ -24,6 +26,7 @@
             long ticket,
             ListedEndpoint endpoint,
             OptionalLong version,
+            Optional<Duration> beginWithin,
             Optional<String> salt,
             Optional<CachePlan> cache,
             int urgency,
--- a/src/main/java/org/yuccagw/core/placing/PlacementStep.java
+++ b/src/main/java/org/yuccagw/core/placing/PlacementStep.java
@@ -123,6 +123,7 @@
                 ticket,
                 endpoint.listed(),
                 version,
+                candidates.beginWithin(request, version),
                 salt,
                 cache,
                 queued.priority().urgency(),
--- a/src/main/java/org/yuccagw/core/placing/WeightLimits.java
+++ b/src/main/java/org/yuccagw/core/placing/WeightLimits.java
@@ -1,9 +1,11 @@
 package org.yuccagw.core.placing;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.yuccagw.core.duty.WeightOrdersComponent;
 import org.yuccagw.core.follow.NamedWeightsComponent;
+import org.yuccagw.core.prompt.PromptShape;
 
 /** Decides on which weights a request may begin, by the time since newer ones were named. */
 final class WeightLimits {
@@ -46,4 +48,10 @@
                 .map(remaining -> remaining.compareTo(MARGIN) > 0)
                 .orElse(true);
     }
+
+    /** Returns the time within which the request must begin on the version; empty without a limit. */
+    Optional<Duration> beginWithin(PlacementRequest request, OptionalLong version) {
+        Optional<PromptShape> limited = request.prompt().filter(prompt -> version.isPresent());
+        return limited.flatMap(prompt -> weights.remaining(prompt.model(), version.getAsLong()));
+    }
 }
--- a/src/test/java/org/yuccagw/core/forward/ForwardScenario.java
+++ b/src/test/java/org/yuccagw/core/forward/ForwardScenario.java
@@ -107,7 +107,15 @@
                 ImmutableMap.of(),
                 0);
         return new PlacementDecision.Placed(
-                ++tickets, listed, OptionalLong.empty(), Optional.empty(), Optional.empty(), 1, 40, rateLimited);
+                ++tickets,
+                listed,
+                OptionalLong.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                Optional.empty(),
+                1,
+                40,
+                rateLimited);
     }
 
     static EndpointAnswerHead ok() {
--- a/src/test/java/org/yuccagw/daemon/DirectServing.java
+++ b/src/test/java/org/yuccagw/daemon/DirectServing.java
@@ -140,6 +140,7 @@
                             OptionalLong.empty(),
                             Optional.empty(),
                             Optional.empty(),
+                            Optional.empty(),
                             4,
                             10,
                             false));
