Let an entry out of step take its view for the fleet's no more

Report of another operator: during a release an entry that was cut off from the others took streams up that had begun on endpoints of a new software version through other entries, and went on at the older version, so callers got events of two versions.

Cause: a stream that nobody knows went on at the only version that this entry had seen, if its copy had been confirmed within 2 s. An entry that is cut off doesn't see that another version joins. Entries that were asked guessed alike, and the answer was recorded.

An entry asks the service now, after the take-up has arrived, whether its copy is complete: the version of an endpoint is registered before its first stream begins. Without an answer the stream is refused as unknown. Nobody guesses for others. A copy that a list replaced may lack versions that came and went, so the minute of watching begins again.

--- a/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
+++ b/src/main/java/org/yuccagw/core/follow/KeyValueFollowComponent.java
@@ -111,6 +111,7 @@
     private final StateInquiry inquiry;
     private final ServiceAvailability service = new ServiceAvailability();
     private final CoverageRecord coverage = new CoverageRecord();
+    private final CopyConfirmation confirmation;
     private FollowedKeys keys;
     private ControlContext context;
     private long startedNanos;
@@ -129,6 +130,7 @@
     private KeyValueFollowComponent(KeyValueRecordCodec codec, WatchRole watchRole, OtherEntries others) {
         this.codec = codec;
         this.watchRole = watchRole;
+        this.confirmation = CopyConfirmation.of(codec.followedPrefix());
         this.inquiry =
                 StateInquiry.of(others, this::revision, allResponded -> context.raise(new Started(allResponded)));
     }
@@ -162,6 +164,7 @@
         keys = FollowedKeys.of(codec, context);
         service.start(context);
         inquiry.start(context);
+        confirmation.start(context);
         list();
     }
 
@@ -186,6 +189,21 @@
         return everConfirmed && !service.isUnavailable();
     }
 
+    /** Asks the service whether the copy is complete, whatever was received until now. Raises {@link CopyConfirmed}. */
+    public void confirmCopy() {
+        confirmation.request(new CopyConfirmation.Copy() {
+            @Override
+            public long revision() {
+                return revision;
+            }
+
+            @Override
+            public void include(KeyValueAnswer.Found changes, Moment sent) {
+                includeChanges(changes, sent);
+            }
+        });
+    }
+
     /** Returns the highest revision that the copy includes. */
     public long revision() {
         return revision;
@@ -314,20 +332,26 @@
     }
 
     private void onWatchAnswer(KeyValueAnswer.Found found, Moment sent, Duration wait) {
-        service.recordAnswer(confirmedNanos());
         goneSinceLastWatch = false;
-        long previousRevision = revision;
-        applyItems(found.items(), found.revision(), lapsesIn(found, service.takeLapsesPossible()));
+        includeChanges(found, sent);
         if (found.items().isEmpty()) {
             boolean fullWait = context.nowNanos() - sent.nanos() >= wait.toNanos();
             Duration waited = Duration.ofNanos((long) (wait.toNanos() * CONFIRMED_WAIT_FRACTION));
             confirmOwn(fullWait ? sent.plus(waited) : sent);
             watchOrRely();
         } else {
-            confirmOwn(sent);
+            pause(coalescingDelay(), this::watchOrRely);
+        }
+    }
+
+    private void includeChanges(KeyValueAnswer.Found found, Moment sent) {
+        service.recordAnswer(confirmedNanos());
+        long previousRevision = revision;
+        applyItems(found.items(), found.revision(), lapsesIn(found, service.takeLapsesPossible()));
+        confirmOwn(sent);
+        if (!found.items().isEmpty()) {
             watchRole.sendToFollowers(
                     changesMessage(false, previousRevision, ImmutableList.copyOf(found.items()), Optional.empty()));
-            pause(coalescingDelay(), this::watchOrRely);
         }
     }
 
@@ -474,6 +498,8 @@
         if (first) {
             coverage.recordFirstCopy(context.nowNanos());
             inquiry.begin();
+        } else {
+            context.raise(new CopyReplaced());
         }
     }
 
--- a/src/main/java/org/yuccagw/core/origin/ListedSoftware.java
+++ b/src/main/java/org/yuccagw/core/origin/ListedSoftware.java
@@ -21,12 +21,9 @@
  * version for longer than a stream lasts, that version has begun it.
  */
 final class ListedSoftware {
-    /** Registrations that were confirmed longer ago may lack a version that is new. */
-    private static final Duration MAX_CONFIRMATION_AGE = Duration.ofSeconds(2);
-
     private final Map<EndpointId, ListedEndpoint> listed = new HashMap<>();
     private final Map<ServiceSoftware, Long> unlistedNanos = new HashMap<>();
-    private OptionalLong firstListedNanos = OptionalLong.empty();
+    private OptionalLong followedSinceNanos = OptionalLong.empty();
 
     private record ServiceSoftware(ServiceName service, SoftwareVersion software) {
         static ServiceSoftware of(ListedEndpoint endpoint) {
@@ -36,8 +33,8 @@
 
     /** Records a registration; returns whether its endpoint is new or has other software than before. */
     boolean recordListed(ListedEndpoint endpoint, long nowNanos) {
-        if (firstListedNanos.isEmpty()) {
-            firstListedNanos = OptionalLong.of(nowNanos);
+        if (followedSinceNanos.isEmpty()) {
+            followedSinceNanos = OptionalLong.of(nowNanos);
         }
         ListedEndpoint previous = listed.put(endpoint.id(), endpoint);
         if (previous != null) {
@@ -46,6 +43,11 @@
         return previous == null || !ServiceSoftware.of(previous).equals(ServiceSoftware.of(endpoint));
     }
 
+    /** Records that registrations may have come and gone unseen. */
+    void recordGap(long nowNanos) {
+        followedSinceNanos = OptionalLong.of(nowNanos);
+    }
+
     /**
      * Returns whether an endpoint has started again with other software since a request was sent to it, so that either
      * start may have answered.
@@ -67,17 +69,12 @@
     /**
      * Returns the version that endpoints of a service have run for all of the given time; empty if there may have been
      * several.
-     *
-     * @param confirmedNanos when the registrations were last confirmed as complete; empty if they never were
      */
-    Optional<SoftwareVersion> onlyVersionOf(
-            ServiceName service, Duration time, OptionalLong confirmedNanos, long nowNanos) {
+    Optional<SoftwareVersion> onlyVersionOf(ServiceName service, Duration time, long nowNanos) {
         unlistedNanos.values().removeIf(since -> nowNanos - since > OriginRecords.MAX_RETENTION.toNanos());
         boolean followedLongEnough =
-                firstListedNanos.isPresent() && nowNanos - firstListedNanos.getAsLong() > time.toNanos();
-        boolean confirmed =
-                confirmedNanos.isPresent() && nowNanos - confirmedNanos.getAsLong() <= MAX_CONFIRMATION_AGE.toNanos();
-        if (!followedLongEnough || !confirmed) {
+                followedSinceNanos.isPresent() && nowNanos - followedSinceNanos.getAsLong() > time.toNanos();
+        if (!followedLongEnough) {
             return Optional.empty();
         }
         Set<SoftwareVersion> versions = new HashSet<>();
--- a/src/main/java/org/yuccagw/core/origin/OriginRecords.java
+++ b/src/main/java/org/yuccagw/core/origin/OriginRecords.java
@@ -15,6 +15,9 @@
 
 /** The origins that this entry keeps, of its own streams and of those that other entries told it. */
 final class OriginRecords {
+    /** For callers that come back at the end of their time. */
+    static final Duration RETURN_MARGIN = Duration.ofSeconds(2);
+
     /** Callers that come back later start anew. */
     static final Duration MAX_RETENTION = Duration.ofSeconds(60);
 
--- a/src/main/java/org/yuccagw/core/origin/StreamOriginsComponent.java
+++ b/src/main/java/org/yuccagw/core/origin/StreamOriginsComponent.java
@@ -1,11 +1,9 @@
 package org.yuccagw.core.origin;
 
-import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.yuccagw.core.control.ControlComponent;
@@ -14,6 +12,8 @@
 import org.yuccagw.core.control.ControlSnapshot;
 import org.yuccagw.core.control.PeerReceived;
 import org.yuccagw.core.fleet.EntryContact;
+import org.yuccagw.core.follow.CopyConfirmed;
+import org.yuccagw.core.follow.CopyReplaced;
 import org.yuccagw.core.follow.KeyValueRecord;
 import org.yuccagw.core.follow.KeyValueRecordCodec;
 import org.yuccagw.core.follow.KeyValueRecordRemoved;
@@ -29,7 +29,7 @@
  * origin tell it to the entries that are selected now. All origins expire.
  *
  * <p>If all entries end at once, those that start read the origins from the key-value service; see {@link
- * OriginStorage}. A stream that nobody knows may go on only if this entry, or one that it asks, has seen no other
+ * OriginStorage}. A stream that nobody knows may go on only if this entry has seen no other
  * version of the service for {@link OriginRecords#MAX_RETENTION}. Nothing shorter bounds the age of a stream: callers
  * choose their time limits, and an entry that has just started hasn't seen any.
  *
@@ -38,17 +38,14 @@
  * placed on an endpoint of v1.2.
  */
 public final class StreamOriginsComponent implements ControlComponent {
-    /** For callers that come back at the end of their time. */
-    private static final Duration RETURN_MARGIN = Duration.ofSeconds(2);
-
     private static final Duration VERSIONS_CHECK_INTERVAL = Duration.ofSeconds(5);
 
-    private final Supplier<OptionalLong> confirmedNanos;
     private final OriginRecords records = new OriginRecords();
     private final ListedSoftware listedSoftware = new ListedSoftware();
     private final OriginReplication replication;
     private final OriginLookups lookups;
     private final OriginOwners owners;
+    private final OnlyVersion onlyVersion;
     private final LoadedOrigins loaded = new LoadedOrigins();
     private final OriginStorage storage;
     private final AbandonedOrigins abandoned;
@@ -57,10 +54,8 @@
     private ControlContext context;
 
     private StreamOriginsComponent(
-            KeyValueRecordCodec codec,
-            Supplier<ImmutableList<EntryContact>> candidates,
-            Supplier<OptionalLong> confirmedNanos) {
-        this.confirmedNanos = confirmedNanos;
+            KeyValueRecordCodec codec, Supplier<ImmutableList<EntryContact>> candidates, Runnable confirmCopy) {
+        this.onlyVersion = new OnlyVersion(listedSoftware, confirmCopy);
         this.owners = new OriginOwners(candidates);
         this.storage = new OriginStorage(
                 codec,
@@ -76,13 +71,11 @@
      *
      * @param codec encodes the origins that are stored
      * @param candidates returns the entries that may keep origins: in a mesh all that serve, otherwise all leads
-     * @param confirmedNanos returns the monotonic time at which the registrations of endpoints were last confirmed
+     * @param confirmCopy asks the key-value service whether the registrations of endpoints are complete
      */
     public static StreamOriginsComponent of(
-            KeyValueRecordCodec codec,
-            Supplier<ImmutableList<EntryContact>> candidates,
-            Supplier<OptionalLong> confirmedNanos) {
-        return new StreamOriginsComponent(codec, candidates, confirmedNanos);
+            KeyValueRecordCodec codec, Supplier<ImmutableList<EntryContact>> candidates, Runnable confirmCopy) {
+        return new StreamOriginsComponent(codec, candidates, confirmCopy);
     }
 
     @Override
@@ -90,6 +83,7 @@
         context = startContext;
         replication.start(startContext);
         lookups.start(startContext);
+        onlyVersion.start(startContext);
         storage.start(startContext);
         abandoned.start(startContext);
     }
@@ -104,6 +98,10 @@
             onUpdated(updated);
         } else if (event instanceof KeyValueRecordRemoved removed) {
             onRemoved(removed.subject());
+        } else if (event instanceof CopyConfirmed confirmed) {
+            onlyVersion.onConfirmed(confirmed);
+        } else if (event instanceof CopyReplaced) {
+            listedSoftware.recordGap(context.nowNanos());
         }
     }
 
@@ -163,29 +161,26 @@
      * @param reply called once on the control thread, with empty if it isn't known
      */
     public void find(StreamQuery query, Consumer<Optional<StreamOrigin>> reply) {
-        lookups.find(query, reply);
+        lookups.find(query, found -> {
+            if (found.isPresent()) {
+                reply.accept(found);
+            } else {
+                onlyVersion.find(query, reply);
+            }
+        });
     }
 
     private Optional<StreamOrigin> known(StreamQuery query) {
         return records.find(query.request())
                 .map(OriginRecords.KnownOrigin::origin)
-                .or(() -> loaded.find(query.request(), context.nowNanos()))
-                .or(() -> onlyPossibleOrigin(query));
-    }
-
-    private Optional<StreamOrigin> onlyPossibleOrigin(StreamQuery query) {
-        Duration maxAge = Comparators.max(query.maxAge().plus(RETURN_MARGIN), OriginRecords.MAX_RETENTION);
-        return query.onlyService()
-                .flatMap(service -> listedSoftware
-                        .onlyVersionOf(service, maxAge, confirmedNanos.get(), context.nowNanos())
-                        .map(software -> new StreamOrigin(query.request(), service, software)));
+                .or(() -> loaded.find(query.request(), context.nowNanos()));
     }
 
     private void onBegun(StreamBegun begun) {
         if (listedSoftware.isAmbiguous(begun.endpoint(), begun.origin().software())) {
             return;
         }
-        Duration retention = begun.callerTimeout().plus(RETURN_MARGIN);
+        Duration retention = begun.callerTimeout().plus(OriginRecords.RETURN_MARGIN);
         OriginRecords.KnownOrigin record = records.put(begun.origin(), retention, context.nowNanos());
         record.forgetTold();
         replication.replicate(record);
@@ -208,7 +203,6 @@
         return records.find(query.request())
                 .map(record -> record.kept(context.nowNanos()))
                 .or(() -> loaded.find(query.request(), context.nowNanos())
-                        .or(() -> onlyPossibleOrigin(query))
                         .map(origin -> new OriginMessage.Kept(origin, query.maxAge())));
     }
 
--- a/src/main/java/org/yuccagw/daemon/GatewayComponents.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayComponents.java
@@ -84,7 +84,7 @@
         follow = KeyValueFollowComponent.of(codec, watchRole(settings), new AskedEntries());
         configuration = ConfigurationComponent.create();
         peers = PeersComponent.of(this, settings.seeds());
-        origins = StreamOriginsComponent.of(codec, peers.topology()::allLeadContacts, follow::confirmedNanos);
+        origins = StreamOriginsComponent.of(codec, peers.topology()::allLeadContacts, follow::confirmCopy);
         NamedWeightsComponent weights =
                 NamedWeightsComponent.of(settings.bounds().oldWeightsAllowed(), this::entriesThatKnowNamings);
         stores = StoresComponent.of(peers.topology()::firstLeads);
