Refuse a registration whose remaining cold time is no time

Report of another operator: a number that is too large, in a value that another writer left among the registrations of endpoints. Here: a coldLeftMs beyond 292 years threw an ArithmeticException while entries registered the endpoint, at each of them and after each start. The control thread goes on, but what else the same event was to change in that component stayed undone.

Ages in messages about namings are bounded in the same way.

--- a/src/main/java/org/yuccagw/adapters/peer/NamingCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/NamingCodec.java
@@ -10,6 +10,9 @@
 
 /** Encodes the messages about when weights were named in protobuf. */
 public final class NamingCodec implements BodyCodec {
+    /** Longer than any limit that runs from a naming. */
+    private static final Duration MAX_AGE = Duration.ofDays(1);
+
     private NamingCodec() {}
 
     public static NamingCodec create() {
@@ -55,6 +58,6 @@
     }
 
     private static Duration age(long millis) {
-        return Duration.ofMillis(Math.max(0, millis));
+        return Duration.ofMillis(Math.min(MAX_AGE.toMillis(), Math.max(0, millis)));
     }
 }
--- a/src/main/java/org/yuccagw/platform/EndpointReader.java
+++ b/src/main/java/org/yuccagw/platform/EndpointReader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.net.InetAddresses;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import org.yuccagw.core.duty.EngineState;
@@ -29,6 +30,9 @@
     private static final String SOFTWARE = "version";
     private static final String SEQUENCE = "sequence";
 
+    /** Far more than an endpoint stays cold. */
+    private static final Duration MAX_COLD = Duration.ofDays(1);
+
     private EndpointReader() {}
 
     /**
@@ -46,7 +50,7 @@
                 SoftwareVersion.of(requiredText(registration, SOFTWARE)),
                 (int) Math.min(Integer.MAX_VALUE, requiredNumber(registration, "slots")),
                 readLeaving(requiredText(registration, "state")),
-                requiredNumber(registration, "coldLeftMs"),
+                readColdMillis(registration),
                 readWeights(registration),
                 registration.path(SEQUENCE).asLong(0));
     }
@@ -69,6 +73,14 @@
         return object.has(STARTED_MILLIS) ? requiredNumber(object, STARTED_MILLIS) : EndpointIncarnation.UNKNOWN_START;
     }
 
+    private static long readColdMillis(JsonNode registration) {
+        long millis = requiredNumber(registration, "coldLeftMs");
+        if (millis > MAX_COLD.toMillis()) {
+            throw new IllegalArgumentException("coldLeftMs is more than a day: " + millis);
+        }
+        return millis;
+    }
+
     private static boolean readLeaving(String state) {
         if (!state.equals(LEAVING) && !state.equals(READY)) {
             throw new IllegalArgumentException("unknown state '" + state + "'");
--- a/src/test/java/org/yuccagw/daemon/VirtualFleet.java
+++ b/src/test/java/org/yuccagw/daemon/VirtualFleet.java
@@ -405,6 +405,9 @@
 
     private EngineAnswer stateAnswer(EndpointIncarnation queried) {
         EndpointId engine = queried.endpoint();
+        if (!weights.containsKey(engine)) {
+            return new EngineAnswer.StateReported(queried, Optional.empty());
+        }
         return new EngineAnswer.StateReported(
                 queried,
                 Optional.of(new EngineState(
