--- a/src/test/java/org/yuccagw/daemon/CuttableFleet.java
+++ b/src/test/java/org/yuccagw/daemon/CuttableFleet.java
@@ -24,6 +24,7 @@
 final class CuttableFleet implements AutoCloseable {
     private static final Duration START_TIMEOUT = Duration.ofSeconds(30);
     private static final int SIZE = 3;
+    private static final int REPLACED_SECONDS = 2;
 
     private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
     private final List<GatewayDaemon> daemons = new ArrayList<>();
@@ -31,6 +32,7 @@
     private final List<GatewaySettings> settings = new ArrayList<>();
     private final KeyValueStandIn keyValue = KeyValueStandIn.start(KeyValueSettings.defaults());
     private final HttpClient caller = HttpClient.start(1);
+    private List<NetworkAddress> others = List.of();
     private int sentRequests;
 
     private CuttableFleet() throws IOException {}
@@ -80,14 +82,33 @@
 
     /** Blocks new connections of the entry to all endpoints. */
     void cut(int entry, Block block) {
-        paths.get(entry)
-                .cut(block, endpoints.stream().map(ScriptedEndpoint::address).toArray(NetworkAddress[]::new));
+        List<NetworkAddress> addresses = others.isEmpty()
+                ? endpoints.stream().map(ScriptedEndpoint::address).toList()
+                : others;
+        paths.get(entry).cut(block, addresses.toArray(NetworkAddress[]::new));
     }
 
     void restore(int entry) {
         paths.get(entry).restore();
     }
 
+    /** Registers other endpoints in the place of the present ones, and waits until the entries know them. */
+    void replaceEndpoints(List<NetworkAddress> addresses) throws Exception {
+        for (int index = 0; index < addresses.size(); index++) {
+            keyValue.remove(PlatformDocuments.endpointKey("i-" + index));
+            keyValue.put(
+                    PlatformDocuments.endpointKey("r-" + index),
+                    PlatformDocuments.endpoint("plain", addresses.get(index), "a", false));
+        }
+        others = List.copyOf(addresses);
+        TimeUnit.SECONDS.sleep(REPLACED_SECONDS);
+    }
+
+    private String nextId() {
+        sentRequests++;
+        return "request-" + sentRequests;
+    }
+
     List<ScriptedEndpoint> endpoints() {
         return endpoints;
     }
@@ -114,10 +135,9 @@
     }
 
     HttpRequest request(int entry, String path) {
-        sentRequests++;
         return HttpRequest.of("POST", settings.get(entry).callers(), path, "question".getBytes(StandardCharsets.UTF_8))
                 .withHeader("Host", "a.example")
-                .withHeader("Yuccagw-Request-Id", "request-" + sentRequests)
+                .withHeader("Yuccagw-Request-Id", nextId())
                 .withHeader("Yuccagw-Deadline-Ms", "2000")
                 .withHeader("Authorization", "Bearer key-1");
     }
