--- a/src/test/java/org/yuccagw/daemon/TornHeadTest.java
+++ b/src/test/java/org/yuccagw/daemon/TornHeadTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import com.google.common.base.Splitter;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -118,16 +119,16 @@
         for (String line = reader.readLine(); line != null; line = reader.readLine()) {
             Map<String, String> request = ScriptedEndpoint.readRequest(line, reader);
             String head = HEAD.formatted(request.get("yuccagw-request-id"));
-            String word = line.split(" ")[1].replaceAll(".*/", "");
-            String[] parts = word.split("-");
-            boolean whole = parts.length < 3;
+            String word = line.replaceAll("^\\S+ \\S*/(\\S+) .*$", "$1");
+            List<String> parts = Splitter.on('-').splitToList(word);
+            boolean whole = parts.size() < 3;
             String answer = whole
                     ? head + "Content-Length: 4\r\n\r\nbody"
-                    : (head + framingOf(parts[0])).substring(0, Integer.parseInt(parts[2]));
+                    : (head + framingOf(parts.get(0))).substring(0, Integer.parseInt(parts.get(2)));
             socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
             socket.getOutputStream().flush();
             if (!whole) {
-                socket.setSoLinger(parts[1].equals("reset"), 0);
+                socket.setSoLinger(parts.get(1).equals("reset"), 0);
                 return;
             }
         }
