--- a/src/main/java/org/yuccagw/adapters/peer/NamingCodec.java
+++ b/src/main/java/org/yuccagw/adapters/peer/NamingCodec.java
@@ -26,10 +26,10 @@
             return true;
         }
         if (message instanceof NamingMessage.Age age) {
-            PeerProtocol.NamingMessage.Builder wire = encode(age.weights(), age.round())
+            PeerProtocol.NamingAgeMessage.Builder wire = PeerProtocol.NamingAgeMessage.newBuilder()
                     .setMinAgeMillis(age.minAge().toMillis());
-            age.maxAge().ifPresent(maxAge -> wire.setMaxAgeMillis(maxAge.toMillis() + 1));
-            envelope.setNaming(wire);
+            age.maxAge().ifPresent(maxAge -> wire.setMaxAgeKnown(true).setMaxAgeMillis(maxAge.toMillis() + 1));
+            envelope.setNaming(encode(age.weights(), age.round()).setAge(wire));
             return true;
         }
         return false;
@@ -49,12 +49,12 @@
         }
         PeerProtocol.NamingMessage wire = envelope.getNaming();
         ModelWeights weights = new ModelWeights(wire.getModel(), wire.getVersion());
-        if (!wire.hasMinAgeMillis()) {
+        if (!wire.hasAge()) {
             return Optional.of(new NamingMessage.Question(weights, wire.getRound()));
         }
-        Optional<Duration> maxAge =
-                wire.hasMaxAgeMillis() ? Optional.of(age(wire.getMaxAgeMillis())) : Optional.empty();
-        return Optional.of(new NamingMessage.Age(weights, wire.getRound(), maxAge, age(wire.getMinAgeMillis())));
+        PeerProtocol.NamingAgeMessage age = wire.getAge();
+        Optional<Duration> maxAge = age.getMaxAgeKnown() ? Optional.of(age(age.getMaxAgeMillis())) : Optional.empty();
+        return Optional.of(new NamingMessage.Age(weights, wire.getRound(), maxAge, age(age.getMinAgeMillis())));
     }
 
     private static Duration age(long millis) {
--- a/src/main/java/org/yuccagw/wire/PeerProtocol.java
+++ b/src/main/java/org/yuccagw/wire/PeerProtocol.java
@@ -32970,6 +32970,634 @@
 
   }
 
+  public interface NamingAgeMessageOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:yuccagw.NamingAgeMessage)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * at least this time has passed since the naming
+     * </pre>
+     *
+     * <code>int64 min_age_millis = 1;</code>
+     * @return The minAgeMillis.
+     */
+    long getMinAgeMillis();
+
+    /**
+     * <pre>
+     * whether the sender can tell how much time has passed at most
+     * </pre>
+     *
+     * <code>bool max_age_known = 2;</code>
+     * @return The maxAgeKnown.
+     */
+    boolean getMaxAgeKnown();
+
+    /**
+     * <code>int64 max_age_millis = 3;</code>
+     * @return The maxAgeMillis.
+     */
+    long getMaxAgeMillis();
+  }
+  /**
+   * Protobuf type {@code yuccagw.NamingAgeMessage}
+   */
+  public static final class NamingAgeMessage extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:yuccagw.NamingAgeMessage)
+      NamingAgeMessageOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 1,
+        /* suffix= */ "",
+        "NamingAgeMessage");
+    }
+    // Use NamingAgeMessage.newBuilder() to construct.
+    private NamingAgeMessage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private NamingAgeMessage() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_NamingAgeMessage_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_NamingAgeMessage_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_NamingAgeMessage_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.yuccagw.wire.PeerProtocol.NamingAgeMessage.class, org.yuccagw.wire.PeerProtocol.NamingAgeMessage.Builder.class);
+    }
+
+    public static final int MIN_AGE_MILLIS_FIELD_NUMBER = 1;
+    private long minAgeMillis_ = 0L;
+    /**
+     * <pre>
+     * at least this time has passed since the naming
+     * </pre>
+     *
+     * <code>int64 min_age_millis = 1;</code>
+     * @return The minAgeMillis.
+     */
+    @java.lang.Override
+    public long getMinAgeMillis() {
+      return minAgeMillis_;
+    }
+
+    public static final int MAX_AGE_KNOWN_FIELD_NUMBER = 2;
+    private boolean maxAgeKnown_ = false;
+    /**
+     * <pre>
+     * whether the sender can tell how much time has passed at most
+     * </pre>
+     *
+     * <code>bool max_age_known = 2;</code>
+     * @return The maxAgeKnown.
+     */
+    @java.lang.Override
+    public boolean getMaxAgeKnown() {
+      return maxAgeKnown_;
+    }
+
+    public static final int MAX_AGE_MILLIS_FIELD_NUMBER = 3;
+    private long maxAgeMillis_ = 0L;
+    /**
+     * <code>int64 max_age_millis = 3;</code>
+     * @return The maxAgeMillis.
+     */
+    @java.lang.Override
+    public long getMaxAgeMillis() {
+      return maxAgeMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (minAgeMillis_ != 0L) {
+        output.writeInt64(1, minAgeMillis_);
+      }
+      if (maxAgeKnown_ != false) {
+        output.writeBool(2, maxAgeKnown_);
+      }
+      if (maxAgeMillis_ != 0L) {
+        output.writeInt64(3, maxAgeMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+    private int computeSerializedSize_0() {
+      int size = 0;
+      if (minAgeMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(1, minAgeMillis_);
+      }
+      if (maxAgeKnown_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(2, maxAgeKnown_);
+      }
+      if (maxAgeMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(3, maxAgeMillis_);
+      }
+      return size;
+    }
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += computeSerializedSize_0();
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.yuccagw.wire.PeerProtocol.NamingAgeMessage)) {
+        return super.equals(obj);
+      }
+      org.yuccagw.wire.PeerProtocol.NamingAgeMessage other = (org.yuccagw.wire.PeerProtocol.NamingAgeMessage) obj;
+
+      if (getMinAgeMillis()
+          != other.getMinAgeMillis()) return false;
+      if (getMaxAgeKnown()
+          != other.getMaxAgeKnown()) return false;
+      if (getMaxAgeMillis()
+          != other.getMaxAgeMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + MIN_AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getMinAgeMillis());
+      hash = (37 * hash) + MAX_AGE_KNOWN_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getMaxAgeKnown());
+      hash = (37 * hash) + MAX_AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getMaxAgeMillis());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.NamingAgeMessage parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.NamingAgeMessage parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.NamingAgeMessage parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.NamingAgeMessage parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.NamingAgeMessage parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.yuccagw.wire.PeerProtocol.NamingAgeMessage parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.NamingAgeMessage parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.NamingAgeMessage parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.NamingAgeMessage parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.NamingAgeMessage parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.yuccagw.wire.PeerProtocol.NamingAgeMessage parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.yuccagw.wire.PeerProtocol.NamingAgeMessage parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.yuccagw.wire.PeerProtocol.NamingAgeMessage prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code yuccagw.NamingAgeMessage}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:yuccagw.NamingAgeMessage)
+        org.yuccagw.wire.PeerProtocol.NamingAgeMessageOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_NamingAgeMessage_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_NamingAgeMessage_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.yuccagw.wire.PeerProtocol.NamingAgeMessage.class, org.yuccagw.wire.PeerProtocol.NamingAgeMessage.Builder.class);
+      }
+
+      // Construct using org.yuccagw.wire.PeerProtocol.NamingAgeMessage.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        minAgeMillis_ = 0L;
+        maxAgeKnown_ = false;
+        maxAgeMillis_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.yuccagw.wire.PeerProtocol.internal_static_yuccagw_NamingAgeMessage_descriptor;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.NamingAgeMessage getDefaultInstanceForType() {
+        return org.yuccagw.wire.PeerProtocol.NamingAgeMessage.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.NamingAgeMessage build() {
+        org.yuccagw.wire.PeerProtocol.NamingAgeMessage result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.yuccagw.wire.PeerProtocol.NamingAgeMessage buildPartial() {
+        org.yuccagw.wire.PeerProtocol.NamingAgeMessage result = new org.yuccagw.wire.PeerProtocol.NamingAgeMessage(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.yuccagw.wire.PeerProtocol.NamingAgeMessage result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.minAgeMillis_ = minAgeMillis_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.maxAgeKnown_ = maxAgeKnown_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.maxAgeMillis_ = maxAgeMillis_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.yuccagw.wire.PeerProtocol.NamingAgeMessage) {
+          return mergeFrom((org.yuccagw.wire.PeerProtocol.NamingAgeMessage)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.yuccagw.wire.PeerProtocol.NamingAgeMessage other) {
+        if (other == org.yuccagw.wire.PeerProtocol.NamingAgeMessage.getDefaultInstance()) return this;
+        if (other.getMinAgeMillis() != 0L) {
+          setMinAgeMillis(other.getMinAgeMillis());
+        }
+        if (other.getMaxAgeKnown() != false) {
+          setMaxAgeKnown(other.getMaxAgeKnown());
+        }
+        if (other.getMaxAgeMillis() != 0L) {
+          setMaxAgeMillis(other.getMaxAgeMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        java.util.Objects.requireNonNull(extensionRegistry);
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                minAgeMillis_ = input.readInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                maxAgeKnown_ = input.readBool();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                maxAgeMillis_ = input.readInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long minAgeMillis_ ;
+      /**
+       * <pre>
+       * at least this time has passed since the naming
+       * </pre>
+       *
+       * <code>int64 min_age_millis = 1;</code>
+       * @return The minAgeMillis.
+       */
+      @java.lang.Override
+      public long getMinAgeMillis() {
+        return minAgeMillis_;
+      }
+      /**
+       * <pre>
+       * at least this time has passed since the naming
+       * </pre>
+       *
+       * <code>int64 min_age_millis = 1;</code>
+       * @param value The minAgeMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setMinAgeMillis(long value) {
+
+        minAgeMillis_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * at least this time has passed since the naming
+       * </pre>
+       *
+       * <code>int64 min_age_millis = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearMinAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        minAgeMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean maxAgeKnown_ ;
+      /**
+       * <pre>
+       * whether the sender can tell how much time has passed at most
+       * </pre>
+       *
+       * <code>bool max_age_known = 2;</code>
+       * @return The maxAgeKnown.
+       */
+      @java.lang.Override
+      public boolean getMaxAgeKnown() {
+        return maxAgeKnown_;
+      }
+      /**
+       * <pre>
+       * whether the sender can tell how much time has passed at most
+       * </pre>
+       *
+       * <code>bool max_age_known = 2;</code>
+       * @param value The maxAgeKnown to set.
+       * @return This builder for chaining.
+       */
+      public Builder setMaxAgeKnown(boolean value) {
+
+        maxAgeKnown_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * whether the sender can tell how much time has passed at most
+       * </pre>
+       *
+       * <code>bool max_age_known = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearMaxAgeKnown() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        maxAgeKnown_ = false;
+        onChanged();
+        return this;
+      }
+
+      private long maxAgeMillis_ ;
+      /**
+       * <code>int64 max_age_millis = 3;</code>
+       * @return The maxAgeMillis.
+       */
+      @java.lang.Override
+      public long getMaxAgeMillis() {
+        return maxAgeMillis_;
+      }
+      /**
+       * <code>int64 max_age_millis = 3;</code>
+       * @param value The maxAgeMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setMaxAgeMillis(long value) {
+
+        maxAgeMillis_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 max_age_millis = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearMaxAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        maxAgeMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:yuccagw.NamingAgeMessage)
+    }
+
+    // @@protoc_insertion_point(class_scope:yuccagw.NamingAgeMessage)
+    private static final org.yuccagw.wire.PeerProtocol.NamingAgeMessage DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.yuccagw.wire.PeerProtocol.NamingAgeMessage();
+    }
+
+    public static org.yuccagw.wire.PeerProtocol.NamingAgeMessage getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<NamingAgeMessage>
+        PARSER = new com.google.protobuf.AbstractParser<NamingAgeMessage>() {
+      @java.lang.Override
+      public NamingAgeMessage parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<NamingAgeMessage> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<NamingAgeMessage> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.yuccagw.wire.PeerProtocol.NamingAgeMessage getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   public interface NamingMessageOrBuilder extends
       // @@protoc_insertion_point(interface_extends:yuccagw.NamingMessage)
       com.google.protobuf.MessageOrBuilder {
@@ -33004,41 +33632,30 @@
 
     /**
      * <pre>
-     * in answers: at least this time has passed since the naming
-     * </pre>
-     *
-     * <code>optional int64 min_age_millis = 4;</code>
-     * @return Whether the minAgeMillis field is set.
-     */
-    boolean hasMinAgeMillis();
-    /**
-     * <pre>
-     * in answers: at least this time has passed since the naming
+     * in answers
      * </pre>
      *
-     * <code>optional int64 min_age_millis = 4;</code>
-     * @return The minAgeMillis.
+     * <code>.yuccagw.NamingAgeMessage age = 4;</code>
+     * @return Whether the age field is set.
      */
-    long getMinAgeMillis();
-
+    boolean hasAge();
     /**
      * <pre>
-     * in answers, unless unknown: at most this time has passed
+     * in answers
      * </pre>
      *
-     * <code>optional int64 max_age_millis = 5;</code>
-     * @return Whether the maxAgeMillis field is set.
+     * <code>.yuccagw.NamingAgeMessage age = 4;</code>
+     * @return The age.
      */
-    boolean hasMaxAgeMillis();
+    org.yuccagw.wire.PeerProtocol.NamingAgeMessage getAge();
     /**
      * <pre>
-     * in answers, unless unknown: at most this time has passed
+     * in answers
      * </pre>
      *
-     * <code>optional int64 max_age_millis = 5;</code>
-     * @return The maxAgeMillis.
+     * <code>.yuccagw.NamingAgeMessage age = 4;</code>
      */
-    long getMaxAgeMillis();
+    org.yuccagw.wire.PeerProtocol.NamingAgeMessageOrBuilder getAgeOrBuilder();
   }
   /**
    * Protobuf type {@code yuccagw.NamingMessage}
@@ -33149,58 +33766,42 @@
       return round_;
     }
 
-    public static final int MIN_AGE_MILLIS_FIELD_NUMBER = 4;
-    private long minAgeMillis_ = 0L;
+    public static final int AGE_FIELD_NUMBER = 4;
+    private org.yuccagw.wire.PeerProtocol.NamingAgeMessage age_;
     /**
      * <pre>
-     * in answers: at least this time has passed since the naming
+     * in answers
      * </pre>
      *
-     * <code>optional int64 min_age_millis = 4;</code>
-     * @return Whether the minAgeMillis field is set.
+     * <code>.yuccagw.NamingAgeMessage age = 4;</code>
+     * @return Whether the age field is set.
      */
     @java.lang.Override
-    public boolean hasMinAgeMillis() {
+    public boolean hasAge() {
       return ((bitField0_ & 0x00000001) != 0);
     }
     /**
      * <pre>
-     * in answers: at least this time has passed since the naming
-     * </pre>
-     *
-     * <code>optional int64 min_age_millis = 4;</code>
-     * @return The minAgeMillis.
-     */
-    @java.lang.Override
-    public long getMinAgeMillis() {
-      return minAgeMillis_;
-    }
-
-    public static final int MAX_AGE_MILLIS_FIELD_NUMBER = 5;
-    private long maxAgeMillis_ = 0L;
-    /**
-     * <pre>
-     * in answers, unless unknown: at most this time has passed
+     * in answers
      * </pre>
      *
-     * <code>optional int64 max_age_millis = 5;</code>
-     * @return Whether the maxAgeMillis field is set.
+     * <code>.yuccagw.NamingAgeMessage age = 4;</code>
+     * @return The age.
      */
     @java.lang.Override
-    public boolean hasMaxAgeMillis() {
-      return ((bitField0_ & 0x00000002) != 0);
+    public org.yuccagw.wire.PeerProtocol.NamingAgeMessage getAge() {
+      return age_ == null ? org.yuccagw.wire.PeerProtocol.NamingAgeMessage.getDefaultInstance() : age_;
     }
     /**
      * <pre>
-     * in answers, unless unknown: at most this time has passed
+     * in answers
      * </pre>
      *
-     * <code>optional int64 max_age_millis = 5;</code>
-     * @return The maxAgeMillis.
+     * <code>.yuccagw.NamingAgeMessage age = 4;</code>
      */
     @java.lang.Override
-    public long getMaxAgeMillis() {
-      return maxAgeMillis_;
+    public org.yuccagw.wire.PeerProtocol.NamingAgeMessageOrBuilder getAgeOrBuilder() {
+      return age_ == null ? org.yuccagw.wire.PeerProtocol.NamingAgeMessage.getDefaultInstance() : age_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -33227,10 +33828,7 @@
         output.writeInt32(3, round_);
       }
       if (((bitField0_ & 0x00000001) != 0)) {
-        output.writeInt64(4, minAgeMillis_);
-      }
-      if (((bitField0_ & 0x00000002) != 0)) {
-        output.writeInt64(5, maxAgeMillis_);
+        output.writeMessage(4, getAge());
       }
       getUnknownFields().writeTo(output);
     }
@@ -33249,11 +33847,7 @@
       }
       if (((bitField0_ & 0x00000001) != 0)) {
         size += com.google.protobuf.CodedOutputStream
-          .computeInt64Size(4, minAgeMillis_);
-      }
-      if (((bitField0_ & 0x00000002) != 0)) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeInt64Size(5, maxAgeMillis_);
+          .computeMessageSize(4, getAge());
       }
       return size;
     }
@@ -33285,15 +33879,10 @@
           != other.getVersion()) return false;
       if (getRound()
           != other.getRound()) return false;
-      if (hasMinAgeMillis() != other.hasMinAgeMillis()) return false;
-      if (hasMinAgeMillis()) {
-        if (getMinAgeMillis()
-            != other.getMinAgeMillis()) return false;
-      }
-      if (hasMaxAgeMillis() != other.hasMaxAgeMillis()) return false;
-      if (hasMaxAgeMillis()) {
-        if (getMaxAgeMillis()
-            != other.getMaxAgeMillis()) return false;
+      if (hasAge() != other.hasAge()) return false;
+      if (hasAge()) {
+        if (!getAge()
+            .equals(other.getAge())) return false;
       }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
@@ -33313,15 +33902,9 @@
           getVersion());
       hash = (37 * hash) + ROUND_FIELD_NUMBER;
       hash = (53 * hash) + getRound();
-      if (hasMinAgeMillis()) {
-        hash = (37 * hash) + MIN_AGE_MILLIS_FIELD_NUMBER;
-        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-            getMinAgeMillis());
-      }
-      if (hasMaxAgeMillis()) {
-        hash = (37 * hash) + MAX_AGE_MILLIS_FIELD_NUMBER;
-        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-            getMaxAgeMillis());
+      if (hasAge()) {
+        hash = (37 * hash) + AGE_FIELD_NUMBER;
+        hash = (53 * hash) + getAge().hashCode();
       }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
@@ -33442,13 +34025,19 @@
 
       // Construct using org.yuccagw.wire.PeerProtocol.NamingMessage.newBuilder()
       private Builder() {
-
+        maybeForceBuilderInitialization();
       }
 
       private Builder(
           com.google.protobuf.GeneratedMessage.BuilderParent parent) {
         super(parent);
-
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetAgeFieldBuilder();
+        }
       }
       @java.lang.Override
       public Builder clear() {
@@ -33457,8 +34046,11 @@
         model_ = "";
         version_ = 0L;
         round_ = 0;
-        minAgeMillis_ = 0L;
-        maxAgeMillis_ = 0L;
+        age_ = null;
+        if (ageBuilder_ != null) {
+          ageBuilder_.dispose();
+          ageBuilder_ = null;
+        }
         return this;
       }
 
@@ -33503,13 +34095,11 @@
         }
         int to_bitField0_ = 0;
         if (((from_bitField0_ & 0x00000008) != 0)) {
-          result.minAgeMillis_ = minAgeMillis_;
+          result.age_ = ageBuilder_ == null
+              ? age_
+              : ageBuilder_.build();
           to_bitField0_ |= 0x00000001;
         }
-        if (((from_bitField0_ & 0x00000010) != 0)) {
-          result.maxAgeMillis_ = maxAgeMillis_;
-          to_bitField0_ |= 0x00000002;
-        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -33536,11 +34126,8 @@
         if (other.getRound() != 0) {
           setRound(other.getRound());
         }
-        if (other.hasMinAgeMillis()) {
-          setMinAgeMillis(other.getMinAgeMillis());
-        }
-        if (other.hasMaxAgeMillis()) {
-          setMaxAgeMillis(other.getMaxAgeMillis());
+        if (other.hasAge()) {
+          mergeAge(other.getAge());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -33581,16 +34168,13 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
-              case 32: {
-                minAgeMillis_ = input.readInt64();
+              case 34: {
+                input.readMessage(
+                    internalGetAgeFieldBuilder().getBuilder(),
+                    extensionRegistry);
                 bitField0_ |= 0x00000008;
                 break;
-              } // case 32
-              case 40: {
-                maxAgeMillis_ = input.readInt64();
-                bitField0_ |= 0x00000010;
-                break;
-              } // case 40
+              } // case 34
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -33756,116 +34340,159 @@
         return this;
       }
 
-      private long minAgeMillis_ ;
+      private org.yuccagw.wire.PeerProtocol.NamingAgeMessage age_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.NamingAgeMessage, org.yuccagw.wire.PeerProtocol.NamingAgeMessage.Builder, org.yuccagw.wire.PeerProtocol.NamingAgeMessageOrBuilder> ageBuilder_;
       /**
        * <pre>
-       * in answers: at least this time has passed since the naming
+       * in answers
        * </pre>
        *
-       * <code>optional int64 min_age_millis = 4;</code>
-       * @return Whether the minAgeMillis field is set.
+       * <code>.yuccagw.NamingAgeMessage age = 4;</code>
+       * @return Whether the age field is set.
        */
-      @java.lang.Override
-      public boolean hasMinAgeMillis() {
+      public boolean hasAge() {
         return ((bitField0_ & 0x00000008) != 0);
       }
       /**
        * <pre>
-       * in answers: at least this time has passed since the naming
+       * in answers
        * </pre>
        *
-       * <code>optional int64 min_age_millis = 4;</code>
-       * @return The minAgeMillis.
+       * <code>.yuccagw.NamingAgeMessage age = 4;</code>
+       * @return The age.
        */
-      @java.lang.Override
-      public long getMinAgeMillis() {
-        return minAgeMillis_;
+      public org.yuccagw.wire.PeerProtocol.NamingAgeMessage getAge() {
+        if (ageBuilder_ == null) {
+          return age_ == null ? org.yuccagw.wire.PeerProtocol.NamingAgeMessage.getDefaultInstance() : age_;
+        } else {
+          return ageBuilder_.getMessage();
+        }
       }
       /**
        * <pre>
-       * in answers: at least this time has passed since the naming
+       * in answers
        * </pre>
        *
-       * <code>optional int64 min_age_millis = 4;</code>
-       * @param value The minAgeMillis to set.
-       * @return This builder for chaining.
+       * <code>.yuccagw.NamingAgeMessage age = 4;</code>
        */
-      public Builder setMinAgeMillis(long value) {
-
-        minAgeMillis_ = value;
+      public Builder setAge(org.yuccagw.wire.PeerProtocol.NamingAgeMessage value) {
+        if (ageBuilder_ == null) {
+          java.util.Objects.requireNonNull(value);
+          age_ = value;
+        } else {
+          ageBuilder_.setMessage(value);
+        }
         bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * in answers: at least this time has passed since the naming
+       * in answers
        * </pre>
        *
-       * <code>optional int64 min_age_millis = 4;</code>
-       * @return This builder for chaining.
+       * <code>.yuccagw.NamingAgeMessage age = 4;</code>
        */
-      public Builder clearMinAgeMillis() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        minAgeMillis_ = 0L;
+      public Builder setAge(
+          org.yuccagw.wire.PeerProtocol.NamingAgeMessage.Builder builderForValue) {
+        if (ageBuilder_ == null) {
+          age_ = builderForValue.build();
+        } else {
+          ageBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
-
-      private long maxAgeMillis_ ;
       /**
        * <pre>
-       * in answers, unless unknown: at most this time has passed
+       * in answers
        * </pre>
        *
-       * <code>optional int64 max_age_millis = 5;</code>
-       * @return Whether the maxAgeMillis field is set.
+       * <code>.yuccagw.NamingAgeMessage age = 4;</code>
        */
-      @java.lang.Override
-      public boolean hasMaxAgeMillis() {
-        return ((bitField0_ & 0x00000010) != 0);
+      public Builder mergeAge(org.yuccagw.wire.PeerProtocol.NamingAgeMessage value) {
+        if (ageBuilder_ == null) {
+          if (((bitField0_ & 0x00000008) != 0) &&
+            age_ != null &&
+            age_ != org.yuccagw.wire.PeerProtocol.NamingAgeMessage.getDefaultInstance()) {
+            getAgeBuilder().mergeFrom(value);
+          } else {
+            age_ = value;
+          }
+        } else {
+          ageBuilder_.mergeFrom(value);
+        }
+        if (age_ != null) {
+          bitField0_ |= 0x00000008;
+          onChanged();
+        }
+        return this;
       }
       /**
        * <pre>
-       * in answers, unless unknown: at most this time has passed
+       * in answers
        * </pre>
        *
-       * <code>optional int64 max_age_millis = 5;</code>
-       * @return The maxAgeMillis.
+       * <code>.yuccagw.NamingAgeMessage age = 4;</code>
        */
-      @java.lang.Override
-      public long getMaxAgeMillis() {
-        return maxAgeMillis_;
+      public Builder clearAge() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        age_ = null;
+        if (ageBuilder_ != null) {
+          ageBuilder_.dispose();
+          ageBuilder_ = null;
+        }
+        onChanged();
+        return this;
       }
       /**
        * <pre>
-       * in answers, unless unknown: at most this time has passed
+       * in answers
        * </pre>
        *
-       * <code>optional int64 max_age_millis = 5;</code>
-       * @param value The maxAgeMillis to set.
-       * @return This builder for chaining.
+       * <code>.yuccagw.NamingAgeMessage age = 4;</code>
        */
-      public Builder setMaxAgeMillis(long value) {
-
-        maxAgeMillis_ = value;
-        bitField0_ |= 0x00000010;
+      public org.yuccagw.wire.PeerProtocol.NamingAgeMessage.Builder getAgeBuilder() {
+        bitField0_ |= 0x00000008;
         onChanged();
-        return this;
+        return internalGetAgeFieldBuilder().getBuilder();
       }
       /**
        * <pre>
-       * in answers, unless unknown: at most this time has passed
+       * in answers
        * </pre>
        *
-       * <code>optional int64 max_age_millis = 5;</code>
-       * @return This builder for chaining.
+       * <code>.yuccagw.NamingAgeMessage age = 4;</code>
        */
-      public Builder clearMaxAgeMillis() {
-        bitField0_ = (bitField0_ & ~0x00000010);
-        maxAgeMillis_ = 0L;
-        onChanged();
-        return this;
+      public org.yuccagw.wire.PeerProtocol.NamingAgeMessageOrBuilder getAgeOrBuilder() {
+        if (ageBuilder_ != null) {
+          return ageBuilder_.getMessageOrBuilder();
+        } else {
+          return age_ == null ?
+              org.yuccagw.wire.PeerProtocol.NamingAgeMessage.getDefaultInstance() : age_;
+        }
+      }
+      /**
+       * <pre>
+       * in answers
+       * </pre>
+       *
+       * <code>.yuccagw.NamingAgeMessage age = 4;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.yuccagw.wire.PeerProtocol.NamingAgeMessage, org.yuccagw.wire.PeerProtocol.NamingAgeMessage.Builder, org.yuccagw.wire.PeerProtocol.NamingAgeMessageOrBuilder> 
+          internalGetAgeFieldBuilder() {
+        if (ageBuilder_ == null) {
+          ageBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.yuccagw.wire.PeerProtocol.NamingAgeMessage, org.yuccagw.wire.PeerProtocol.NamingAgeMessage.Builder, org.yuccagw.wire.PeerProtocol.NamingAgeMessageOrBuilder>(
+                  getAge(),
+                  getParentForChildren(),
+                  isClean());
+          age_ = null;
+        }
+        return ageBuilder_;
       }
 
       // @@protoc_insertion_point(builder_scope:yuccagw.NamingMessage)
@@ -60395,6 +61022,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_yuccagw_FollowMessage_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_yuccagw_NamingAgeMessage_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_yuccagw_NamingAgeMessage_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_yuccagw_NamingMessage_descriptor;
   private static final 
@@ -60654,93 +61286,94 @@
       "ms\030\005 \003(\0132\020.yuccagw.KeyItem\022\026\n\016after_revi" +
       "sion\030\007 \001(\003\022\035\n\025lapses_up_to_revision\030\010 \001(" +
       "\003\022\'\n\010coverage\030\t \001(\0132\025.yuccagw.CopyCovera" +
-      "geJ\004\010\006\020\007\"\236\001\n\rNamingMessage\022\r\n\005model\030\001 \001(" +
-      "\t\022\017\n\007version\030\002 \001(\003\022\r\n\005round\030\003 \001(\005\022\033\n\016min" +
-      "_age_millis\030\004 \001(\003H\000\210\001\001\022\033\n\016max_age_millis" +
-      "\030\005 \001(\003H\001\210\001\001B\021\n\017_min_age_millisB\021\n\017_max_a" +
-      "ge_millis\"M\n\014BreakMessage\022\023\n\013fingerprint" +
-      "\030\001 \001(\t\022(\n\010endpoint\030\003 \001(\0132\026.yuccagw.Endpo" +
-      "intStart\"1\n\022SuspectPartMessage\022\r\n\005model\030" +
-      "\001 \001(\t\022\014\n\004part\030\002 \001(\t\"s\n\022LostAttemptMessag" +
-      "e\022*\n\005parts\030\001 \003(\0132\033.yuccagw.SuspectPartMe" +
-      "ssage\022\027\n\017sent_age_millis\030\002 \001(\003\022\030\n\020crash_" +
-      "age_millis\030\003 \001(\003\"y\n\022RefusedPartMessage\022)" +
-      "\n\004part\030\001 \001(\0132\033.yuccagw.SuspectPartMessag" +
-      "e\022\017\n\007crashes\030\002 \001(\005\022\022\n\nage_millis\030\003 \001(\003\022\023" +
-      "\n\013idle_millis\030\004 \001(\003\"\311\001\n\016SuspectMessage\022\'" +
-      "\n\007crashed\030\001 \001(\0132\026.yuccagw.EndpointStart\022" +
-      "2\n\rlost_attempts\030\002 \003(\0132\033.yuccagw.LostAtt" +
-      "emptMessage\022,\n\007cleared\030\003 \003(\0132\033.yuccagw.S" +
-      "uspectPartMessage\022,\n\007refused\030\004 \003(\0132\033.yuc" +
-      "cagw.RefusedPartMessage\"k\n\025RejectionLimi" +
-      "tMessage\022(\n\010endpoint\030\001 \001(\0132\026.yuccagw.End" +
-      "pointStart\022\026\n\016max_rejections\030\002 \001(\005\022\020\n\010re" +
-      "jected\030\003 \001(\010\"u\n\020RateLimitMessage\022(\n\010endp" +
-      "oint\030\001 \001(\0132\026.yuccagw.EndpointStart\022\017\n\007li" +
-      "mited\030\002 \001(\010\022\022\n\nper_second\030\003 \001(\001\022\022\n\nage_m" +
-      "illis\030\004 \001(\003\"i\n\023EndpointNewsMessage\022(\n\010en" +
-      "dpoint\030\001 \001(\0132\026.yuccagw.EndpointStart\022\017\n\007" +
-      "leaving\030\002 \001(\010\022\027\n\017back_off_millis\030\003 \001(\003\"O" +
-      "\n\014RosterMember\022!\n\007contact\030\001 \001(\0132\020.yuccag" +
-      "w.Contact\022\r\n\005ready\030\002 \001(\010\022\r\n\005heard\030\003 \001(\010\"" +
-      "\201\001\n\rRosterMessage\022\016\n\006domain\030\001 \001(\t\022\016\n\006dig" +
-      "est\030\002 \001(\006\022\024\n\014with_members\030\003 \001(\010\022&\n\007membe" +
-      "rs\030\004 \003(\0132\025.yuccagw.RosterMember\022\022\n\nage_m" +
-      "illis\030\005 \001(\003\"\221\001\n\rDigestMessage\022&\n\006status\030" +
-      "\001 \001(\0132\026.yuccagw.StatusMessage\022\034\n\024confirm" +
-      "ed_age_millis\030\002 \001(\003\022\021\n\tconfirmed\030\003 \001(\010\022\'" +
-      "\n\007rosters\030\004 \003(\0132\026.yuccagw.RosterMessage\"" +
-      "\"\n\020RosterAskMessage\022\016\n\006domain\030\001 \001(\t\"/\n\021P" +
-      "romptPartMessage\022\n\n\002id\030\001 \001(\t\022\016\n\006tokens\030\002" +
-      " \001(\005\"w\n\rPromptMessage\022\r\n\005model\030\001 \001(\t\022\025\n\r" +
-      "prompt_tokens\030\002 \001(\005\022\025\n\ranswer_tokens\030\003 \001" +
-      "(\005\022)\n\005parts\030\004 \003(\0132\032.yuccagw.PromptPartMe" +
-      "ssage\"\355\001\n\023PlacementAskMessage\022\017\n\007request" +
-      "\030\001 \001(\t\022\r\n\005route\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\021" +
-      "\n\tworkspace\030\004 \001(\t\022&\n\006prompt\030\005 \001(\0132\026.yucc" +
-      "agw.PromptMessage\022\023\n\013fingerprint\030\006 \001(\t\022\020" +
-      "\n\010excluded\030\007 \003(\t\022\014\n\004kind\030\010 \001(\t\022\016\n\006pinned" +
-      "\030\t \001(\003\022\023\n\013left_millis\030\n \001(\003\022\020\n\010software\030" +
-      "\013 \001(\t\"3\n\022CacheSourceMessage\022\r\n\005store\030\001 \001" +
-      "(\t\022\016\n\006tokens\030\002 \001(\005\"e\n\020CachePlanMessage\022," +
-      "\n\007fetches\030\001 \003(\0132\033.yuccagw.CacheSourceMes" +
-      "sage\022\r\n\005saves\030\002 \003(\t\022\024\n\014until_millis\030\003 \001(" +
-      "\003\"\224\002\n\rPlacedMessage\022(\n\010endpoint\030\001 \001(\0132\026." +
-      "yuccagw.EndpointStart\022\017\n\007version\030\002 \001(\003\022\024" +
-      "\n\014with_version\030\003 \001(\010\022\014\n\004salt\030\004 \001(\t\022\021\n\twi" +
-      "th_salt\030\005 \001(\010\022(\n\005cache\030\006 \001(\0132\031.yuccagw.C" +
-      "achePlanMessage\022\017\n\007urgency\030\007 \001(\005\022\031\n\021firs" +
-      "t_byte_millis\030\010 \001(\003\022\016\n\006tokens\030\t \001(\003\022\025\n\ru" +
-      "nread_tokens\030\n \001(\003\022\024\n\014rate_limited\030\013 \001(\010" +
-      "\"T\n\027PlacementRefusedMessage\022\014\n\004kind\030\001 \001(" +
-      "\t\022\017\n\007message\030\002 \001(\t\022\032\n\022retry_after_millis" +
-      "\030\003 \001(\003\"p\n\025PlacementEndedMessage\022\013\n\003end\030\001" +
-      " \001(\t\022\017\n\007version\030\002 \001(\003\022(\n\004pace\030\003 \001(\0132\032.yu" +
-      "ccagw.AnswerPaceMessage\022\017\n\007success\030\004 \001(\t" +
-      "\"t\n\021AnswerPaceMessage\022\016\n\006events\030\001 \001(\005\022\032\n" +
-      "\022first_event_millis\030\002 \001(\005\022\027\n\017mean_gap_mi" +
-      "llis\030\003 \001(\005\022\032\n\022longest_gap_millis\030\004 \001(\005\"\263" +
-      "\002\n\020PlacementMessage\022\016\n\006number\030\001 \001(\003\022+\n\003a" +
-      "sk\030\002 \001(\0132\034.yuccagw.PlacementAskMessageH\000" +
-      "\022\021\n\007waiting\030\003 \001(\010H\000\022(\n\006placed\030\004 \001(\0132\026.yu" +
-      "ccagw.PlacedMessageH\000\0223\n\007refused\030\005 \001(\0132 " +
-      ".yuccagw.PlacementRefusedMessageH\000\022\017\n\005be" +
-      "gun\030\006 \001(\010H\000\022/\n\005ended\030\007 \001(\0132\036.yuccagw.Pla" +
-      "cementEndedMessageH\000\022\023\n\tundecided\030\010 \001(\010H" +
-      "\000\022\021\n\007dropped\030\t \001(\010H\000B\006\n\004step\"Z\n\nKeptOrig" +
-      "in\022\017\n\007request\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\020\n\010" +
-      "software\030\003 \001(\t\022\030\n\020remaining_millis\030\004 \001(\003" +
-      "\":\n\022KeepOriginsMessage\022$\n\007records\030\001 \003(\0132" +
-      "\023.yuccagw.KeptOrigin\"a\n\020AskOriginMessage" +
-      "\022\016\n\006number\030\001 \001(\003\022\017\n\007request\030\002 \001(\t\022\024\n\014onl" +
-      "y_service\030\003 \001(\t\022\026\n\016max_age_millis\030\004 \001(\003\"" +
-      "J\n\023OriginAnswerMessage\022\016\n\006number\030\001 \001(\003\022#" +
-      "\n\006record\030\002 \001(\0132\023.yuccagw.KeptOrigin\"\236\001\n\r" +
-      "OriginMessage\022+\n\004keep\030\001 \001(\0132\033.yuccagw.Ke" +
-      "epOriginsMessageH\000\022(\n\003ask\030\002 \001(\0132\031.yuccag" +
-      "w.AskOriginMessageH\000\022.\n\006answer\030\003 \001(\0132\034.y" +
-      "uccagw.OriginAnswerMessageH\000B\006\n\004stepB \n\020" +
-      "org.yuccagw.wireB\014PeerProtocolb\006proto3"
+      "geJ\004\010\006\020\007\"Y\n\020NamingAgeMessage\022\026\n\016min_age_" +
+      "millis\030\001 \001(\003\022\025\n\rmax_age_known\030\002 \001(\010\022\026\n\016m" +
+      "ax_age_millis\030\003 \001(\003\"f\n\rNamingMessage\022\r\n\005" +
+      "model\030\001 \001(\t\022\017\n\007version\030\002 \001(\003\022\r\n\005round\030\003 " +
+      "\001(\005\022&\n\003age\030\004 \001(\0132\031.yuccagw.NamingAgeMess" +
+      "age\"M\n\014BreakMessage\022\023\n\013fingerprint\030\001 \001(\t" +
+      "\022(\n\010endpoint\030\003 \001(\0132\026.yuccagw.EndpointSta" +
+      "rt\"1\n\022SuspectPartMessage\022\r\n\005model\030\001 \001(\t\022" +
+      "\014\n\004part\030\002 \001(\t\"s\n\022LostAttemptMessage\022*\n\005p" +
+      "arts\030\001 \003(\0132\033.yuccagw.SuspectPartMessage\022" +
+      "\027\n\017sent_age_millis\030\002 \001(\003\022\030\n\020crash_age_mi" +
+      "llis\030\003 \001(\003\"y\n\022RefusedPartMessage\022)\n\004part" +
+      "\030\001 \001(\0132\033.yuccagw.SuspectPartMessage\022\017\n\007c" +
+      "rashes\030\002 \001(\005\022\022\n\nage_millis\030\003 \001(\003\022\023\n\013idle" +
+      "_millis\030\004 \001(\003\"\311\001\n\016SuspectMessage\022\'\n\007cras" +
+      "hed\030\001 \001(\0132\026.yuccagw.EndpointStart\0222\n\rlos" +
+      "t_attempts\030\002 \003(\0132\033.yuccagw.LostAttemptMe" +
+      "ssage\022,\n\007cleared\030\003 \003(\0132\033.yuccagw.Suspect" +
+      "PartMessage\022,\n\007refused\030\004 \003(\0132\033.yuccagw.R" +
+      "efusedPartMessage\"k\n\025RejectionLimitMessa" +
+      "ge\022(\n\010endpoint\030\001 \001(\0132\026.yuccagw.EndpointS" +
+      "tart\022\026\n\016max_rejections\030\002 \001(\005\022\020\n\010rejected" +
+      "\030\003 \001(\010\"u\n\020RateLimitMessage\022(\n\010endpoint\030\001" +
+      " \001(\0132\026.yuccagw.EndpointStart\022\017\n\007limited\030" +
+      "\002 \001(\010\022\022\n\nper_second\030\003 \001(\001\022\022\n\nage_millis\030" +
+      "\004 \001(\003\"i\n\023EndpointNewsMessage\022(\n\010endpoint" +
+      "\030\001 \001(\0132\026.yuccagw.EndpointStart\022\017\n\007leavin" +
+      "g\030\002 \001(\010\022\027\n\017back_off_millis\030\003 \001(\003\"O\n\014Rost" +
+      "erMember\022!\n\007contact\030\001 \001(\0132\020.yuccagw.Cont" +
+      "act\022\r\n\005ready\030\002 \001(\010\022\r\n\005heard\030\003 \001(\010\"\201\001\n\rRo" +
+      "sterMessage\022\016\n\006domain\030\001 \001(\t\022\016\n\006digest\030\002 " +
+      "\001(\006\022\024\n\014with_members\030\003 \001(\010\022&\n\007members\030\004 \003" +
+      "(\0132\025.yuccagw.RosterMember\022\022\n\nage_millis\030" +
+      "\005 \001(\003\"\221\001\n\rDigestMessage\022&\n\006status\030\001 \001(\0132" +
+      "\026.yuccagw.StatusMessage\022\034\n\024confirmed_age" +
+      "_millis\030\002 \001(\003\022\021\n\tconfirmed\030\003 \001(\010\022\'\n\007rost" +
+      "ers\030\004 \003(\0132\026.yuccagw.RosterMessage\"\"\n\020Ros" +
+      "terAskMessage\022\016\n\006domain\030\001 \001(\t\"/\n\021PromptP" +
+      "artMessage\022\n\n\002id\030\001 \001(\t\022\016\n\006tokens\030\002 \001(\005\"w" +
+      "\n\rPromptMessage\022\r\n\005model\030\001 \001(\t\022\025\n\rprompt" +
+      "_tokens\030\002 \001(\005\022\025\n\ranswer_tokens\030\003 \001(\005\022)\n\005" +
+      "parts\030\004 \003(\0132\032.yuccagw.PromptPartMessage\"" +
+      "\355\001\n\023PlacementAskMessage\022\017\n\007request\030\001 \001(\t" +
+      "\022\r\n\005route\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\021\n\twork" +
+      "space\030\004 \001(\t\022&\n\006prompt\030\005 \001(\0132\026.yuccagw.Pr" +
+      "omptMessage\022\023\n\013fingerprint\030\006 \001(\t\022\020\n\010excl" +
+      "uded\030\007 \003(\t\022\014\n\004kind\030\010 \001(\t\022\016\n\006pinned\030\t \001(\003" +
+      "\022\023\n\013left_millis\030\n \001(\003\022\020\n\010software\030\013 \001(\t\"" +
+      "3\n\022CacheSourceMessage\022\r\n\005store\030\001 \001(\t\022\016\n\006" +
+      "tokens\030\002 \001(\005\"e\n\020CachePlanMessage\022,\n\007fetc" +
+      "hes\030\001 \003(\0132\033.yuccagw.CacheSourceMessage\022\r" +
+      "\n\005saves\030\002 \003(\t\022\024\n\014until_millis\030\003 \001(\003\"\224\002\n\r" +
+      "PlacedMessage\022(\n\010endpoint\030\001 \001(\0132\026.yuccag" +
+      "w.EndpointStart\022\017\n\007version\030\002 \001(\003\022\024\n\014with" +
+      "_version\030\003 \001(\010\022\014\n\004salt\030\004 \001(\t\022\021\n\twith_sal" +
+      "t\030\005 \001(\010\022(\n\005cache\030\006 \001(\0132\031.yuccagw.CachePl" +
+      "anMessage\022\017\n\007urgency\030\007 \001(\005\022\031\n\021first_byte" +
+      "_millis\030\010 \001(\003\022\016\n\006tokens\030\t \001(\003\022\025\n\runread_" +
+      "tokens\030\n \001(\003\022\024\n\014rate_limited\030\013 \001(\010\"T\n\027Pl" +
+      "acementRefusedMessage\022\014\n\004kind\030\001 \001(\t\022\017\n\007m" +
+      "essage\030\002 \001(\t\022\032\n\022retry_after_millis\030\003 \001(\003" +
+      "\"p\n\025PlacementEndedMessage\022\013\n\003end\030\001 \001(\t\022\017" +
+      "\n\007version\030\002 \001(\003\022(\n\004pace\030\003 \001(\0132\032.yuccagw." +
+      "AnswerPaceMessage\022\017\n\007success\030\004 \001(\t\"t\n\021An" +
+      "swerPaceMessage\022\016\n\006events\030\001 \001(\005\022\032\n\022first" +
+      "_event_millis\030\002 \001(\005\022\027\n\017mean_gap_millis\030\003" +
+      " \001(\005\022\032\n\022longest_gap_millis\030\004 \001(\005\"\263\002\n\020Pla" +
+      "cementMessage\022\016\n\006number\030\001 \001(\003\022+\n\003ask\030\002 \001" +
+      "(\0132\034.yuccagw.PlacementAskMessageH\000\022\021\n\007wa" +
+      "iting\030\003 \001(\010H\000\022(\n\006placed\030\004 \001(\0132\026.yuccagw." +
+      "PlacedMessageH\000\0223\n\007refused\030\005 \001(\0132 .yucca" +
+      "gw.PlacementRefusedMessageH\000\022\017\n\005begun\030\006 " +
+      "\001(\010H\000\022/\n\005ended\030\007 \001(\0132\036.yuccagw.Placement" +
+      "EndedMessageH\000\022\023\n\tundecided\030\010 \001(\010H\000\022\021\n\007d" +
+      "ropped\030\t \001(\010H\000B\006\n\004step\"Z\n\nKeptOrigin\022\017\n\007" +
+      "request\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\020\n\010softwa" +
+      "re\030\003 \001(\t\022\030\n\020remaining_millis\030\004 \001(\003\":\n\022Ke" +
+      "epOriginsMessage\022$\n\007records\030\001 \003(\0132\023.yucc" +
+      "agw.KeptOrigin\"a\n\020AskOriginMessage\022\016\n\006nu" +
+      "mber\030\001 \001(\003\022\017\n\007request\030\002 \001(\t\022\024\n\014only_serv" +
+      "ice\030\003 \001(\t\022\026\n\016max_age_millis\030\004 \001(\003\"J\n\023Ori" +
+      "ginAnswerMessage\022\016\n\006number\030\001 \001(\003\022#\n\006reco" +
+      "rd\030\002 \001(\0132\023.yuccagw.KeptOrigin\"\236\001\n\rOrigin" +
+      "Message\022+\n\004keep\030\001 \001(\0132\033.yuccagw.KeepOrig" +
+      "insMessageH\000\022(\n\003ask\030\002 \001(\0132\031.yuccagw.AskO" +
+      "riginMessageH\000\022.\n\006answer\030\003 \001(\0132\034.yuccagw" +
+      ".OriginAnswerMessageH\000B\006\n\004stepB \n\020org.yu" +
+      "ccagw.wireB\014PeerProtocolb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -60902,170 +61535,176 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_FollowMessage_descriptor,
         new java.lang.String[] { "Kind", "Revision", "Whole", "ConfirmedAgeMillis", "Items", "AfterRevision", "LapsesUpToRevision", "Coverage", });
-    internal_static_yuccagw_NamingMessage_descriptor =
+    internal_static_yuccagw_NamingAgeMessage_descriptor =
       getDescriptor().getMessageType(26);
+    internal_static_yuccagw_NamingAgeMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_yuccagw_NamingAgeMessage_descriptor,
+        new java.lang.String[] { "MinAgeMillis", "MaxAgeKnown", "MaxAgeMillis", });
+    internal_static_yuccagw_NamingMessage_descriptor =
+      getDescriptor().getMessageType(27);
     internal_static_yuccagw_NamingMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_NamingMessage_descriptor,
-        new java.lang.String[] { "Model", "Version", "Round", "MinAgeMillis", "MaxAgeMillis", });
+        new java.lang.String[] { "Model", "Version", "Round", "Age", });
     internal_static_yuccagw_BreakMessage_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(28);
     internal_static_yuccagw_BreakMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_BreakMessage_descriptor,
         new java.lang.String[] { "Fingerprint", "Endpoint", });
     internal_static_yuccagw_SuspectPartMessage_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(29);
     internal_static_yuccagw_SuspectPartMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_SuspectPartMessage_descriptor,
         new java.lang.String[] { "Model", "Part", });
     internal_static_yuccagw_LostAttemptMessage_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(30);
     internal_static_yuccagw_LostAttemptMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_LostAttemptMessage_descriptor,
         new java.lang.String[] { "Parts", "SentAgeMillis", "CrashAgeMillis", });
     internal_static_yuccagw_RefusedPartMessage_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(31);
     internal_static_yuccagw_RefusedPartMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_RefusedPartMessage_descriptor,
         new java.lang.String[] { "Part", "Crashes", "AgeMillis", "IdleMillis", });
     internal_static_yuccagw_SuspectMessage_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(32);
     internal_static_yuccagw_SuspectMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_SuspectMessage_descriptor,
         new java.lang.String[] { "Crashed", "LostAttempts", "Cleared", "Refused", });
     internal_static_yuccagw_RejectionLimitMessage_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(33);
     internal_static_yuccagw_RejectionLimitMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_RejectionLimitMessage_descriptor,
         new java.lang.String[] { "Endpoint", "MaxRejections", "Rejected", });
     internal_static_yuccagw_RateLimitMessage_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(34);
     internal_static_yuccagw_RateLimitMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_RateLimitMessage_descriptor,
         new java.lang.String[] { "Endpoint", "Limited", "PerSecond", "AgeMillis", });
     internal_static_yuccagw_EndpointNewsMessage_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(35);
     internal_static_yuccagw_EndpointNewsMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_EndpointNewsMessage_descriptor,
         new java.lang.String[] { "Endpoint", "Leaving", "BackOffMillis", });
     internal_static_yuccagw_RosterMember_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(36);
     internal_static_yuccagw_RosterMember_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_RosterMember_descriptor,
         new java.lang.String[] { "Contact", "Ready", "Heard", });
     internal_static_yuccagw_RosterMessage_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(37);
     internal_static_yuccagw_RosterMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_RosterMessage_descriptor,
         new java.lang.String[] { "Domain", "Digest", "WithMembers", "Members", "AgeMillis", });
     internal_static_yuccagw_DigestMessage_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(38);
     internal_static_yuccagw_DigestMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_DigestMessage_descriptor,
         new java.lang.String[] { "Status", "ConfirmedAgeMillis", "Confirmed", "Rosters", });
     internal_static_yuccagw_RosterAskMessage_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(39);
     internal_static_yuccagw_RosterAskMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_RosterAskMessage_descriptor,
         new java.lang.String[] { "Domain", });
     internal_static_yuccagw_PromptPartMessage_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(40);
     internal_static_yuccagw_PromptPartMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_PromptPartMessage_descriptor,
         new java.lang.String[] { "Id", "Tokens", });
     internal_static_yuccagw_PromptMessage_descriptor =
-      getDescriptor().getMessageType(40);
+      getDescriptor().getMessageType(41);
     internal_static_yuccagw_PromptMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_PromptMessage_descriptor,
         new java.lang.String[] { "Model", "PromptTokens", "AnswerTokens", "Parts", });
     internal_static_yuccagw_PlacementAskMessage_descriptor =
-      getDescriptor().getMessageType(41);
+      getDescriptor().getMessageType(42);
     internal_static_yuccagw_PlacementAskMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_PlacementAskMessage_descriptor,
         new java.lang.String[] { "Request", "Route", "Service", "Workspace", "Prompt", "Fingerprint", "Excluded", "Kind", "Pinned", "LeftMillis", "Software", });
     internal_static_yuccagw_CacheSourceMessage_descriptor =
-      getDescriptor().getMessageType(42);
+      getDescriptor().getMessageType(43);
     internal_static_yuccagw_CacheSourceMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_CacheSourceMessage_descriptor,
         new java.lang.String[] { "Store", "Tokens", });
     internal_static_yuccagw_CachePlanMessage_descriptor =
-      getDescriptor().getMessageType(43);
+      getDescriptor().getMessageType(44);
     internal_static_yuccagw_CachePlanMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_CachePlanMessage_descriptor,
         new java.lang.String[] { "Fetches", "Saves", "UntilMillis", });
     internal_static_yuccagw_PlacedMessage_descriptor =
-      getDescriptor().getMessageType(44);
+      getDescriptor().getMessageType(45);
     internal_static_yuccagw_PlacedMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_PlacedMessage_descriptor,
         new java.lang.String[] { "Endpoint", "Version", "WithVersion", "Salt", "WithSalt", "Cache", "Urgency", "FirstByteMillis", "Tokens", "UnreadTokens", "RateLimited", });
     internal_static_yuccagw_PlacementRefusedMessage_descriptor =
-      getDescriptor().getMessageType(45);
+      getDescriptor().getMessageType(46);
     internal_static_yuccagw_PlacementRefusedMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_PlacementRefusedMessage_descriptor,
         new java.lang.String[] { "Kind", "Message", "RetryAfterMillis", });
     internal_static_yuccagw_PlacementEndedMessage_descriptor =
-      getDescriptor().getMessageType(46);
+      getDescriptor().getMessageType(47);
     internal_static_yuccagw_PlacementEndedMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_PlacementEndedMessage_descriptor,
         new java.lang.String[] { "End", "Version", "Pace", "Success", });
     internal_static_yuccagw_AnswerPaceMessage_descriptor =
-      getDescriptor().getMessageType(47);
+      getDescriptor().getMessageType(48);
     internal_static_yuccagw_AnswerPaceMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_AnswerPaceMessage_descriptor,
         new java.lang.String[] { "Events", "FirstEventMillis", "MeanGapMillis", "LongestGapMillis", });
     internal_static_yuccagw_PlacementMessage_descriptor =
-      getDescriptor().getMessageType(48);
+      getDescriptor().getMessageType(49);
     internal_static_yuccagw_PlacementMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_PlacementMessage_descriptor,
         new java.lang.String[] { "Number", "Ask", "Waiting", "Placed", "Refused", "Begun", "Ended", "Undecided", "Dropped", "Step", });
     internal_static_yuccagw_KeptOrigin_descriptor =
-      getDescriptor().getMessageType(49);
+      getDescriptor().getMessageType(50);
     internal_static_yuccagw_KeptOrigin_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_KeptOrigin_descriptor,
         new java.lang.String[] { "Request", "Service", "Software", "RemainingMillis", });
     internal_static_yuccagw_KeepOriginsMessage_descriptor =
-      getDescriptor().getMessageType(50);
+      getDescriptor().getMessageType(51);
     internal_static_yuccagw_KeepOriginsMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_KeepOriginsMessage_descriptor,
         new java.lang.String[] { "Records", });
     internal_static_yuccagw_AskOriginMessage_descriptor =
-      getDescriptor().getMessageType(51);
+      getDescriptor().getMessageType(52);
     internal_static_yuccagw_AskOriginMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_AskOriginMessage_descriptor,
         new java.lang.String[] { "Number", "Request", "OnlyService", "MaxAgeMillis", });
     internal_static_yuccagw_OriginAnswerMessage_descriptor =
-      getDescriptor().getMessageType(52);
+      getDescriptor().getMessageType(53);
     internal_static_yuccagw_OriginAnswerMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_OriginAnswerMessage_descriptor,
         new java.lang.String[] { "Number", "Record", });
     internal_static_yuccagw_OriginMessage_descriptor =
-      getDescriptor().getMessageType(53);
+      getDescriptor().getMessageType(54);
     internal_static_yuccagw_OriginMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_yuccagw_OriginMessage_descriptor,
