--- a/src/main/java/org/yuccagw/core/forward/StreamPin.java
+++ b/src/main/java/org/yuccagw/core/forward/StreamPin.java
@@ -29,9 +29,9 @@
         return new StreamPin(request, effects);
     }
 
-    /** Records the head that the caller is sent. */
+    /** Records the head that the caller is sent, or with which the stream goes on at another endpoint. */
     void recordHead(EndpointAnswerHead head) {
-        weights = head.version();
+        weights = head.version().isPresent() ? head.version() : weights;
     }
 
     OptionalLong weights() {
--- a/src/main/java/org/yuccagw/core/origin/StreamOriginsComponent.java
+++ b/src/main/java/org/yuccagw/core/origin/StreamOriginsComponent.java
@@ -29,8 +29,8 @@
  * origin tell it to the entries that are selected now. All origins expire.
  *
  * <p>If all entries end at once, those that start read the origins from the key-value service; see {@link
- * OriginStorage}. A stream that nobody knows may go on only if this entry has seen no other
- * version of the service for {@link OriginRecords#MAX_RETENTION}. Nothing shorter bounds the age of a stream: callers
+ * OriginStorage}. A stream that nobody knows may go on only if this entry has seen no other version of the service for
+ * {@link OriginRecords#MAX_RETENTION}; see {@link OnlyVersion}. Nothing shorter bounds the age of a stream: callers
  * choose their time limits, and an entry that has just started hasn't seen any.
  *
  * <p>Example: entry 1 forwards the first event of request r from an endpoint of version v1.2 and tells entries 3, 5 and
