Refuse an answer that ends with its connection while its upload is unread

What callers saw: a replica answered a long upload at once with a 200 without a length, sent a part of the body and closed the connection. The caller got that part as a whole answer.

Cause: the end of the connection counted as that of the answer whatever had become of the request. An endpoint that closes a connection with unread bytes ends it in order first; the reset comes right after. Reading shows the end only, and the upload lies in the buffers of both sockets by then, so it looks sent.

Change: such an answer is whole only if the request had been written in full, and if the connection still accepts an empty line 30 ms later, which servers ignore before a request; only a write shows a reset after an orderly end.

--- a/src/main/java/org/yuccagw/adapters/http/HttpCall.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpCall.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.xnio.XnioExecutor;
@@ -22,6 +23,9 @@
     /** After this much of a body, the other connections and timers of the I/O thread have their turn. */
     private static final int MAX_BYTES_PER_TURN = 256 * 1024;
 
+    /** Time for a reset to arrive after the end of a connection; both ends are within 10 ms of each other. */
+    private static final Duration RESET_TIME = Duration.ofMillis(30);
+
     private final HttpClient client;
     private final HttpRequest request;
     private final XnioIoThread thread;
@@ -39,6 +43,7 @@
     private RequestState requestState = RequestState.SENDING;
     private IOException writeFailure;
     private XnioExecutor.Key silenceTimer;
+    private XnioExecutor.Key resetTimer;
     private long lastByteNanos;
 
     /** How much of the request has been written. */
@@ -81,7 +86,7 @@
         }
         paused = false;
         lastByteNanos = System.nanoTime();
-        if (connection != null) {
+        if (connection != null && resetTimer == null) {
             connection.wakeupReads();
         }
     }
@@ -199,7 +204,7 @@
     private void handleNoBytes(boolean connectionEnded) throws IOException {
         if (connectionEnded) {
             reader.endConnection();
-            complete(false);
+            confirmRequestRead();
         } else if (requestState == RequestState.FAILED) {
             throw writeFailure;
         } else {
@@ -226,6 +231,34 @@
         listener.onHead(head.status(), head.headers());
     }
 
+    /**
+     * Completes a response that ended with its connection if the server has read the whole request. A server that
+     * fails may close its connection in the middle of both; the end then comes in order, and a reset right after it.
+     */
+    private void confirmRequestRead() throws InvalidResponseException {
+        if (request.body().length == 0) {
+            complete(false);
+            return;
+        }
+        if (requestState != RequestState.SENT) {
+            throw new InvalidResponseException(ResponseDefect.REQUEST_UNREAD);
+        }
+        connection.suspendReads();
+        resetTimer = thread.executeAfter(
+                () -> {
+                    if (finished) {
+                        return;
+                    }
+                    if (connection.isReset()) {
+                        refuse(new InvalidResponseException(ResponseDefect.REQUEST_UNREAD));
+                    } else {
+                        complete(false);
+                    }
+                },
+                RESET_TIME.toMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
     private void failOrRefuse(IOException cause) {
         if (cause instanceof InvalidResponseException invalid) {
             refuse(invalid);
@@ -237,7 +270,7 @@
     private void refuse(InvalidResponseException invalid) {
         if (!finished) {
             client.reportRefusal(request.address(), invalid.defect());
-            fail(false, new IOException(request.address() + ": " + invalid.getMessage(), invalid));
+            fail(false, invalid);
         }
     }
 
@@ -277,7 +310,7 @@
             return;
         }
         finished = true;
-        cancelSilenceTimer();
+        cancelTimers();
         if (mayReuse && requestState == RequestState.SENT) {
             client.release(request.address(), thread, connection, reader.head().idleLimit());
         } else {
@@ -312,13 +345,20 @@
             return;
         }
         finished = true;
-        cancelSilenceTimer();
+        cancelTimers();
         if (connection != null) {
             connection.close();
         }
         releaseInput();
     }
 
+    private void cancelTimers() {
+        cancelSilenceTimer();
+        if (resetTimer != null) {
+            resetTimer.remove();
+        }
+    }
+
     private void cancelSilenceTimer() {
         if (silenceTimer != null) {
             silenceTimer.remove();
--- a/src/main/java/org/yuccagw/adapters/http/HttpConnection.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpConnection.java
@@ -2,11 +2,15 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 
 /** An open connection to a server. Confined to its I/O thread. */
 final class HttpConnection {
+    /** Servers ignore empty lines before a request. */
+    private static final byte[] EMPTY_LINE = "\r\n".getBytes(StandardCharsets.US_ASCII);
+
     private final StreamConnection connection;
 
     private HttpConnection(StreamConnection connection) {
@@ -65,6 +69,19 @@
         connection.getSinkChannel().suspendWrites();
     }
 
+    /**
+     * Tests whether the server has reset a connection whose end was read in order. Reading never shows that, writing
+     * does.
+     */
+    boolean isReset() {
+        try {
+            connection.getSinkChannel().write(ByteBuffer.wrap(EMPTY_LINE));
+            return !connection.getSinkChannel().flush();
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     /** Closes the connection as soon as the server ends it or sends anything, since no request is waiting. */
     void beginIdle() {
         onReadable(this::close);
--- a/src/main/java/org/yuccagw/adapters/http/ResponseDefect.java
+++ b/src/main/java/org/yuccagw/adapters/http/ResponseDefect.java
@@ -23,7 +23,9 @@
     /** The bytes beside the content exceed their limit. */
     OVERHEAD("it has too many bytes beside its content"),
     /** Neither a length nor chunks show the end of the body, though the request requires it. */
-    END_NOT_STATED("nothing but the end of its connection shows its end");
+    END_NOT_STATED("nothing but the end of its connection shows its end"),
+    /** It ended with its connection although the server had not read the whole request. */
+    REQUEST_UNREAD("it ended with its connection before the request was read");
 
     private final String text;
 
