Believe a rejection once its whole answer has been read

What callers saw: a 503, the promise that a request has not run, although the answer in which the endpoint stated so was cut short or spoilt in its body.

Cause: the statement counted from the head on, and the rest of the answer wasn't read any more.

Change: ServingRun holds the head of a rejection until its answer has ended. One that breaks off, is refused or is longer than 64 KiB is a broken answer, which promises nothing.

Measured: 502 for four broken rejections, 503 for four sound ones.

--- a/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingRun.java
@@ -6,6 +6,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.EnumMap;
@@ -49,6 +50,9 @@
     /** A connection is established within 1 ms in a failure domain and within 5 ms between two of them. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
 
+    /** Endpoints send an error message at most. */
+    private static final int MAX_REJECTION_BYTES = 64 * 1024;
+
     private final ServingServices services;
     private final HttpServerExchange exchange;
     private final XnioIoThread thread;
@@ -398,6 +402,8 @@
         private boolean pausedByMachine;
         private int status;
         private HeaderMap headers;
+        private Optional<EndpointAnswerHead> rejection = Optional.empty();
+        private int rejectionBytes;
 
         private Attempt(long leg, EndpointId endpoint) {
             this.leg = leg;
@@ -419,17 +425,30 @@
             status = receivedStatus;
             headers = receivedHeaders;
             EndpointAnswerHead start = services.protocol().readAnswerStart(status, headers, request.id(), endpoint);
-            machine.onHead(leg, start);
+            if (start.statesNotRun()) {
+                rejection = Optional.of(start);
+            } else {
+                machine.onHead(leg, start);
+            }
         }
 
         @Override
         public void onBytes(ByteBuffer bytes) {
-            machine.onBytes(leg, bytes);
+            if (rejection.isEmpty()) {
+                machine.onBytes(leg, bytes);
+                return;
+            }
+            rejectionBytes += bytes.remaining();
+            if (rejectionBytes > MAX_REJECTION_BYTES) {
+                throw new UncheckedIOException(
+                        new IOException("a rejection of over " + MAX_REJECTION_BYTES + " bytes"));
+            }
         }
 
+        /** A rejection counts only once the whole answer was read: a defect in it refutes what its head states. */
         @Override
         public void onEnd(BodyEnd end) {
-            machine.onEnd(leg, end);
+            rejection.ifPresentOrElse(head -> machine.onHead(leg, head), () -> machine.onEnd(leg, end));
         }
 
         @Override
--- a/src/main/java/org/yuccagw/core/forward/EndpointAnswerHead.java
+++ b/src/main/java/org/yuccagw/core/forward/EndpointAnswerHead.java
@@ -50,7 +50,12 @@
         return (forThisRequest || notRun) && !fromOtherEndpoint;
     }
 
-    boolean isMisdirected() {
+    /** Returns whether the endpoint states that it did not run the request, by a header or by the status. */
+    public boolean statesNotRun() {
+        return notRun || isMisdirected();
+    }
+
+    private boolean isMisdirected() {
         return status == MISDIRECTED;
     }
 
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -148,7 +148,7 @@
         Leg leg = found.get();
         statistics.recordReceived();
         leg.noticeIn(head).ifPresent(effects::report);
-        if (head.notRun() || head.isMisdirected()) {
+        if (head.statesNotRun()) {
             handleNotRun(leg, head);
             return;
         }
--- a/src/test/java/org/yuccagw/daemon/BrokenAnswersTest.java
+++ b/src/test/java/org/yuccagw/daemon/BrokenAnswersTest.java
@@ -32,6 +32,20 @@
     private static final int READ_TIMEOUT_MILLIS = 10_000;
     private static final Sample WHOLE_ANSWER = AnswerSamples.sound().get(0);
 
+    private static final String REJECTION =
+            "HTTP/1.1 503 Full\r\n" + AnswerSamples.MARKS + "Yuccagw-Not-Executed: 1\r\n";
+    private static final List<Sample> BROKEN_REJECTIONS = List.of(
+            new Sample(
+                    "rejection with two lengths", REJECTION + "Content-Length: 0\r\nContent-Length: 1\r\n\r\n", 0, ""),
+            new Sample("rejection that ends early", REJECTION + "Content-Length: 9\r\n\r\npart", 0, ""),
+            new Sample("rejection with a spoilt chunk", REJECTION + "Transfer-Encoding: chunked\r\n\r\ng\r\n", 0, ""),
+            new Sample("rejection too long", REJECTION + "\r\n" + "x".repeat(100_000), 0, ""));
+    private static final List<Sample> SOUND_REJECTIONS = List.of(
+            new Sample("rejection without a body", REJECTION + "Content-Length: 0\r\n\r\n", 503, ""),
+            new Sample("rejection with a body", REJECTION + "Content-Length: 4\r\n\r\nfull", 503, ""),
+            new Sample("rejection without a length", REJECTION + "\r\nfull", 503, ""),
+            new Sample("rejection in chunks", REJECTION + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 503, ""));
+
     private final Map<String, Sample> samples = new HashMap<>();
     private final List<RawServer> servers = new ArrayList<>();
     private CuttableFleet fleet;
@@ -40,7 +54,7 @@
     @BeforeClass
     public void startAll() throws Exception {
         samples.put(WHOLE, WHOLE_ANSWER);
-        Stream.of(AnswerSamples.broken(), AnswerSamples.sound())
+        Stream.of(AnswerSamples.broken(), AnswerSamples.sound(), BROKEN_REJECTIONS, SOUND_REJECTIONS)
                 .flatMap(List::stream)
                 .forEach(sample -> samples.put(word(sample), sample));
         fleet = CuttableFleet.start();
@@ -103,6 +117,18 @@
         report(route + " " + protocol + " sound", wrong, AnswerSamples.sound().size());
     }
 
+    // Guards against a promise that a request has not run, made by an answer whose rest shows that nothing is sure.
+    @Test
+    public void aRejectionThatIsBrokenPromisesNothing() throws Exception {
+        preparePath(false);
+        for (Sample sample : BROKEN_REJECTIONS) {
+            assertEquals(send("/once/" + word(sample), "HTTP/1.1").status(), 502, sample.name());
+        }
+        for (Sample sample : SOUND_REJECTIONS) {
+            assertEquals(send("/once/" + word(sample), "HTTP/1.1").status(), 503, sample.name());
+        }
+    }
+
     private void preparePath(boolean relayed) throws Exception {
         fleet.restore(0);
         if (relayed) {
