Take the marks of an answer only where every reader sees the same

What callers could see: an answer with two request ids or two seals passed on as theirs, of which another reader may take the second; a stream whose weight version couldn't be read and that went on elsewhere with any.

Cause: the first value of a repeated field counted, and an unreadable version counted as absent.

Change: request id and seal count where they are stated once, an endpoint that names two ids is another one, and an answer whose weight version isn't a single number is refused.

--- a/src/main/java/org/yuccagw/adapters/http/ResponseDefect.java
+++ b/src/main/java/org/yuccagw/adapters/http/ResponseDefect.java
@@ -12,6 +12,8 @@
     CONTROL_CHARACTER("a line holds a control character"),
     /** A line of the head or of the trailers isn't a name, a colon and a value. */
     FIELD("a line is no header field"),
+    /** The value of a field that a request depends on can't be read. */
+    FIELD_VALUE("a field has a value that can't be read"),
     /** The length isn't a single decimal number. */
     LENGTH("its length can't be read"),
     /** The transfer coding isn't {@code chunked} alone. */
--- a/src/main/java/org/yuccagw/adapters/serving/WireProtocol.java
+++ b/src/main/java/org/yuccagw/adapters/serving/WireProtocol.java
@@ -37,7 +37,11 @@
             Duration remaining,
             long afterEvent);
 
-    /** Decodes the part of an endpoint's answer that decides how the request continues. */
+    /**
+     * Decodes the part of an endpoint's answer that decides how the request continues.
+     *
+     * @throws java.io.UncheckedIOException if a field that the request depends on can't be read
+     */
     EndpointAnswerHead readAnswerStart(int status, HeaderMap headers, RequestId request, EndpointId expected);
 
     /** Returns the headers of an endpoint's answer that are forwarded to the caller. */
--- a/src/main/java/org/yuccagw/platform/EndpointHeaders.java
+++ b/src/main/java/org/yuccagw/platform/EndpointHeaders.java
@@ -5,10 +5,13 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
+import org.yuccagw.adapters.http.InvalidResponseException;
+import org.yuccagw.adapters.http.ResponseDefect;
 import org.yuccagw.adapters.serving.CallerHead;
 import org.yuccagw.core.deployment.WorkspaceAccess;
 import org.yuccagw.core.forward.EndpointAnswerHead;
@@ -82,21 +85,33 @@
         }
     }
 
-    /** Reads the status and headers that determine whether and how an answer is used. */
+    /**
+     * Reads the status and headers that determine whether and how an answer is used.
+     *
+     * @throws UncheckedIOException if the weight version can't be read
+     */
     static EndpointAnswerHead readAnswer(int status, HeaderMap headers, RequestId request, EndpointId expected) {
-        String requestId = headers.getFirst(PlatformNames.REQUEST_ID);
-        String endpoint = headers.getFirst(PlatformNames.ENDPOINT_ID);
+        HeaderValues endpoints = headers.get(PlatformNames.ENDPOINT_ID);
         return new EndpointAnswerHead(
                 status,
-                request.value().equals(requestId),
-                headers.contains(PlatformNames.SEAL),
+                isStatedOnce(headers, PlatformNames.REQUEST_ID) && names(headers, request),
+                isStatedOnce(headers, PlatformNames.SEAL),
                 headers.contains(PlatformNames.NOT_RUN),
-                endpoint != null && !endpoint.equals(expected.value()),
+                endpoints != null && endpoints.stream().anyMatch(id -> !id.equals(expected.value())),
                 headers.contains(Headers.CONTENT_ENCODING),
-                parseLong(headers.getFirst(PlatformNames.VERSION_RUN)),
+                readVersion(headers),
                 EndpointNoticeReader.read(status, headers));
     }
 
+    /** Returns whether the header has a single value; whose answer it is, no other reader may see in another way. */
+    private static boolean isStatedOnce(HeaderMap headers, String name) {
+        return headers.count(name) == 1;
+    }
+
+    private static boolean names(HeaderMap headers, RequestId request) {
+        return request.value().equals(headers.getFirst(PlatformNames.REQUEST_ID));
+    }
+
     /** Returns the endpoint's headers that are forwarded to the caller: all but the hop-by-hop headers. */
     static HeaderMap forwardedHeaders(HeaderMap answer) {
         HeaderMap forwarded = new HeaderMap();
@@ -113,13 +128,20 @@
         return String.format(java.util.Locale.ROOT, "%.3f", wait.toMillis() / 1_000.0);
     }
 
-    private static OptionalLong parseLong(String text) {
+    /** A stream that went on elsewhere without its weight version could mix two of them. */
+    private static OptionalLong readVersion(HeaderMap headers) {
+        HeaderValues versions = headers.get(PlatformNames.VERSION_RUN);
+        if (versions == null) {
+            return OptionalLong.empty();
+        }
         try {
-            return text == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(text.trim()));
+            if (versions.size() == 1) {
+                return OptionalLong.of(Long.parseLong(versions.getFirst()));
+            }
         } catch (NumberFormatException ignored) {
-            // A version that is not a number counts as absent, so that no request is pinned to it.
-            return OptionalLong.empty();
+            // Handled like several versions.
         }
+        throw new UncheckedIOException(new InvalidResponseException(ResponseDefect.FIELD_VALUE));
     }
 
     private static void putHeader(HeaderMap headers, String name, String value) {
