End a peer connection whose acknowledgement can't be true

Cause: an acknowledgement of another size was ignored, and a number beyond what was sent counted as all of it, so that a connection could count as alive by bytes that weren't understood.

A frame beyond the limit ended its connection already; the case is kept.

--- a/src/main/java/org/yuccagw/adapters/peer/PeerLink.java
+++ b/src/main/java/org/yuccagw/adapters/peer/PeerLink.java
@@ -94,10 +94,18 @@
         }
     }
 
-    /** Called with the number of frames that the peer has received on a connection. */
+    /**
+     * Called with the number of frames that the peer has received on a connection. A number that can't be true ends the
+     * connection.
+     */
     synchronized void onAcknowledged(Channel acknowledgedChannel, long receivedFrames) {
-        if (acknowledgedChannel == channel) {
-            unacknowledgedSinceNanos = receivedFrames >= sentFrames ? NONE_UNACKNOWLEDGED : System.nanoTime();
+        if (acknowledgedChannel != channel) {
+            return;
+        }
+        if (receivedFrames < 0 || receivedFrames > sentFrames) {
+            acknowledgedChannel.close();
+        } else {
+            unacknowledgedSinceNanos = receivedFrames == sentFrames ? NONE_UNACKNOWLEDGED : System.nanoTime();
         }
     }
 
--- a/src/main/java/org/yuccagw/adapters/peer/PeerTransport.java
+++ b/src/main/java/org/yuccagw/adapters/peer/PeerTransport.java
@@ -284,6 +284,8 @@
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
             if (frame.readableBytes() == Long.BYTES) {
                 link.onAcknowledged(context.channel(), frame.readLong());
+            } else {
+                context.close();
             }
         }
 
--- a/src/test/java/org/yuccagw/adapters/peer/PeerTransportTest.java
+++ b/src/test/java/org/yuccagw/adapters/peer/PeerTransportTest.java
@@ -3,6 +3,7 @@
 import static org.awaitility.Awaitility.await;
 import static org.testng.Assert.assertTrue;
 
+import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -16,9 +17,11 @@
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.AfterMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.yuccagw.core.control.EntryIdentity;
 import org.yuccagw.core.control.PeerReceived;
@@ -26,6 +29,7 @@
 import org.yuccagw.core.id.EntryId;
 import org.yuccagw.core.id.FailureDomain;
 import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.faults.RawServer;
 import org.yuccagw.standins.platform.SmallDeployment;
 
 public class PeerTransportTest {
@@ -89,6 +93,37 @@
         }
     }
 
+    @DataProvider
+    public static Object[][] acknowledgements() {
+        return new Object[][] {
+            {"no number", new byte[] {0, 0, 0, 1, 7}},
+            {"negative number", new byte[] {0, 0, 0, 8, -1, -1, -1, -1, -1, -1, -1, -1}},
+            {"more than was sent", new byte[] {0, 0, 0, 8, 0, 0, 0, 0, 0, 0, 0, 9}},
+            {"frame beyond the limit", new byte[] {127, 0, 0, 0}}
+        };
+    }
+
+    // Guards against a connection that counts as alive by an acknowledgement that can't be read.
+    @Test(dataProvider = "acknowledgements")
+    public void anImpossibleAcknowledgementEndsItsConnection(String name, byte[] acknowledgement) throws Exception {
+        CountDownLatch closed = new CountDownLatch(1);
+        try (RawServer peer = RawServer.start(socket -> {
+            DataInputStream input = new DataInputStream(socket.getInputStream());
+            input.readNBytes(input.readInt());
+            socket.getOutputStream().write(acknowledgement);
+            if (input.read() < 0) {
+                closed.countDown();
+            }
+        })) {
+            NetworkAddress own =
+                    NetworkAddress.of("127.0.0.1", SmallDeployment.freePorts(1).get(0));
+            PeerTransport transport =
+                    start(LIVING, 1, own, Map.of(RESTARTED, peer.address()), new LinkedBlockingQueue<>());
+            transport.send(RESTARTED, new FollowMessage.StillStarting());
+            assertTrue(closed.await(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS), name);
+        }
+    }
+
     /** A listener whose queue of new connections is full, so that further ones are neither accepted nor refused. */
     private record FullListener(ServerSocket listener, List<Socket> queued) implements AutoCloseable {
         private static final int QUEUED = 3;
