Log and count the responses that an entry refuses

Operators couldn't see that answers were broken, only that requests failed. A line "response-refused" names server, reason and, in fixed words, what was wrong, ten a second at most with the number of those left out; no byte that was received gets into it. The counter yuccagw_refused_responses_total counts all, by reason. Both kinds of entries, all their clients.

--- a/src/main/java/org/yuccagw/adapters/telemetry/Metrics.java
+++ b/src/main/java/org/yuccagw/adapters/telemetry/Metrics.java
@@ -85,6 +85,12 @@
             .labelNames("service", "failure")
             .register(registry);
 
+    private final Counter refusedResponses = Counter.builder()
+            .name("yuccagw_refused_responses_total")
+            .help("Responses of other processes that were refused as invalid, by reason")
+            .labelNames("reason")
+            .register(registry);
+
     /**
      * The metrics of the Java virtual machine take a tenth of the start to set up, so the first scrape registers them.
      */
@@ -105,6 +111,11 @@
         requests.labelValues(service.value(), className, end).inc();
     }
 
+    /** Counts a response that was refused as invalid. */
+    public void recordRefusedResponse(String reason) {
+        refusedResponses.labelValues(reason).inc();
+    }
+
     /** Records the time from the arrival of a request to the first token of its answer. */
     public void recordFirstToken(String className, Duration sinceArrival) {
         firstToken.labelValues(className).observe(sinceArrival.toNanos() / (double) TimeUnit.SECONDS.toNanos(1));
--- a/src/main/java/org/yuccagw/daemon/EntryDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/EntryDaemon.java
@@ -32,10 +32,12 @@
 import org.yuccagw.adapters.peer.PeerTransport;
 import org.yuccagw.adapters.settings.EntrySettings;
 import org.yuccagw.adapters.telemetry.Metrics;
+import org.yuccagw.adapters.telemetry.RefusalReporter;
 import org.yuccagw.adapters.telemetry.Traces;
 import org.yuccagw.adapters.tls.ReloadingTls;
 import org.yuccagw.core.catalogue.Catalogue;
 import org.yuccagw.core.catalogue.SystemLimits;
+import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.control.EntryIdentity;
 import org.yuccagw.core.error.ErrorKind;
 import org.yuccagw.core.error.YuccagwException;
@@ -98,6 +100,9 @@
         relayClient = createRelayClient(settings);
         entryClient = createEntryClient(settings);
         platformClient = HttpClient.start(CONTROL_IO_THREADS);
+        RefusalReporter refusals = RefusalReporter.of(metrics, EntryDaemon::logRefusal, System::nanoTime);
+        Stream.of(endpointClient, relayClient, entryClient, platformClient)
+                .forEach(client -> client.setRefusalListener(refusals));
         KeyValueClient keyValue = KeyValueClient.of(platformClient, settings.keyValueService());
         ControlComponents components = ControlComponents.of(self);
         DeferredControlInput controlInput = new DeferredControlInput();
@@ -175,6 +180,10 @@
         }
     }
 
+    private static void logRefusal(Decision refusal) {
+        log.warn("{} {}", refusal.event(), refusal.fields());
+    }
+
     /** Returns whether this entry accepts new requests. */
     public boolean isReady() {
         return control.snapshot()
--- a/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
+++ b/src/main/java/org/yuccagw/daemon/GatewayDaemon.java
@@ -23,6 +23,7 @@
 import org.yuccagw.adapters.settings.GatewaySettings;
 import org.yuccagw.adapters.telemetry.DecisionLog;
 import org.yuccagw.adapters.telemetry.Metrics;
+import org.yuccagw.adapters.telemetry.RefusalReporter;
 import org.yuccagw.core.control.Decision;
 import org.yuccagw.core.control.EntryIdentity;
 import org.yuccagw.core.error.ErrorKind;
@@ -108,6 +109,7 @@
         worker = createWorker();
         endpointClient = HttpClient.onWorker(worker, dialedEndpoint);
         platformClient = HttpClient.onWorker(worker);
+        reportRefusals(metrics);
         KeyValueClient keyValue = KeyValueClient.of(platformClient, settings.keyValueService());
         GatewayComponents components = GatewayComponents.of(settings, PlatformRecords.create());
         DeferredControlInput controlInput = new DeferredControlInput();
@@ -153,6 +155,12 @@
                 .executeAtInterval(this::reportCutOff, CUT_OFF_CHECK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
     }
 
+    private void reportRefusals(Metrics metrics) {
+        RefusalReporter reporter = RefusalReporter.of(metrics, decisions::write, System::nanoTime);
+        endpointClient.setRefusalListener(reporter);
+        platformClient.setRefusalListener(reporter);
+    }
+
     private void reportCutOff() {
         boolean cutOff = relayService.isCutOff();
         if (cutOff != reportedCutOff) {
--- a/src/test/java/org/yuccagw/daemon/BrokenAnswersTest.java
+++ b/src/test/java/org/yuccagw/daemon/BrokenAnswersTest.java
@@ -1,6 +1,7 @@
 package org.yuccagw.daemon;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -13,12 +14,14 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.testng.Reporter;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import org.yuccagw.adapters.http.HttpRequest;
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.daemon.CutOffEntry.Block;
 import org.yuccagw.faults.AnswerSamples;
@@ -129,6 +132,18 @@
         }
     }
 
+    @Test(dependsOnMethods = "bytesThatAreNoAnswerReachNoCaller", alwaysRun = true)
+    public void refusedAnswersAreCountedByReason() throws Exception {
+        String metrics = fleet.caller()
+                .send(HttpRequest.get(fleet.settings(0).readiness(), "/metrics"))
+                .get(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .text();
+        for (String reason : List.of("status", "status_line", "field", "length", "transfer_coding", "chunk")) {
+            String counter = "yuccagw_refused_responses_total{reason=\"" + reason + "\"}";
+            assertTrue(metrics.contains(counter), counter + " in " + metrics);
+        }
+    }
+
     private void preparePath(boolean relayed) throws Exception {
         fleet.restore(0);
         if (relayed) {
