--- a/src/test/java/org/yuccagw/process/JvmProcess.java
+++ b/src/test/java/org/yuccagw/process/JvmProcess.java
@@ -15,9 +15,10 @@
 final class JvmProcess {
     private static final Path DIRECTORY = Path.of("target", "processes");
     private static final Path DEPLOY_FILE = Path.of("deploy", "system.toml");
-    private static final Pattern STACK_SIZE = Pattern.compile("^run = .*(-Xss\\w+)", Pattern.MULTILINE);
+    private static final String HEAP_OPTION = "-Xmx";
+    private static final String STACK_OPTION = "-Xss";
     private static final String[] OPTIONS = {
-        "-XX:-UsePerfData", "-Xmx128m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto"
+        "-XX:-UsePerfData", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xshare:auto"
     };
 
     private final Process process;
@@ -37,6 +38,7 @@
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(Arrays.asList(OPTIONS));
+        command.add(deployOption(HEAP_OPTION));
         command.add(stackSize());
         command.add("-cp");
         command.add(System.getProperty("java.class.path"));
@@ -52,9 +54,14 @@
 
     /** Returns the option of the deploy file that sets the size of stacks. */
     static String stackSize() throws IOException {
-        Matcher matcher = STACK_SIZE.matcher(Files.readString(DEPLOY_FILE));
+        return deployOption(STACK_OPTION);
+    }
+
+    private static String deployOption(String name) throws IOException {
+        Matcher matcher = Pattern.compile("^run = .*(" + name + "\\w+)", Pattern.MULTILINE)
+                .matcher(Files.readString(DEPLOY_FILE));
         if (!matcher.find()) {
-            throw new IOException(DEPLOY_FILE + " sets no stack size");
+            throw new IOException(DEPLOY_FILE + " doesn't set " + name);
         }
         return matcher.group(1);
     }
--- a/src/test/java/org/yuccagw/process/SoakEntry.java
+++ b/src/test/java/org/yuccagw/process/SoakEntry.java
@@ -80,6 +80,10 @@
         return settings.callers();
     }
 
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
     void awaitReady() {
         await(name + " is ready").atMost(RECOVERED_WITHIN).until(this::isReady);
     }
