Bound what the client library reads of an entry's answer

What callers would see: their own process runs out of memory, or waits for ever. The client library kept an error without end, read on after bytes that it couldn't parse, kept an event without an empty line, and never returned after a whole answer without token counts.

Change: errors of over 64 KiB and events of over 1 MiB end their connection, at an entry that reads engines, too; an answer that can't be parsed fails its call; missing counts are 0.

--- a/src/main/java/org/yuccagw/adapters/engine/EngineResponseListener.java
+++ b/src/main/java/org/yuccagw/adapters/engine/EngineResponseListener.java
@@ -8,6 +8,7 @@
 import io.undertow.util.HeaderMap;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import org.yuccagw.adapters.http.BoundedJson;
 import org.yuccagw.adapters.http.HttpResponseListener;
@@ -153,11 +154,11 @@
     }
 
     private void collectError(ByteBuffer bytes) {
+        if (errorBody.size() + bytes.remaining() > MAX_ERROR_BYTES) {
+            throw new UncheckedIOException(new IOException("an error of over " + MAX_ERROR_BYTES + " bytes"));
+        }
         while (bytes.hasRemaining()) {
-            byte next = bytes.get();
-            if (errorBody.size() < MAX_ERROR_BYTES) {
-                errorBody.write(next);
-            }
+            errorBody.write(bytes.get());
         }
     }
 
--- a/src/main/java/org/yuccagw/adapters/http/SseParser.java
+++ b/src/main/java/org/yuccagw/adapters/http/SseParser.java
@@ -12,6 +12,7 @@
  */
 public final class SseParser {
     private static final int MAX_LINE_BYTES = 1024 * 1024;
+    private static final int MAX_EVENT_CHARACTERS = 1024 * 1024;
     private static final String ID_FIELD = "id:";
     private static final String DATA_FIELD = "data:";
 
@@ -41,7 +42,7 @@
     /**
      * Parses the next bytes of the stream and calls the listener for every event that they complete.
      *
-     * @throws IOException if a line exceeds 1 MiB, an id isn't a number, or the listener throws it
+     * @throws IOException if a line or an event exceeds 1 MiB, an id isn't a number, or the listener throws it
      */
     public void accept(ByteBuffer bytes) throws IOException {
         while (bytes.hasRemaining()) {
@@ -73,12 +74,15 @@
         }
     }
 
-    private void addData(String text) {
+    private void addData(String text) throws IOException {
         if (data == null) {
             data = new StringBuilder(text);
         } else {
             data.append('\n').append(text);
         }
+        if (data.length() > MAX_EVENT_CHARACTERS) {
+            throw new IOException("an event of the stream is over " + MAX_EVENT_CHARACTERS + " characters");
+        }
     }
 
     private void endEvent() throws IOException {
--- a/src/main/java/org/yuccagw/client/ClientCall.java
+++ b/src/main/java/org/yuccagw/client/ClientCall.java
@@ -2,10 +2,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.undertow.util.HeaderMap;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.List;
@@ -54,6 +56,7 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final String END_MARKER = "[DONE]";
     private static final int STATUS_OK = 200;
+    private static final int MAX_ERROR_BYTES = 64 * 1024;
 
     private final ClientSettings settings;
     private final HttpClient httpClient;
@@ -72,7 +75,7 @@
     private int attempts;
     private int resumes;
     private int entryIndex;
-    private JsonNode usage;
+    private JsonNode usage = MissingNode.getInstance();
 
     private ClientCall(
             ClientSettings settings,
@@ -223,15 +226,22 @@
         @Override
         public void onBytes(ByteBuffer bytes) {
             if (status != STATUS_OK) {
-                while (bytes.hasRemaining()) {
-                    errorBody.write(bytes.get());
-                }
+                collectError(bytes);
                 return;
             }
             try {
                 parser.accept(bytes);
             } catch (IOException e) {
-                connectionLost("the answer can't be parsed: " + e.getMessage());
+                throw new UncheckedIOException(new IOException("the answer can't be parsed: " + e.getMessage(), e));
+            }
+        }
+
+        private void collectError(ByteBuffer bytes) {
+            if (errorBody.size() + bytes.remaining() > MAX_ERROR_BYTES) {
+                throw new UncheckedIOException(new IOException("an error of over " + MAX_ERROR_BYTES + " bytes"));
+            }
+            while (bytes.hasRemaining()) {
+                errorBody.write(bytes.get());
             }
         }
 
