Refuse a request whose body ends too late in a planned stop

What callers saw: in a planned stop, requests whose head came early enough and whose body came later were passed on, and cut at the end of the grace time with 502, non-idempotent ones among them.

Cause: whether a request may outlast the stop was decided once, when its head had come. Its time counts from the end of its body, up to the configured timeout of a head later, and a stop that refuses everything by then didn't hold for it.

Change: the same decision once more when the body has come; nothing was sent by then, so 503 is true.

--- a/src/main/java/org/yuccagw/adapters/serving/ServingServer.java
+++ b/src/main/java/org/yuccagw/adapters/serving/ServingServer.java
@@ -152,7 +152,7 @@
 
     private void begin(HttpServerExchange exchange) throws YuccagwException {
         if (refusingNewRequests) {
-            throw ErrorKind.STOPPING.raise().withRetryAfter(Duration.ZERO);
+            throw stopping();
         }
         Deployment deployment = requireConfirmedDeployment();
         CallerHead head = services.protocol().readCallerHead(exchange.getRequestHeaders());
@@ -162,8 +162,8 @@
         Route route =
                 deployment.route(head.host(), exchange.getRequestURI()).orElseThrow(ErrorKind.UNKNOWN_ROUTE::raise);
         Optional<WorkspaceAccess> workspace = workspaceOf(deployment, route, head);
-        if ((refusingNewStreams && route.streamed()) || mayOutlastStop(route, head)) {
-            throw ErrorKind.STOPPING.raise().withRetryAfter(Duration.ZERO);
+        if (isRefusedByStop(route, head)) {
+            throw stopping();
         }
         if (HttpContinue.requiresContinueResponse(exchange)) {
             HttpContinue.sendContinueResponse(exchange, new IoCallback() {
@@ -182,6 +182,14 @@
         }
     }
 
+    private static YuccagwException stopping() {
+        return ErrorKind.STOPPING.raise().withRetryAfter(Duration.ZERO);
+    }
+
+    private boolean isRefusedByStop(Route route, CallerHead head) {
+        return refusingNewRequests || (refusingNewStreams && route.streamed()) || mayOutlastStop(route, head);
+    }
+
     private boolean mayOutlastStop(Route route, CallerHead head) {
         Duration timeout = Comparators.min(route.timeout(), head.timeout().orElse(route.timeout()));
         return endNanos.isPresent() && System.nanoTime() + timeout.toNanos() - endNanos.get() > 0;
@@ -205,6 +213,13 @@
             Route route,
             Optional<WorkspaceAccess> workspace,
             byte[] body) {
+        if (isRefusedByStop(route, head)) {
+            // The time of a request counts from the end of its body, which may have come long after its head.
+            logRefusal(exchange, stopping());
+            exchange.setPersistent(false);
+            ServingRun.sendError(exchange, services.protocol(), stopping());
+            return;
+        }
         ForwardRequest request = new ForwardRequest(
                 head.id(),
                 route,
--- a/src/test/java/org/yuccagw/daemon/GatewayStopTest.java
+++ b/src/test/java/org/yuccagw/daemon/GatewayStopTest.java
@@ -5,12 +5,16 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import org.testng.Reporter;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -27,6 +31,9 @@
 public class GatewayStopTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(60);
     private static final Duration REQUEST_INTERVAL = Duration.ofMillis(200);
+    private static final Duration LATEST_REQUEST = Duration.ofSeconds(7);
+    private static final int MAX_BODY_PAUSE_MILLIS = 1_900;
+    private static final long SEED = 88;
 
     private KeyValueStandIn keyValue;
     private HttpClient httpClient;
@@ -83,6 +90,49 @@
         }
     }
 
+    // Guards against passing on a request whose body came so late that the end of the grace time cuts it.
+    @Test
+    public void noRequestThatAStoppingEntryPassesOnIsCutThoughItsBodyCameLate() throws Exception {
+        Random random = new Random(SEED);
+        List<CompletableFuture<String>> answers = new ArrayList<>();
+        Thread stopping = beginStop();
+        long endNanos = System.nanoTime() + LATEST_REQUEST.toNanos();
+        while (System.nanoTime() - endNanos < 0) {
+            int pauseMillis = random.nextInt(MAX_BODY_PAUSE_MILLIS);
+            String path = List.of("/once/", "/again/", "/stream/").get(random.nextInt(3)) + "hang";
+            boolean expectsContinue = random.nextBoolean();
+            answers.add(CompletableFuture.supplyAsync(
+                    () -> sendSlowly(path, pauseMillis, expectsContinue), Executors.newSingleThreadExecutor()));
+            TimeUnit.MILLISECONDS.sleep(REQUEST_INTERVAL.toMillis() / 2);
+        }
+        stopping.join(TIMEOUT.toMillis());
+        List<String> cut = new ArrayList<>();
+        for (CompletableFuture<String> answer : answers) {
+            String text = answer.get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+            if (text.contains(" 502 ")) {
+                cut.add(text);
+            }
+        }
+        Reporter.log(cut.size() + " of " + answers.size() + " cut", true);
+        assertEquals(cut, List.of());
+    }
+
+    /** Sends the head and a part of the body, and the rest after a pause. Returns the answer, or why there is none. */
+    private String sendSlowly(String path, int pauseMillis, boolean expectsContinue) {
+        String head = "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nYuccagw-Request-Id: r-1\r\n"
+                + "Yuccagw-Deadline-Ms: 2000\r\n" + (expectsContinue ? "Expect: 100-continue\r\n" : "")
+                + "Content-Length: 8\r\n\r\n";
+        try (Socket socket =
+                new Socket(settings.callers().host(), settings.callers().port())) {
+            socket.getOutputStream().write((head + "ques").getBytes(StandardCharsets.US_ASCII));
+            TimeUnit.MILLISECONDS.sleep(pauseMillis);
+            socket.getOutputStream().write("tion".getBytes(StandardCharsets.US_ASCII));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException | InterruptedException e) {
+            return "no answer: " + e;
+        }
+    }
+
     private Thread beginStop() {
         Thread stopping = new Thread(daemon::stop, "stop");
         stopping.start();
@@ -94,6 +144,7 @@
                 PlatformDocuments.CONFIGURATION,
                 PlatformDocuments.configuration(1)
                         .route("/again/", "idempotent", "plain", 3_000, 1)
+                        .route("/once/", "non_idempotent", "plain", 3_000, 1)
                         .route("/stream/", "streaming", "plain", 3_000, 1)
                         .plain("plain")
                         .bytes());
