--- a/src/main/java/org/yuccagw/adapters/http/HttpCall.java
+++ b/src/main/java/org/yuccagw/adapters/http/HttpCall.java
@@ -15,7 +15,8 @@
 /**
  * One HTTP request in progress. All its state is confined to one I/O thread, so it needs no lock.
  *
- * <p>A silence timer runs while bytes are expected, and every byte restarts it. When it expires, the connection is
+ * <p>A silence timer runs while bytes are expected. The end of the head and every
+ * byte of the body restart it. When it expires, the connection is
  * closed and the listener is notified of the silence. This guards against connections whose state a device on the path
  * has dropped: they never report an error.
  */
@@ -196,11 +197,18 @@
                 handleNoBytes(count < 0);
                 return;
             }
-            lastByteNanos = System.nanoTime();
+            recordBytes();
             readInTurn += count;
         }
     }
 
+    /** A head must be complete within the silence timeout: one that arrives byte by byte is no progress. */
+    private void recordBytes() {
+        if (phase == Phase.ANSWER) {
+            lastByteNanos = System.nanoTime();
+        }
+    }
+
     private void handleNoBytes(boolean connectionEnded) throws IOException {
         if (connectionEnded) {
             reader.endConnection();
@@ -224,6 +232,7 @@
 
     private void onHead(ResponseHead head) throws InvalidResponseException {
         phase = Phase.ANSWER;
+        recordBytes();
         if (request.statedEndRequired() && head.bodyEnd() == BodyEnd.CONNECTION) {
             throw new InvalidResponseException(ResponseDefect.END_NOT_STATED);
         }
--- a/src/test/java/org/yuccagw/adapters/http/HttpClientTest.java
+++ b/src/test/java/org/yuccagw/adapters/http/HttpClientTest.java
@@ -6,19 +6,26 @@
 
 import io.undertow.Undertow;
 import io.undertow.util.Headers;
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
 import org.testng.annotations.Test;
 import org.yuccagw.core.id.NetworkAddress;
+import org.yuccagw.daemon.ScriptedEndpoint;
+import org.yuccagw.faults.RawServer;
 
 public class HttpClientTest {
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
+
     private Undertow server;
     private HttpClient client;
     private NetworkAddress address;
@@ -112,4 +119,44 @@
             assertTrue(failure.getCause().getMessage().contains("silent"));
         }
     }
+
+    // Guards against a probe that never ends since a byte of its response arrives now and then.
+    @Test
+    public void aHeadThatArrivesByteByByteFailsAfterTheTimeout() throws Exception {
+        try (RawServer server = RawServer.start(socket -> {
+            for (int sent = 0; sent < HEAD.length(); sent++) {
+                socket.getOutputStream().write(HEAD.charAt(sent));
+                TimeUnit.MILLISECONDS.sleep(100);
+            }
+        })) {
+            HttpRequest request =
+                    HttpRequest.get(server.address(), "/").withTimeouts(Duration.ofSeconds(1), Duration.ofMillis(500));
+            ExecutionException failure = expectThrows(
+                    ExecutionException.class, () -> client.send(request).get(10, TimeUnit.SECONDS));
+            assertTrue(failure.getCause().getMessage().contains("silent"), failure.toString());
+        }
+    }
+
+    // Guards against bytes on an idle connection that the next request takes for its response.
+    @Test
+    public void bytesOnAnIdleConnectionAreNoResponse() throws Exception {
+        AtomicInteger connections = new AtomicInteger();
+        try (RawServer server = RawServer.start(socket -> {
+            int connection = connections.incrementAndGet();
+            BufferedReader reader =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            ScriptedEndpoint.readRequest(reader.readLine(), reader);
+            socket.getOutputStream().write((HEAD + connection).getBytes(StandardCharsets.US_ASCII));
+            TimeUnit.MILLISECONDS.sleep(100);
+            socket.getOutputStream().write((HEAD + "x").getBytes(StandardCharsets.US_ASCII));
+            TimeUnit.SECONDS.sleep(10);
+        })) {
+            for (int request = 1; request <= 3; request++) {
+                HttpResponse response =
+                        client.send(HttpRequest.get(server.address(), "/")).get(10, TimeUnit.SECONDS);
+                assertEquals(response.text(), Integer.toString(request));
+                TimeUnit.MILLISECONDS.sleep(200);
+            }
+        }
+    }
 }
