Keep the ports of the two kinds of test deployments apart

Both ways of finding free ports looked in the same range, in several processes at once, so that a port could be found free by two. That this was the cause is by reading; one has 10,000 to 14,999 now, the other 15,000 to 32,767.

--- a/src/main/java/org/yuccagw/bench/local/FreePorts.java
+++ b/src/main/java/org/yuccagw/bench/local/FreePorts.java
@@ -12,14 +12,15 @@
 /**
  * Finds ports of the loopback address to listen on later.
  *
- * <p>They lie below the range from which systems take the ports of outgoing connections. A port of that range may be
+ * <p>They lie below the range from which systems take the ports of outgoing connections, and below those of the users'
+ * platform in tests. A port of that range may be
  * free when it is looked for and taken by a connection before its listener starts, which then fails with "address
  * already in use". For the same reason a port isn't returned again by this process until thousands of others were.
  */
 public final class FreePorts {
     private static final String HOST = "127.0.0.1";
-    private static final int LOWEST = 15_000;
-    private static final int ABOVE_HIGHEST = 32_000;
+    private static final int LOWEST = 10_000;
+    private static final int ABOVE_HIGHEST = 15_000;
     private static final int MOST_TRIES = 200;
     private static final int MOST_REMEMBERED = (ABOVE_HIGHEST - LOWEST) / 2;
 
--- a/src/main/java/org/yuccagw/standins/platform/SmallDeployment.java
+++ b/src/main/java/org/yuccagw/standins/platform/SmallDeployment.java
@@ -35,7 +35,8 @@
     private static final long STORE_TOKENS = 100_000;
     private static final String LOOPBACK = "127.0.0.1";
 
-    private static final int LOWEST_PORT = 10_000;
+    /** Lower ports are found at random for the product's own deployments. */
+    private static final int LOWEST_PORT = 15_000;
 
     /** By default, Linux assigns ports from 32768 on to outgoing connections. */
     private static final int LOWEST_EPHEMERAL_PORT = 32_768;
