Start raw endpoints for the tests of answers in one place

Three tests of answers set up a fleet with endpoints that write raw bytes in the same way. Comments no longer name the client's drain time: it closes connections at once.

--- a/src/main/java/org/yuccagw/core/forward/BeginLimit.java
+++ b/src/main/java/org/yuccagw/core/forward/BeginLimit.java
@@ -12,7 +12,7 @@
  * when it begins, and the engine doesn't check that.
  */
 final class BeginLimit {
-    /** An engine notices the end of its connection after {@code HttpClient}'s drain time of 150 ms and some delay. */
+    /** An engine may notice the end of its connection only after a drain time of 150 ms and some delay. */
     static final Duration END_TIME = Duration.ofMillis(300);
 
     private static final long NO_LEG = 0;
--- a/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
+++ b/src/main/java/org/yuccagw/core/forward/ForwardMachine.java
@@ -47,7 +47,7 @@
 public final class ForwardMachine {
     /**
      * Two engines mustn't work on one request for more than 400 ms. An engine may notice the end of its connection only
-     * after {@code HttpClient}'s drain time of 150 ms.
+     * after a drain time of 150 ms.
      */
     private static final Duration MAX_OVERLAP = Duration.ofMillis(100);
 
--- a/src/test/java/org/yuccagw/daemon/BrokenAnswersTest.java
+++ b/src/test/java/org/yuccagw/daemon/BrokenAnswersTest.java
@@ -26,7 +26,6 @@
 import org.yuccagw.daemon.CutOffEntry.Block;
 import org.yuccagw.faults.AnswerSamples;
 import org.yuccagw.faults.AnswerSamples.Sample;
-import org.yuccagw.faults.RawServer;
 
 /** Guards against invalid bytes of an endpoint that reach a caller as its answer, and against refusing valid ones. */
 public class BrokenAnswersTest {
@@ -50,7 +49,6 @@
             new Sample("rejection in chunks", REJECTION + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 503, ""));
 
     private final Map<String, Sample> samples = new HashMap<>();
-    private final List<RawServer> servers = new ArrayList<>();
     private CuttableFleet fleet;
     private int sentRequests;
 
@@ -60,21 +58,12 @@
         Stream.of(AnswerSamples.broken(), AnswerSamples.sound(), BROKEN_REJECTIONS, SOUND_REJECTIONS)
                 .flatMap(List::stream)
                 .forEach(sample -> samples.put(word(sample), sample));
-        fleet = CuttableFleet.start();
-        List<NetworkAddress> addresses = new ArrayList<>();
-        for (int index = 0; index < 3; index++) {
-            servers.add(RawServer.start(this::serve));
-            addresses.add(servers.get(index).address());
-        }
-        fleet.replaceEndpoints(addresses);
+        fleet = CuttableFleet.startWith(this::serve);
     }
 
     @AfterClass(alwaysRun = true)
     public void stopAll() throws Exception {
         fleet.close();
-        for (RawServer server : servers) {
-            server.close();
-        }
     }
 
     @DataProvider
--- a/src/test/java/org/yuccagw/daemon/CuttableFleet.java
+++ b/src/test/java/org/yuccagw/daemon/CuttableFleet.java
@@ -14,6 +14,7 @@
 import org.yuccagw.adapters.settings.GatewaySettings;
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.daemon.CutOffEntry.Block;
+import org.yuccagw.faults.RawServer;
 import org.yuccagw.platform.GatewaySettingsReader;
 import org.yuccagw.standins.keyvalue.KeyValueSettings;
 import org.yuccagw.standins.keyvalue.KeyValueStandIn;
@@ -28,6 +29,7 @@
 
     private final List<ScriptedEndpoint> endpoints = new ArrayList<>();
     private final List<GatewayDaemon> daemons = new ArrayList<>();
+    private final List<RawServer> rawEndpoints = new ArrayList<>();
     private final List<CutOffEntry> paths = new ArrayList<>();
     private final List<GatewaySettings> settings = new ArrayList<>();
     private final KeyValueStandIn keyValue = KeyValueStandIn.start(KeyValueSettings.defaults());
@@ -51,6 +53,17 @@
         return fleet;
     }
 
+    /** Starts a fleet as {@link #start} does, with endpoints that answer as the handler does. */
+    static CuttableFleet startWith(RawServer.Handler handler) throws Exception {
+        CuttableFleet fleet = start();
+        for (int index = 0; index < SIZE; index++) {
+            fleet.rawEndpoints.add(RawServer.start(handler));
+        }
+        fleet.replaceEndpoints(
+                fleet.rawEndpoints.stream().map(RawServer::address).toList());
+        return fleet;
+    }
+
     private void publish() throws IOException {
         keyValue.put(
                 PlatformDocuments.CONFIGURATION,
@@ -161,6 +174,9 @@
         for (ScriptedEndpoint endpoint : endpoints) {
             endpoint.close();
         }
+        for (RawServer endpoint : rawEndpoints) {
+            endpoint.close();
+        }
         for (CutOffEntry path : paths) {
             path.close();
         }
--- a/src/test/java/org/yuccagw/daemon/TornHeadTest.java
+++ b/src/test/java/org/yuccagw/daemon/TornHeadTest.java
@@ -19,7 +19,6 @@
 import org.testng.annotations.Test;
 import org.yuccagw.core.id.NetworkAddress;
 import org.yuccagw.daemon.CutOffEntry.Block;
-import org.yuccagw.faults.RawServer;
 
 /** Guards against an answer that looks whole although its endpoint ended it inside the head. */
 public class TornHeadTest {
@@ -31,27 +30,17 @@
     private static final Duration READ_TIMEOUT = Duration.ofSeconds(10);
     private static final int RELAYED_STEP = 4;
 
-    private final List<RawServer> servers = new ArrayList<>();
     private CuttableFleet fleet;
     private int sentRequests;
 
     @BeforeClass
     public void startAll() throws Exception {
-        fleet = CuttableFleet.start();
-        List<NetworkAddress> addresses = new ArrayList<>();
-        for (int index = 0; index < 3; index++) {
-            servers.add(RawServer.start(TornHeadTest::serve));
-            addresses.add(servers.get(index).address());
-        }
-        fleet.replaceEndpoints(addresses);
+        fleet = CuttableFleet.startWith(TornHeadTest::serve);
     }
 
     @AfterClass(alwaysRun = true)
     public void stopAll() throws Exception {
         fleet.close();
-        for (RawServer server : servers) {
-            server.close();
-        }
     }
 
     @DataProvider
--- a/src/test/java/org/yuccagw/daemon/UnreadUploadTest.java
+++ b/src/test/java/org/yuccagw/daemon/UnreadUploadTest.java
@@ -16,7 +16,6 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.yuccagw.core.id.NetworkAddress;
-import org.yuccagw.faults.RawServer;
 
 /** Guards against the part of an answer that looks whole because its endpoint closed an upload that it hadn't read. */
 public class UnreadUploadTest {
@@ -27,27 +26,17 @@
     private static final int[] UPLOAD_BYTES = {20_000, 300_000, 1_000_000};
     private static final String PART = "id: 1\ndata: a\n\n";
 
-    private final List<RawServer> servers = new ArrayList<>();
     private CuttableFleet fleet;
     private int sentRequests;
 
     @BeforeClass
     public void startAll() throws Exception {
-        fleet = CuttableFleet.start();
-        List<NetworkAddress> addresses = new ArrayList<>();
-        for (int index = 0; index < 3; index++) {
-            servers.add(RawServer.start(UnreadUploadTest::serve));
-            addresses.add(servers.get(index).address());
-        }
-        fleet.replaceEndpoints(addresses);
+        fleet = CuttableFleet.startWith(UnreadUploadTest::serve);
     }
 
     @AfterClass(alwaysRun = true)
     public void stopAll() throws Exception {
         fleet.close();
-        for (RawServer server : servers) {
-            server.close();
-        }
     }
 
     @DataProvider
