--- a/review/rig-2/EndlessStreams.java
+++ b/review/rig-2/EndlessStreams.java
@@ -14,15 +14,20 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Case 6. One of the model replicas sends bytes without end in the bodies of the streams that it serves, for some
+ * Case 6. Half of the model replicas send bytes without end in the bodies of the streams that they serve, for some
  * seconds. Reads of another, sound service at the same entries must be answered.
  */
 public final class EndlessStreams {
     private static final int SLOTS = 96;
     private static final int ENTRIES = 1;
     private static final int REPLICAS = 4;
+    private static final int FAULTY = 2;
     private static final int STREAM_CALLERS = 380;
     private static final int READ_CALLERS = 8;
+
+    /** After 16 KiB: 190 streams together send less than the 1,000 Mbit/s of an entry's link. */
+    private static final int SENDING_PAUSE_MS = 30;
+
     private static final int READ_TIMEOUT_MS = 800;
     private static final int GIVE_UP_MS = 1500;
     private static final long TROUBLE_FROM_MS = 8_000;
@@ -57,7 +62,7 @@
         Rig.plainService(configuration, "app");
         rig.put("op/config", configuration);
         for (int number = 1; number <= REPLICAS; number++) {
-            boolean faulty = number == 1;
+            boolean faulty = number <= FAULTY;
             Replica replica = new Replica(rig, "lm-" + number, (request, socket) -> serveModel(request, socket, faulty));
             rig.put("servers/" + replica.id, Rig.engineRegistration("lm", replica.port, "v1", SLOTS, 1000, "m", 1));
         }
@@ -88,12 +93,12 @@
         }
         Thread.sleep(Math.max(1, begin + TROUBLE_FROM_MS - rig.millis()));
         if (Rig.trouble()) {
-            rig.say("lm-1 sends bytes without end from now on");
+            rig.say("lm-1 and lm-2 send bytes without end from now on");
             endless = true;
         }
         Thread.sleep(Math.max(1, begin + TROUBLE_TO_MS - rig.millis()));
         if (Rig.trouble()) {
-            rig.say("lm-1 is sound again; it sent " + endlessBodies + " bodies without end");
+            rig.say("both are sound again; they sent " + endlessBodies + " bodies without end");
             endless = false;
         }
         Thread.sleep(Math.max(1, begin + END_MS - rig.millis()));
@@ -166,13 +171,14 @@
     }
 
     /** Sends until the caller closes its channel, or until the replica is sound again. */
-    private static void sendWithoutEnd(OutputStream out) throws IOException {
+    private static void sendWithoutEnd(OutputStream out) throws IOException, InterruptedException {
         byte[] bytes = new byte[16 * 1024];
         Arrays.fill(bytes, (byte) '#');
         while (endless) {
             out.write((Integer.toHexString(bytes.length) + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
             out.write(bytes);
             out.write("\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            Thread.sleep(SENDING_PAUSE_MS);
         }
     }
 
