--- a/review/rig-2/HeldErrors.java
+++ b/review/rig-2/HeldErrors.java
@@ -24,7 +24,8 @@
     private static final long TROUBLE_TO_MS = 11_500;
     private static final long END_MS = 18_000;
 
-    private static final double SHARE = 0.4;
+    private static final double FAILING_SHARE = 0.25;
+    private static final double HANGING_SHARE = 0.4;
     private static volatile boolean trouble;
     private static volatile boolean over;
     private static final AtomicInteger ids = new AtomicInteger();
@@ -51,7 +52,8 @@
         }
         Rig.Entry entry = rig.entry("edge-1");
         entry.awaitReady(20_000);
-        Thread.sleep(2_000);
+        // An entry that has just started has no share of the retry budget yet.
+        Thread.sleep(10_000);
         long begin = rig.millis();
         List<Thread> threads = new ArrayList<>();
         for (int caller = 0; caller < CALLERS; caller++) {
@@ -94,7 +96,7 @@
 
     private static void serve(Http.Request request, Socket socket, boolean failing) throws Exception {
         String id = request.header("Yuccagw-Request-Id");
-        if (!trouble || java.util.concurrent.ThreadLocalRandom.current().nextDouble() >= SHARE) {
+        if (!trouble || java.util.concurrent.ThreadLocalRandom.current().nextDouble() >= (failing ? FAILING_SHARE : HANGING_SHARE)) {
             Thread.sleep(20);
             Replica.answer(socket, 200, Replica.echo(request) + "Yuccagw-Response-Seal: s\r\n", "ok");
             return;
